--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, the demonstration, and what they need to run processes."""
--- /dev/null
+++ b/crankchute/__init__.py
@@ -0,0 +1,1 @@
+"""A serving layer for prompts of very unlike lengths on one engine fleet."""
--- /dev/null
+++ b/crankchute/adapters/http_intake.py
@@ -0,0 +1,195 @@
+"""Checks on what a caller sends, before the web library sees it.
+
+The web library has no bound on headers, bodies or the time a sender takes, and
+answers bad input with a page.  Every connection is followed here with a
+library's parser, and input out of bounds gets a typed refusal.
+"""
+
+from http import HTTPStatus
+
+import httptools
+
+from crankchute.errors import RequestRefused
+
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_HEAD_BYTES = 32_768
+_BODY_BYTES = 8_388_608
+_HEAD_MS = 5000
+_BYTES_PER_MS = 64
+
+
+class IntakeLimits:
+    """The bounds on one incoming request."""
+
+    __slots__ = ('body_bytes', 'body_rate', 'head_bytes', 'head_ms')
+
+    def __init__(self, *, head_bytes, body_bytes, head_ms, body_rate):
+        """Create the bounds.
+
+        Args:
+          head_bytes: The largest request line and headers, in bytes.
+          body_bytes: The largest body, in bytes.
+          head_ms: Milliseconds in which the headers must arrive.
+          body_rate: The slowest body accepted, in bytes a millisecond.
+        """
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.head_ms = head_ms
+        self.body_rate = body_rate
+
+
+DEFAULT_LIMITS = IntakeLimits(
+    head_bytes=_HEAD_BYTES,
+    body_bytes=_BODY_BYTES,
+    head_ms=_HEAD_MS,
+    body_rate=_BYTES_PER_MS,
+)
+
+
+class Intake:
+    """What is known of the request that is arriving on one connection."""
+
+    __slots__ = (
+        '_body_size',
+        '_has_host',
+        '_head_done',
+        '_head_size',
+        '_limits',
+        '_message_count',
+        '_parser',
+        '_reply',
+        '_size',
+        'done',
+        'started_ms',
+    )
+
+    def __init__(self, limits, reply):
+        """Start with an empty request.
+
+        Args:
+          limits: IntakeLimits.
+          reply: A function that writes bytes to the caller.
+        """
+        self._limits = limits
+        self._reply = reply
+        self.reset()
+
+    def reset(self):
+        """Get ready for the next request of the connection."""
+        self._parser = httptools.HttpRequestParser(self)
+        self._size = 0
+        self._body_size = 0
+        self._has_host = False
+        self._head_size = 0
+        self._head_done = False
+        self._message_count = 0
+        self.done = False
+        self.started_ms = None
+
+    def feed(self, chunk, now_ms):
+        """Take bytes from the connection.
+
+        Args:
+          chunk: Bytes as they came.
+          now_ms: The time in milliseconds.
+        Raises:
+          RequestRefused: If the request is malformed or out of bounds.
+        """
+        if self.started_ms is None:
+            self.started_ms = now_ms
+        self._size += len(chunk)
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserCallbackError as exc:
+            self._raise_cause(exc)
+        except httptools.HttpParserError as exc:
+            raise _bad_request(str(exc)) from exc
+        if not self._head_done and self._size > self._limits.head_bytes:
+            raise _head_too_large(self._limits)
+        if self._message_count > 1:
+            raise _bad_request('pipelined requests are not supported')
+
+    def check_pace(self, now_ms):
+        """Refuse a sender that takes too long.
+
+        Args:
+          now_ms: The time in milliseconds.
+        Raises:
+          RequestRefused: If the headers or the body are late.
+        """
+        if self.started_ms is None or self.done:
+            return
+        allowed_ms = self._limits.head_ms
+        allowed_ms += self._body_size / self._limits.body_rate
+        if now_ms - self.started_ms > allowed_ms:
+            raise RequestRefused(
+                HTTPStatus.REQUEST_TIMEOUT,
+                'slow_sender',
+                'the request did not arrive in time',
+            )
+
+    def on_message_begin(self):
+        """Parser callback: a request line starts."""
+        self._message_count += 1
+
+    def on_header(self, name, text):
+        """Parser callback: one header.
+
+        Args:
+          name: The header's name, bytes.
+          text: The header's value, bytes.
+        """
+        self._head_size += len(name) + len(text)
+        if self._head_size > self._limits.head_bytes:
+            raise _head_too_large(self._limits)
+        key = name.lower()
+        if key == b'content-length' and text.isdigit():
+            self._check_body(int(text))
+        elif key == b'expect' and text.lower() == b'100-continue':
+            self._reply(_CONTINUE)
+        elif key == b'host':
+            self._has_host = True
+
+    def on_headers_complete(self):
+        """Parser callback: all headers are here."""
+        self._head_done = True
+        if not self._has_host:
+            raise _bad_request('the Host header is missing')
+
+    def on_body(self, chunk):
+        """Parser callback: a part of the body.
+
+        Args:
+          chunk: Bytes.
+        """
+        self._body_size += len(chunk)
+        self._check_body(self._body_size)
+
+    def on_message_complete(self):
+        """Parser callback: the request is whole."""
+        self.done = True
+
+    def _check_body(self, size):
+        if size > self._limits.body_bytes:
+            raise RequestRefused(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                'body_too_large',
+                'the body is too large',
+            )
+
+    def _raise_cause(self, exc):
+        if isinstance(exc.__context__, RequestRefused):
+            raise exc.__context__
+        raise _bad_request(str(exc)) from exc
+
+
+def _bad_request(text):
+    return RequestRefused(HTTPStatus.BAD_REQUEST, 'bad_request', text)
+
+
+def _head_too_large(limits):
+    return RequestRefused(
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        'headers_too_large',
+        f'the headers are over {limits.head_bytes} bytes',
+    )
--- /dev/null
+++ b/crankchute/adapters/http_server.py
@@ -0,0 +1,316 @@
+"""The HTTP server side, on circuits.web, with streams written at once.
+
+The web library streams a generator by one chunk per pass of its poller.  A
+stream is therefore written to the socket as it comes, with the framing of the
+library's response object, and the library is told only of its end.
+"""
+
+from contextlib import suppress
+from socket import SHUT_WR
+
+import orjson
+from circuits import BaseComponent, handler
+from circuits.net.events import close
+from circuits.web.events import response, stream
+from circuits.web.http import HTTP
+
+from crankchute.adapters.http_intake import DEFAULT_LIMITS, Intake
+from crankchute.adapters.sockets import DirectServer
+from crankchute.errors import RequestRefused
+
+JSON_TYPE = 'application/json'
+_SWEEP_MS = 500
+_LINGER_MS = 500
+_RETRY_AFTER = 'Retry-After'
+_CRLF = b'\r\n'
+
+
+class Exchange:
+    """One request of a caller and the answer that is being given to it."""
+
+    __slots__ = ('_req', '_res', '_server', 'body', 'on_gone', 'started')
+
+    def __init__(self, server, req, res):
+        """Wrap the library's pair of request and response.
+
+        Args:
+          server: The HttpServer that received the request.
+          req: The library's request.
+          res: The library's response.
+        """
+        self._server = server
+        self._req = req
+        self._res = res
+        self.body = req.body.read()
+        self.on_gone = None
+        self.started = False
+
+    @property
+    def method(self):
+        """The request's method, a string."""
+        return self._req.method
+
+    @property
+    def path(self):
+        """The request's path without its query, a string."""
+        return self._req.path
+
+    @property
+    def query(self):
+        """The query string as sent, without the question mark."""
+        return self._req.qs or ''
+
+    @property
+    def is_open(self):
+        """Whether the caller is still connected, a bool."""
+        return self._server.is_open(self._req.sock)
+
+    def header(self, name, default=None):
+        """Return a header of the request.
+
+        Args:
+          name: The header's name in any case.
+          default: What to return if there is none.
+        Returns:
+          A string or the default.
+        """
+        return self._req.headers.get(name, default)
+
+    def reply(self, status, body, content_type=JSON_TYPE, headers=()):
+        """Send a whole answer.
+
+        Args:
+          status: The HTTP status, an int.
+          body: Bytes, or a map that is written as JSON.
+          content_type: The body's media type.
+          headers: Pairs of name and text.
+        """
+        if not isinstance(body, bytes):
+            body = orjson.dumps(body)
+        self.started = True
+        self._res.status = int(status)
+        self._set_headers(content_type, headers)
+        self._res.body = body
+        self._server.fire(response(self._res))
+        self._server.end_exchange(self._req.sock)
+
+    def refuse(self, refusal):
+        """Send a refusal as a typed body.
+
+        Args:
+          refusal: A RequestRefused.
+        """
+        headers = []
+        if refusal.retry_after_ms is not None:
+            seconds = max(1, round(refusal.retry_after_ms / 1000))
+            headers.append((_RETRY_AFTER, str(seconds)))
+        body = refusal_body(refusal)
+        self.reply(refusal.status, body, headers=headers)
+
+    def start_stream(self, content_type, headers=()):
+        """Send the head of an answer whose body follows in parts.
+
+        Args:
+          content_type: The body's media type.
+          headers: Pairs of name and text.
+        """
+        self.started = True
+        res = self._res
+        self._set_headers(content_type, headers)
+        if res.protocol == 'HTTP/1.1':
+            res.chunked = True
+            res.headers['Transfer-Encoding'] = 'chunked'
+        else:
+            res.close = True
+        if res.close:
+            res.headers['Connection'] = 'close'
+        self._write(bytes(res) + bytes(res.headers))
+
+    def send(self, chunk):
+        """Send a part of a streamed body.
+
+        Args:
+          chunk: Bytes, not empty.
+        """
+        if self._res.chunked:
+            size = b'%x\r\n' % len(chunk)
+            chunk = b''.join((size, chunk, _CRLF))
+        self._write(chunk)
+
+    def finish(self):
+        """End a streamed body."""
+        self._server.fire(stream(self._res, None))
+        self._server.end_exchange(self._req.sock)
+
+    def abort(self):
+        """Close the connection without the end of the body."""
+        self._server.abort(self._req.sock)
+
+    def _write(self, chunk):
+        self._server.write_now(self._req.sock, chunk)
+
+    def _set_headers(self, content_type, headers):
+        self._res.headers['Content-Type'] = content_type
+        for name, text in headers:
+            self._res.headers[name] = text
+
+
+class HttpServer(BaseComponent):
+    """Receives requests and hands them, checked, to one function."""
+
+    channel = 'web'
+    secure = False
+    display_banner = False
+
+    def __init__(self, bind, on_request, timers, **options):
+        """Listen on an address.
+
+        Args:
+          bind: A pair of IP number and port.
+          on_request: A function of an Exchange; it may raise RequestRefused.
+          timers: A TimerService.
+          options: `channel`, a name that is unique in the process, and
+            `limits`, an IntakeLimits.
+        """
+        super().__init__(channel=options.get('channel', self.channel))
+        self._on_request = on_request
+        self._limits = options.get('limits', DEFAULT_LIMITS)
+        self._intakes = {}
+        self._exchanges = {}
+        self._discarding = set()
+        self._timers = timers
+        self._clock = timers.clock
+        self.server = DirectServer(bind, channel=self.channel).register(self)
+        self.http = HTTP(self, channel=self.channel).register(self)
+        timers.every(_SWEEP_MS, self._sweep)
+
+    @property
+    def host(self):
+        """The IP number listened on."""
+        return self.server.host
+
+    @property
+    def port(self):
+        """The port listened on."""
+        return self.server.port
+
+    @property
+    def open_exchanges(self):
+        """How many requests are being answered, an int."""
+        return len(self._exchanges)
+
+    def is_open(self, sock):
+        """Tell whether a caller's socket is still connected."""
+        return self.server.is_open(sock)
+
+    def write_now(self, sock, chunk):
+        """Write bytes to a caller's socket."""
+        self.server.write(sock, chunk)
+
+    def abort(self, sock):
+        """Close a caller's connection at once."""
+        self.end_exchange(sock)
+        self.fire(close(sock))
+
+    def end_exchange(self, sock):
+        """Make a connection ready for its next request."""
+        exchange = self._exchanges.pop(sock, None)
+        if exchange is not None:
+            exchange.on_gone = None
+        intake = self._intakes.get(sock)
+        if intake is not None:
+            intake.reset()
+
+    @handler('read', priority=10)
+    def _on_read(self, event, sock, chunk):
+        if sock in self._discarding:
+            event.stop()
+            return
+        if sock in self._exchanges:
+            event.stop()
+            self.abort(sock)
+            return
+        intake = self._intakes.get(sock)
+        if intake is None:
+            intake = self._new_intake(sock)
+        try:
+            intake.feed(chunk, self._clock.now_ms())
+        except RequestRefused as refusal:
+            event.stop()
+            self._refuse_raw(sock, refusal)
+
+    @handler('request', priority=1)
+    def _on_web_request(self, event, req, res):
+        event.stop()
+        exchange = Exchange(self, req, res)
+        self._exchanges[req.sock] = exchange
+        try:
+            self._on_request(exchange)
+        except RequestRefused as refusal:
+            exchange.refuse(refusal)
+        return True
+
+    @handler('disconnect')
+    def _on_disconnect(self, sock):
+        self._intakes.pop(sock, None)
+        self._discarding.discard(sock)
+        exchange = self._exchanges.pop(sock, None)
+        if exchange is not None and exchange.on_gone is not None:
+            exchange.on_gone()
+
+    @handler('connect', 'closed', 'error', 'ready')
+    def _on_ignored(self, *_args):
+        """Take the library's events that need no action."""
+
+    def _new_intake(self, sock):
+        intake = Intake(
+            self._limits,
+            lambda reply: self.write_now(sock, reply),
+        )
+        self._intakes[sock] = intake
+        return intake
+
+    def _sweep(self):
+        now_ms = self._clock.now_ms()
+        for sock, intake in tuple(self._intakes.items()):
+            try:
+                intake.check_pace(now_ms)
+            except RequestRefused as refusal:
+                self._refuse_raw(sock, refusal)
+
+    def _refuse_raw(self, sock, refusal):
+        body = orjson.dumps(refusal_body(refusal))
+        head = (
+            f'HTTP/1.1 {int(refusal.status)} {refusal.status.phrase}\r\n'
+            f'Content-Type: {JSON_TYPE}\r\n'
+            f'Content-Length: {len(body)}\r\n'
+            'Connection: close\r\n\r\n'
+        )
+        self.write_now(sock, head.encode() + body)
+        self._intakes.pop(sock, None)
+        self._discarding.add(sock)
+        self._close_later(sock)
+
+    def _close_later(self, sock):
+        """Close later: closing at once would reset the reply on its way."""
+        self._timers.after(_LINGER_MS, lambda: self.fire(close(sock)))
+        with suppress(OSError):
+            sock.shutdown(SHUT_WR)
+
+
+def refusal_body(refusal):
+    """Return the typed body of a refusal.
+
+    Args:
+      refusal: A RequestRefused.
+    Returns:
+      A map in the form that callers of completion interfaces know.
+    """
+    return {
+        'error': {
+            'type': refusal.code,
+            'message': refusal.text,
+            'outcome': 'not_run',
+            'retry_after_ms': refusal.retry_after_ms,
+        },
+    }
--- /dev/null
+++ b/crankchute/adapters/loop.py
@@ -0,0 +1,92 @@
+"""The one event loop of a process, with its poller, clock and timers."""
+
+from threading import current_thread
+from traceback import format_tb
+from types import TracebackType
+
+from circuits import BaseComponent, Event, handler
+
+from crankchute.adapters.log import log_change
+from crankchute.adapters.clock import ProcessClock
+from crankchute.adapters.poller import IndexedPoller
+from crankchute.adapters.timers import LoopTimers
+
+
+_TICK_S = 0.05
+
+
+class posted(Event):  # noqa: N801  (event classes of circuits are lower case)
+    """A function that another thread asks the loop to call."""
+
+
+class Loop(BaseComponent):
+    """The root component of a process.
+
+    Attributes:
+      clock: The ProcessClock.
+      timers: The timer service.
+    """
+
+    channel = 'loop'
+
+    def __init__(self):
+        """Create the loop with a poller and a timer service."""
+        super().__init__()
+        self.clock = ProcessClock()
+        IndexedPoller().register(self)
+        self.timers = LoopTimers(self.clock).register(self)
+        self._on_signals = {}
+
+    def post(self, function, *args):
+        """Call a function on the loop's thread; any thread may ask.
+
+        Args:
+          function: The function.
+          args: Its arguments.
+        """
+        self.fire(posted(function, args), self.channel)
+
+    def on_signal(self, signo, callback):
+        """Call a function when the process is asked to end.
+
+        The library installs the handlers of both signals when it runs.
+
+        Args:
+          signo: SIGTERM or SIGINT.
+          callback: A function without arguments.
+        """
+        self._on_signals[signo] = callback
+
+    def run_until(self, is_done, tick_s=_TICK_S):
+        """Run the loop until something is done.
+
+        Args:
+          is_done: A function without arguments that returns a bool.
+          tick_s: The longest wait between two questions, in seconds.
+        """
+        self._running = True
+        self._executing_thread = current_thread()
+        while not is_done():
+            self.tick(tick_s)
+        self._executing_thread = None
+
+    @handler('exception', channel='*')
+    def _on_exception(self, error_type, error, stack, **_details):
+        log_change(
+            'internal_error',
+            error=f'{error_type.__name__}: {error}',
+            stack=format_tb(stack)
+            if isinstance(stack, TracebackType)
+            else stack,
+        )
+
+    @handler('posted')
+    def _on_posted(self, function, args):
+        function(*args)
+
+    @handler('signal', channel='*', priority=100)
+    def _on_signal(self, event, signo, _stack):
+        callback = self._on_signals.get(signo)
+        if callback is not None:
+            event.stop()
+            callback()
--- /dev/null
+++ b/crankchute/adapters/metrics.py
@@ -0,0 +1,93 @@
+"""Metrics by the prometheus client, under the names of its conventions."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from crankchute.core.job import length_band
+from crankchute.ports.metrics import Metrics
+
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10, 30, 60)
+_COUNTERS = (
+    ('requests_ended', 'Completions ended, by outcome.', 'outcome'),
+    ('service_calls_ended', 'Plain service calls ended.', 'outcome'),
+    ('refusals', 'Completions refused before they were admitted.', 'code'),
+    ('engine_refusals', 'Orders an engine refused to start.', 'code'),
+    ('retries', 'Attempts repeated after a failure.', None),
+    ('frames_dropped', 'Frames that belonged to no attempt here.', None),
+    ('group_replacements', 'Lost members of groups replaced.', None),
+    ('group_restarts', 'Groups that freed everything to start over.', None),
+    ('tokens_streamed', 'Tokens passed to callers.', None),
+    ('bad_requests', 'Requests refused for what they said.', 'code'),
+    ('orders_sent', 'Orders sent to engines.', None),
+    ('platform_reads', 'Reads of the platform.', None),
+    ('config_refused', 'Configuration revisions refused.', None),
+    ('peer_messages', 'Messages to other instances.', 'method'),
+    ('peer_bytes', 'Bytes of messages to other instances.', None),
+)
+_MS_PER_SECOND = 1000
+
+
+class PrometheusMetrics(Metrics):
+    """Counts into a registry of its own.
+
+    Attributes:
+      registry: The CollectorRegistry.
+    """
+
+    def __init__(self):
+        """Create all metrics at zero."""
+        super().__init__()
+        self.registry = CollectorRegistry()
+        self._counters = {
+            name: self._make_counter(name, text, label)
+            for name, text, label in _COUNTERS
+        }
+        self._first_token = Histogram(
+            'crankchute_first_token_seconds',
+            'Time from arrival to the first token.',
+            ['band'],
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+
+    def add_gauge(self, name, text, function):
+        """Add a gauge that is read when metrics are asked for.
+
+        Args:
+          name: The name without the project's prefix.
+          text: What it says.
+          function: A function that returns a number.
+        """
+        gauge = Gauge(f'crankchute_{name}', text, registry=self.registry)
+        gauge.set_function(function)
+
+    def count(self, name, label=None, amount=1):
+        """See Metrics."""
+        super().count(name, label, amount)
+        counter = self._counters[name]
+        if label is not None:
+            counter = counter.labels(label)
+        counter.inc(amount)
+
+    def observe_first_token(self, job, waited_ms):
+        """See Metrics."""
+        band = length_band(job.tokens)
+        self._first_token.labels(band).observe(waited_ms / _MS_PER_SECOND)
+
+    def render(self):
+        """Return all metrics in the text format, as bytes."""
+        return generate_latest(self.registry)
+
+    def _make_counter(self, name, text, label):
+        labels = [] if label is None else [label]
+        return Counter(
+            f'crankchute_{name}',
+            text,
+            labels,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/crankchute/adapters/sockets.py
@@ -0,0 +1,178 @@
+"""Socket components that write at once and hold many outgoing connections.
+
+The library sends every write through three events and two system calls on the
+poller.  A write is tried directly here and goes that way only when the socket
+is full.  The outgoing side is one component for all connections, because
+registering a component per connection empties the library's handler cache.
+"""
+
+import errno
+import socket
+
+from circuits import handler
+from circuits.core.utils import findcmp
+from circuits.net.sockets import TCPServer
+
+from crankchute.adapters.poller import FdSet, IndexedPoller
+
+_IN_PROGRESS = frozenset((errno.EINPROGRESS, errno.EWOULDBLOCK))
+_READ_SIZE = 65536
+
+
+class DirectServer(TCPServer):
+    """A TCP server whose writes go to the socket without an event."""
+
+    def __init__(self, bind, **options):
+        """Listen on an address.
+
+        Args:
+          bind: A pair of IP number and port.
+          options: Options of the library's server.
+        """
+        options['bufsize'] = _READ_SIZE
+        super().__init__(bind, **options)
+        self._clients = FdSet()
+
+    @handler('write')
+    def write(self, sock, data):  # noqa: WPS110  (the library's keyword)
+        """Send bytes, or keep what the socket does not take.
+
+        Args:
+          sock: A connected socket of this server.
+          data: Bytes.
+        """
+        if sock not in self._clients:
+            return
+        if not self._buffers[sock]:
+            data = self._send_now(sock, data)  # noqa: WPS110
+        if data and sock in self._clients:
+            self._buffers[sock].append(data)
+            if not self._poller.isWriting(sock):
+                self._poller.addWriter(self, sock)
+
+    def is_open(self, sock):
+        """Tell whether a socket is still connected here.
+
+        Args:
+          sock: A socket.
+        Returns:
+          A bool.
+        """
+        return sock in self._clients
+
+    def stop_listening(self):
+        """Close the listening socket and keep the open connections."""
+        if self._sock is not None:
+            self._poller.discard(self._sock)
+            self._sock.close()
+            self._sock = None
+
+    @handler('close')
+    def close(self, sock=None):
+        """Close one socket after its buffer is sent, or all of them.
+
+        Args:
+          sock: A connected socket; None closes the listening socket too.
+        """
+        if sock is not None:
+            super().close(sock)
+            return
+        self.stop_listening()
+        for client in tuple(self._clients):
+            super().close(client)
+
+    def _send_now(self, sock, payload):
+        try:
+            sent = sock.send(payload)
+        except OSError as exc:
+            if exc.errno in _IN_PROGRESS:
+                return payload
+            self._close(sock)
+            return b''
+        return payload[sent:]
+
+
+class ConnectionHub(DirectServer):
+    """All outgoing connections of a process, in one component.
+
+    Sockets that are still connecting are watched for writing; the socket's
+    own error tells whether the connection was refused.
+    """
+
+    channel = 'hub'
+
+    def __init__(self, channel='hub'):
+        """Create the hub without any connection."""
+        super().__init__(None, channel=channel)
+        self._connecting = {}
+
+    def parse_bind_parameter(self, bind):
+        """Accept that there is no address to listen on."""
+        return bind
+
+    def connect_to(self, host, port, on_done):
+        """Open a connection.
+
+        Args:
+          host: An IP number.
+          port: A port number.
+          on_done: Called once with the socket and None, or None and an
+            OSError when nothing was sent.
+        """
+        self._find_poller()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex((host, port))
+        if code and code not in _IN_PROGRESS:
+            sock.close()
+            on_done(None, OSError(code, 'connect failed'))
+            return
+        self._connecting[sock] = on_done
+        self._poller.addWriter(self, sock)
+
+    def abort(self, sock):
+        """Close a connection without sending what is buffered.
+
+        Args:
+          sock: A socket that connect_to handed out.
+        """
+        self._close(sock)
+
+    @handler('registered', 'started', channel='*')
+    def _on_registered_or_started(self, component, manager=None):
+        self._find_poller()
+
+    @handler('_write', priority=1)
+    def _on_write(self, sock):
+        on_done = self._connecting.pop(sock, None)
+        if on_done is None:
+            super()._on_write(sock)
+            return
+        self._finish_connect(sock, on_done)
+
+    @handler('_disconnect', priority=1)
+    def _on_disconnect(self, sock):
+        on_done = self._connecting.pop(sock, None)
+        if on_done is None:
+            super()._on_disconnect(sock)
+            return
+        self._finish_connect(sock, on_done)
+
+    def _find_poller(self):
+        if self._poller is None:
+            self._poller = findcmp(self.root, IndexedPoller)
+
+    def _finish_connect(self, sock, on_done):
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        self._poller.discard(sock)
+        if code:
+            sock.close()
+            on_done(None, OSError(code, 'connect failed'))
+            return
+        self._poller.addReader(self, sock)
+        self._clients.add(sock)
+        on_done(sock, None)
+
+    def _create_socket(self):
+        """Create no socket, since nothing is listened on."""
--- /dev/null
+++ b/crankchute/commands/entry.py
@@ -0,0 +1,16 @@
+"""`crankchute entry`: run an entry instance."""
+
+from crankchute.daemons.entry import SETTINGS, run_entry
+from crankchute.settings import add_flags, read_settings
+
+
+def add_parser(subparsers):
+    """Add the command's parser."""
+    parser = subparsers.add_parser('entry', help='run an entry instance')
+    add_flags(parser, SETTINGS)
+    parser.set_defaults(run=run)
+
+
+def run(flags, environ):
+    """Run the command; see main."""
+    return run_entry(read_settings(SETTINGS, flags, environ))
--- /dev/null
+++ b/crankchute/commands/load_run.py
@@ -0,0 +1,5 @@
+"""placeholder"""
+
+
+def add_parser(subparsers):
+    return subparsers
--- /dev/null
+++ b/crankchute/core/config.py
@@ -0,0 +1,181 @@
+"""The configuration that operators publish, as plain objects.
+
+The documents are maps under keys: `models`, `pools`, `classes`, `policy`, and
+`accounts` or any number of keys `accounts/NAME`, so that many accounts fit
+into values of bounded size.
+"""
+
+_DEFAULT_WIDTH = 3
+_DEFAULT_BYTES_PER_TOKEN = 4
+_DEFAULT_MAX_PROMPT = 1_048_576
+_DEFAULT_LONG_SHARE = 0.5
+_DEFAULT_IN_PROGRESS = 1000
+_DEFAULT_TOKEN_RATE = 10_000_000
+_DEFAULT_MAX_DEADLINE_MS = 3_600_000
+_DEFAULT_PRIORITY = 5
+
+
+class Model:
+    """A model that engines may hold."""
+
+    __slots__ = (
+        'adapters',
+        'bytes_per_token',
+        'max_prompt_tokens',
+        'name',
+        'version',
+    )
+
+    def __init__(self, document):
+        """Create a model.
+
+        Args:
+          document: A map that agrees with the schema.
+        """
+        self.name = document['name']
+        self.version = document['version']
+        self.adapters = tuple(document.get('adapters', ()))
+        self.bytes_per_token = document.get(
+            'bytes_per_token',
+            _DEFAULT_BYTES_PER_TOKEN,
+        )
+        self.max_prompt_tokens = document.get(
+            'max_prompt_tokens',
+            _DEFAULT_MAX_PROMPT,
+        )
+
+
+class Pool:
+    """Backend servers chosen by their labels."""
+
+    __slots__ = (
+        'checks_fences',
+        'kind',
+        'labels',
+        'long_share',
+        'min_engines',
+        'models',
+        'name',
+        'selector',
+    )
+
+    def __init__(self, document):
+        """Create a pool.
+
+        Args:
+          document: A map that agrees with the schema.
+        """
+        self.name = document['name']
+        self.kind = document['kind']
+        self.labels = dict(document.get('labels', {}), pool=self.name)
+        self.selector = document['selector']
+        self.models = tuple(document.get('models', ()))
+        self.min_engines = document.get('min_engines', 1)
+        self.long_share = document.get('long_share', _DEFAULT_LONG_SHARE)
+        self.checks_fences = document.get('checks_fences', True)
+
+
+class WorkloadClass:
+    """A kind of work: which accounts may ask for it, and where it runs."""
+
+    __slots__ = ('accounts', 'max_deadline_ms', 'name', 'pools', 'priority')
+
+    def __init__(self, document):
+        """Create a workload class.
+
+        Args:
+          document: A map that agrees with the schema.
+        """
+        self.name = document['name']
+        self.pools = document['pools']
+        self.accounts = document['accounts']
+        self.priority = document.get('priority', _DEFAULT_PRIORITY)
+        self.max_deadline_ms = document.get(
+            'max_deadline_ms',
+            _DEFAULT_MAX_DEADLINE_MS,
+        )
+
+
+class Account:
+    """A client account and its limits over the whole system."""
+
+    __slots__ = (
+        'labels',
+        'max_in_progress',
+        'name',
+        'tokens_per_second',
+        'weight',
+        'width',
+    )
+
+    def __init__(self, document):
+        """Create an account.
+
+        Args:
+          document: A map that agrees with the schema.
+        """
+        self.name = document['name']
+        self.labels = dict(document.get('labels', {}), account=self.name)
+        self.weight = document.get('weight', 1)
+        self.width = document.get('width', _DEFAULT_WIDTH)
+        self.max_in_progress = document.get(
+            'max_in_progress',
+            _DEFAULT_IN_PROGRESS,
+        )
+        self.tokens_per_second = document.get(
+            'tokens_per_second',
+            _DEFAULT_TOKEN_RATE,
+        )
+
+
+class Policy:
+    """Choices that hold for the whole system."""
+
+    __slots__ = ('placement', 'routing')
+
+    def __init__(self, document):
+        """Create the policy.
+
+        Args:
+          document: A map that agrees with the schema.
+        """
+        self.routing = document.get('routing', 'earliest-start')
+        self.placement = document.get('placement', True)
+
+
+class Config:
+    """One revision of the configuration, checked and whole.
+
+    Attributes:
+      revision: The platform's revision, an int.
+      models, pools, classes, accounts: Maps from name to object.
+      policy: A Policy.
+    """
+
+    __slots__ = (
+        'accounts',
+        'classes',
+        'models',
+        'policy',
+        'pools',
+        'revision',
+    )
+
+    def __init__(self, revision, sections):
+        """Create a configuration.
+
+        Args:
+          revision: The platform's revision, an int.
+          sections: A map from section name to its checked documents.
+        """
+        self.revision = revision
+        self.models = _index(Model, sections['models'])
+        self.pools = _index(Pool, sections['pools'])
+        self.classes = _index(WorkloadClass, sections['classes'])
+        self.accounts = _index(Account, sections['accounts'])
+        self.policy = Policy(sections['policy'])
+
+
+def _index(factory, documents):
+    things = [factory(document) for document in documents]
+    return {thing.name: thing for thing in things}
--- /dev/null
+++ b/crankchute/core/fleet.py
@@ -0,0 +1,216 @@
+"""What one entry instance knows of the backend servers.
+
+The instance list says who exists and who is leaving; engines report their
+load with a lag; the instance itself knows exactly what it has in flight.
+"""
+
+from crankchute.core.breaker import Breaker
+from crankchute.core.prefix import PrefixKnowledge
+
+LIVE = 'live'
+LEAVING = 'leaving'
+KIND_ENGINE = 'engine'
+KIND_SERVICE = 'service'
+KIND_ENTRY = 'entry'
+
+
+class Listed:
+    """One instance as the platform lists it."""
+
+    __slots__ = (
+        'address',
+        'data_centre',
+        'identity',
+        'kind',
+        'labels',
+        'state',
+    )
+
+    def __init__(self, document):
+        """Create the record.
+
+        Args:
+          document: A map with `id`, `kind`, `address` ("IP:port"),
+            `data_centre`, `labels` and `state`.
+        """
+        self.identity = document['id']
+        self.kind = document['kind']
+        self.address = parse_address(document['address'])
+        self.data_centre = document['data_centre']
+        self.labels = document.get('labels', {})
+        self.state = document.get('state', LIVE)
+
+
+def parse_address(text):
+    """Read an address.
+
+    Args:
+      text: "IP:port".
+    Returns:
+      A pair of IP number and port.
+    """
+    host, _, port = text.rpartition(':')
+    return host, int(port)
+
+
+class LoadReport:
+    """What an engine said of itself, some time ago.
+
+    Attributes:
+      boot: The engine's incarnation.
+      at_ms: When the report came, on this process's clock.
+      queued_tokens: Prompt tokens that wait for prefill, an int.
+      running: How many streams it generates, an int.
+      memory_free: Tokens of KV memory that are free, an int.
+      memory_total: All of its KV memory, in tokens.
+      prefill_rate: Prompt tokens it works off in a millisecond, a float.
+      models: A map from model name to version.
+      leaving: Whether it says that it is leaving, a bool.
+    """
+
+    __slots__ = (
+        'at_ms',
+        'boot',
+        'leaving',
+        'memory_free',
+        'memory_total',
+        'models',
+        'prefill_rate',
+        'queued_tokens',
+        'running',
+    )
+
+    def __init__(self, at_ms, document):
+        """Create the record.
+
+        Args:
+          at_ms: When the report came.
+          document: A map with a value for each other attribute.
+        """
+        self.at_ms = at_ms
+        self.boot = document['boot']
+        self.queued_tokens = document['queued_tokens']
+        self.running = document['running']
+        self.memory_free = document['memory_free']
+        self.memory_total = document['memory_total']
+        self.prefill_rate = document['prefill_rate']
+        self.models = document['models']
+        self.leaving = document['leaving']
+
+
+class Backend:
+    """A backend server, as one entry instance sees it.
+
+    Attributes:
+      listed: The Listed record.
+      load: The newest LoadReport, or None.
+      in_flight: How many requests this instance has there, an int.
+      pending_tokens: Prompt tokens this instance sent that have not led to a
+        first token yet, an int.
+      sent: Pairs of time and prompt tokens of what was sent lately.
+      long_tokens: Prompt tokens of long prompts among the pending ones.
+      refused_until_ms: Until when the server asked not to be called.
+    """
+
+    __slots__ = (
+        'breaker',
+        'in_flight',
+        'listed',
+        'load',
+        'long_tokens',
+        'pending_tokens',
+        'prefix',
+        'refused_until_ms',
+        'sent',
+        'serving_long',
+    )
+
+    def __init__(self, listed):
+        """Create the record of a server without any load.
+
+        Args:
+          listed: A Listed.
+        """
+        self.listed = listed
+        self.load = None
+        self.in_flight = 0
+        self.pending_tokens = 0
+        self.long_tokens = 0
+        self.sent = []
+        self.refused_until_ms = 0
+        self.serving_long = 0
+        self.breaker = Breaker()
+        self.prefix = PrefixKnowledge()
+
+    @property
+    def identity(self):
+        """The server's id."""
+        return self.listed.identity
+
+    @property
+    def is_leaving(self):
+        """Whether the list or the server itself says that it is leaving."""
+        if self.listed.state == LEAVING:
+            return True
+        return self.load is not None and self.load.leaving
+
+    def note_load(self, report):
+        """Take a load report.
+
+        Args:
+          report: A LoadReport.
+        """
+        if self.load is not None and self.load.boot != report.boot:
+            self.prefix.forget()
+        self.load = report
+
+    def unreported_tokens(self, lag_ms):
+        """Return prompt tokens sent too lately for the report to count them.
+
+        Args:
+          lag_ms: How old an engine's report may be when it arrives.
+        Returns:
+          An int.
+        """
+        if self.load is None:
+            return self.pending_tokens
+        horizon = self.load.at_ms - lag_ms
+        self.sent = [entry for entry in self.sent if entry[0] > horizon]
+        return sum(tokens for _, tokens in self.sent)
+
+
+class Fleet:
+    """All backend servers that the platform lists."""
+
+    def __init__(self):
+        """Create an empty fleet."""
+        self._backends = {}
+
+    def __iter__(self):
+        """Iterate over the backends, leaving ones included."""
+        return iter(self._backends.values())
+
+    def __len__(self):
+        """Return the number of backends."""
+        return len(self._backends)
+
+    def get(self, identity):
+        """Return the Backend with an id, or None."""
+        return self._backends.get(identity)
+
+    def replace(self, listed):
+        """Take a new instance list.
+
+        Args:
+          listed: An iterable of Listed; entry instances are passed over.
+        """
+        known = self._backends
+        self._backends = {}
+        for record in listed:
+            if record.kind == KIND_ENTRY:
+                continue
+            backend = known.get(record.identity)
+            if backend is None or backend.listed.address != record.address:
+                backend = Backend(record)
+            backend.listed = record
+            self._backends[record.identity] = backend
--- /dev/null
+++ b/crankchute/core/group_flow.py
@@ -0,0 +1,234 @@
+"""A prompt beyond one engine's memory, spread over a group of engines.
+
+Members are reserved all or none, in the order of their ids, so that two
+instances that want the same engines cannot each hold half for ever; every
+hold carries the request's deadline, so an engine frees it when its group's
+instance is gone.  Segments are prefilled in turn and kept for import.  A lost
+member is replaced by a spare that prefills that segment alone.
+"""
+
+import math
+
+from crankchute.core.single_flow import Attempt, SingleFlow
+from crankchute.ports.engines import GenerateOrder, HoldOrder, SegmentOrder
+
+_BACKOFF_MS = 100
+_DEADLINE_SLACK_MS = 500
+
+
+class Member:
+    """One engine of a group and the segment it carries."""
+
+    __slots__ = ('backend', 'export', 'held', 'index', 'part')
+
+    def __init__(self, index, backend, part):
+        """Create a member that holds nothing yet.
+
+        Args:
+          index: The segment's index.
+          backend: A Backend.
+          part: The segment's bytes.
+        """
+        self.index = index
+        self.backend = backend
+        self.part = part
+        self.held = False
+        self.export = None
+
+
+class GroupFlow(SingleFlow):
+    """Serves one job on a group of engines."""
+
+    def __init__(self, job, desk, sink):
+        """Create a flow; run() starts it.
+
+        Args:
+          job: The Job.
+          desk: The Dispatcher's FlowDesk.
+          sink: A RequestSink.
+        """
+        super().__init__(job, desk, sink)
+        self._round = 0
+        self._members = []
+        self._call = None
+        self._tried = False
+
+    @property
+    def dispatched(self):
+        """Whether any engine was asked for memory or work."""
+        return self._tried
+
+    def run(self):
+        """Choose the members and start to reserve them.
+
+        Returns:
+          False if there are not enough engines with room.
+        """
+        chosen = self._desk.choose_group(self.job, self._failed_on)
+        if chosen is None:
+            return False
+        parts = _cut(self.job.prompt, len(chosen))
+        self._members = [
+            Member(index, chosen[index], part)
+            for index, part in enumerate(parts)
+        ]
+        self._round += 1
+        self._note_long(1)
+        self._reserve_next()
+        return True
+
+    def cancel(self):
+        """Give the request up and free every hold."""
+        super().cancel()
+        if self._call is not None:
+            self._call.cancel()
+            self._call = None
+        self._release_all()
+
+    def on_attempt_end(self, count):
+        """Free the group and end with a whole answer."""
+        self._release_all()
+        super().on_attempt_end(count)
+
+    def on_attempt_refused(self, attempt, code, retry_after_ms):
+        """Replace what the last engine could not import, or start over."""
+        self._attempt = None
+        self._desk.metrics.count('engine_refusals', code)
+        lost = [member for member in self._members if self._is_lost(member)]
+        if lost:
+            self._replace(lost[0])
+        else:
+            self._start_over(attempt.backend)
+
+    def on_attempt_failed(self, attempt, exc):
+        """Replace the last engine and resume there."""
+        self._attempt = None
+        if self._desk.may_retry(self, exc):
+            self._replace(self._members[-1])
+
+    @property
+    def _group(self):
+        return f'{self.job.request_id}-{self._round}'
+
+    def _is_lost(self, member):
+        return not self._desk.is_usable(member.backend, self.job)
+
+    def _note_long(self, change):
+        for member in self._members:
+            member.backend.serving_long += change
+
+    def _reserve_next(self):
+        waiting = [member for member in self._members if not member.held]
+        if not waiting:
+            self._advance()
+            return
+        waiting.sort(key=lambda member: member.backend.identity)
+        self._reserve(waiting[0], self._reserve_next)
+
+    def _reserve(self, member, on_held):
+        self._tried = True
+        current = self._round
+        group = self._group
+        remaining_ms = self.job.remaining_ms(self.now_ms())
+        order = HoldOrder(
+            group,
+            self._desk.count_tokens(self.job, member.part),
+            remaining_ms + _DEADLINE_SLACK_MS,
+        )
+
+        def take(held):
+            if self._ended or current != self._round:
+                self._desk.engines.release(member.backend, group)
+            elif held:
+                member.held = True
+                on_held()
+            else:
+                self._start_over(member.backend)
+
+        self._desk.engines.hold(member.backend, order, take)
+
+    def _advance(self):
+        for member in self._members[:-1]:
+            if member.export is None:
+                self._prefill(member)
+                return
+        self._generate()
+
+    def _prefill(self, member):
+        before = self._members[: member.index]
+        order = SegmentOrder(
+            self._group,
+            member.index,
+            self.job,
+            member.part,
+            before[-1].export.carry if before else '',
+        )
+        order.deadline_ms = self.job.remaining_ms(self.now_ms())
+        current = self._round
+
+        def take(export):
+            if self._ended or current != self._round:
+                return
+            self._call = None
+            if export is None:
+                self._replace(member)
+            else:
+                member.export = export
+                self._advance()
+
+        self._call = self._desk.engines.prefill(member.backend, order, take)
+
+    def _generate(self):
+        last = self._members[-1]
+        self._attempts += 1
+        order = GenerateOrder(
+            self.job,
+            self._attempts,
+            self.delivered,
+            self.job.remaining_ms(self.now_ms()),
+        )
+        order.prompt = last.part
+        order.group = self._group
+        order.imports = [member.export for member in self._members[:-1]]
+        self._attempt = Attempt(self, last.backend, order)
+        first_ms = self._desk.predict_ms(last.backend, self.job)
+        self._attempt.start(self._desk.engines, first_ms)
+
+    def _replace(self, member):
+        """Put a spare in a lost member's place; only its segment is redone."""
+        self._failed_on.add(member.backend.identity)
+        self._desk.engines.release(member.backend, self._group)
+        member.backend.serving_long -= 1
+        used = {other.backend.identity for other in self._members}
+        spare = self._desk.choose_spare(self.job, used | self._failed_on)
+        if spare is None:
+            member.backend.serving_long += 1
+            self._start_over(member.backend)
+            return
+        member.backend = spare
+        member.backend.serving_long += 1
+        member.held = False
+        member.export = None
+        self._desk.metrics.count('group_replacements')
+        self._reserve(member, self._advance)
+
+    def _start_over(self, backend):
+        """Free everything and queue again after a random pause."""
+        self._desk.note_refusal(backend, _BACKOFF_MS)
+        self._release_all()
+        self._round += 1
+        self._desk.metrics.count('group_restarts')
+        self._desk.requeue(self)
+
+    def _release_all(self):
+        members = self._members
+        self._note_long(-1)
+        self._members = []
+        for member in members:
+            self._desk.engines.release(member.backend, self._group)
+
+
+def _cut(prompt, count):
+    size = math.ceil(len(prompt) / count)
+    starts = range(0, len(prompt), size)
+    return [prompt[start : start + size] for start in starts]
--- /dev/null
+++ b/crankchute/core/outcomes.py
@@ -0,0 +1,63 @@
+"""How a request ended, in the few words that callers can act on."""
+
+import enum
+
+
+class Outcome(enum.Enum):
+    """The four ends of a request."""
+
+    OK = 'ok'
+    #: It is proved that the request did not start at any backend server.
+    NOT_RUN = 'not_run'
+    #: The request may have run, and nobody can tell.
+    UNKNOWN = 'unknown'
+    #: The request started and did not finish.
+    FAILED = 'failed'
+
+
+class Refusal:
+    """An end other than an answer.
+
+    Attributes:
+      outcome: An Outcome other than OK.
+      code: A short identifier for programs.
+      text: A sentence for people.
+      retry_after_ms: Milliseconds after which to ask again, or None if asking
+        again does not help.
+      passed_on: Whether this submission was handed to a backend server or to
+        another entry instance, a bool.
+    """
+
+    __slots__ = ('code', 'outcome', 'passed_on', 'retry_after_ms', 'text')
+
+    def __init__(self, outcome, code, text, **details):
+        """Create a refusal.
+
+        Args:
+          outcome: An Outcome other than OK.
+          code: A short identifier for programs.
+          text: A sentence for people.
+          details: `retry_after_ms` and `passed_on`, see the class.
+        """
+        self.outcome = outcome
+        self.code = code
+        self.text = text
+        self.retry_after_ms = details.get('retry_after_ms')
+        self.passed_on = details.get('passed_on', outcome != Outcome.NOT_RUN)
+
+    def __repr__(self):
+        """Return the refusal as it would be written in code."""
+        return f'Refusal({self.outcome}, {self.code!r}, {self.text!r})'
+
+
+def refuse_not_run(code, text, retry_after_ms=None):
+    """Return the refusal of a request that did not start.
+
+    Args:
+      code: A short identifier for programs.
+      text: A sentence for people.
+      retry_after_ms: When to ask again, or None.
+    Returns:
+      A Refusal.
+    """
+    return Refusal(Outcome.NOT_RUN, code, text, retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/crankchute/entry/caller_api.py
@@ -0,0 +1,180 @@
+"""The HTTP interface of an entry instance: callers, operators, metrics."""
+
+import secrets
+from http import HTTPStatus
+
+from crankchute.adapters.routes import Routes, read_query
+from crankchute.core.addresses import choose_addresses
+from crankchute.core.service_flow import ServiceAnswer
+from crankchute.entry.answers import make_answer, reply_refusal
+from crankchute.entry.completion_request import (
+    bad_request,
+    read_caller,
+    read_completion,
+)
+from crankchute.entry.service_desk import LONGEST_KEY_MS, SERVICES_PATH
+from crankchute.errors import RequestRefused
+
+_METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+_NOT_READY_MS = 500
+routes = Routes()
+
+
+class CallerApi:
+    """Answers every HTTP request of an entry instance."""
+
+    def __init__(self, node):
+        """Create the interface.
+
+        Args:
+          node: The EntryNode.
+        """
+        self._node = node
+
+    def answer(self, exchange):
+        """Answer one request.
+
+        Args:
+          exchange: An Exchange.
+        Raises:
+          RequestRefused: If it is refused before anything is done.
+        """
+        try:
+            routes.dispatch(self, exchange)
+        except RequestRefused as refusal:
+            self._node.metrics.count('bad_requests', refusal.code)
+            raise
+
+    @routes.add('POST', '/v1/completions')
+    @routes.add('POST', '/v1/chat/completions')
+    def complete(self, exchange):
+        """Answer a prompt."""
+        self._check_serving()
+        node = self._node
+        request = read_completion(
+            node.config.config,
+            exchange,
+            node.now_ms(),
+            f'req-{secrets.token_hex(8)}',
+        )
+        answer = make_answer(exchange, request, _ignore)
+        node.owner.note_demand(request.job)
+        flow = node.dispatcher.submit(request.job, answer)
+        if flow is not None and not flow.ended:
+            exchange.on_gone = lambda: node.dispatcher.cancel(flow)
+
+    @routes.add('GET', SERVICES_PATH)
+    @routes.add('POST', SERVICES_PATH)
+    @routes.add('PUT', SERVICES_PATH)
+    @routes.add('PATCH', SERVICES_PATH)
+    @routes.add('DELETE', SERVICES_PATH)
+    def call_service(self, exchange):
+        """Route a call to a plain service."""
+        self._check_serving()
+        caller = read_caller(self._node.config.config, exchange)
+        call = self._node.service_desk.read_call(exchange, caller)
+        self._node.service_desk.submit(
+            call,
+            lambda end: _reply_end(exchange, end),
+        )
+
+    @routes.add('GET', '/v1/models')
+    def list_models(self, exchange):
+        """List the models, as ordinary clients ask for them."""
+        self._check_serving()
+        models = [
+            {'id': name, 'object': 'model', 'owned_by': 'crankchute'}
+            for name in self._node.config.config.models
+        ]
+        exchange.reply(HTTPStatus.OK, {'object': 'list', 'data': models})
+
+    @routes.add('GET', '/v1/addresses')
+    def list_addresses(self, exchange):
+        """Answer which entry instances an account should use."""
+        self._check_serving()
+        node = self._node
+        name = read_query(exchange).get('account')
+        if name is None:
+            raise bad_request('missing_account', 'say ?account=NAME')
+        account = node.config.config.accounts.get(name)
+        if account is None:
+            raise RequestRefused(
+                HTTPStatus.FORBIDDEN,
+                'unknown_account',
+                f'there is no account {name!r}',
+            )
+        members = choose_addresses(
+            node.peering.membership.believed_alive(),
+            name,
+            account.width,
+            node.peering.membership.own.data_centre,
+        )
+        document = {
+            'ttl_ms': node.settings.address_ttl_ms,
+            'addresses': [_describe(member) for member in members],
+            'binding': self._describe_binding(),
+        }
+        exchange.reply(HTTPStatus.OK, document)
+
+    @routes.add('GET', '/healthz')
+    def health(self, exchange):
+        """Tell whether this instance takes callers."""
+        if self._node.is_accepting:
+            exchange.reply(HTTPStatus.OK, {'status': 'ok'})
+        else:
+            exchange.reply(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                {'status': self._node.phase},
+            )
+
+    @routes.add('GET', '/metrics')
+    def metrics(self, exchange):
+        """Answer all metrics."""
+        text = self._node.metrics.render()
+        exchange.reply(HTTPStatus.OK, text, _METRICS_TYPE)
+
+    @routes.add('GET', '/v1/state')
+    def dump(self, exchange):
+        """Answer the state of this process."""
+        exchange.reply(HTTPStatus.OK, self._node.dump())
+
+    def _check_serving(self):
+        if not self._node.is_serving:
+            raise RequestRefused(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                self._node.phase,
+                f'this instance is {self._node.phase}',
+                _NOT_READY_MS,
+            )
+
+    def _describe_binding(self):
+        node = self._node
+        return {
+            'instance': node.binding.instance,
+            'boot': node.binding.boot,
+            'now_ms': int(node.now_ms()),
+            'longest_ms': LONGEST_KEY_MS,
+            'address': node.settings.http_address_text,
+        }
+
+
+def _describe(member):
+    return {
+        'instance': member.identity,
+        'boot': member.boot,
+        'address': member.http_address,
+        'data_centre': member.data_centre,
+    }
+
+
+def _reply_end(exchange, end):
+    if not exchange.is_open:
+        return
+    if isinstance(end, ServiceAnswer):
+        exchange.reply(end.status, end.body, end.content_type)
+    else:
+        reply_refusal(exchange, end)
+
+
+def _ignore():
+    """Take the end of an answer, which needs no action here."""
--- /dev/null
+++ b/crankchute/entry/node.py
@@ -0,0 +1,270 @@
+"""An entry instance without its process: all parts, wired on one loop."""
+
+import random
+import secrets
+import time
+
+from crankchute.adapters.engine_http import HttpEngines
+from crankchute.adapters.http_client import HttpClient
+from crankchute.adapters.http_server import HttpServer
+from crankchute.adapters.load_poller import LoadPoller
+from crankchute.adapters.log import log_change
+from crankchute.adapters.metrics import PrometheusMetrics
+from crankchute.adapters.peers_grpc import PeerClient, PeerServer
+from crankchute.adapters.platform_http import PlatformWatch
+from crankchute.adapters.service_http import HttpServices
+from crankchute.core.config_holder import ConfigHolder
+from crankchute.core.dispatcher import Dispatcher, Ports
+from crankchute.core.fleet import LEAVING, Fleet
+from crankchute.core.keys import Binding
+from crankchute.core.limits import AccountLimits
+from crankchute.core.membership import Member
+from crankchute.core.service_flow import ServiceRouter
+from crankchute.entry.borrowing import PortionExchange
+from crankchute.entry.caller_api import CallerApi
+from crankchute.entry.state_dump import dump_node
+from crankchute.entry.inventory import Inventory
+from crankchute.entry.joining import Joiner
+from crankchute.entry.owning import Owner
+from crankchute.entry.peering import Peering
+from crankchute.entry.reading import PlatformReader
+from crankchute.entry.service_desk import ServiceDesk
+
+JOINING = 'joining'
+SERVING = 'serving'
+DRAINING = 'draining'
+CLOSED = 'closed'
+_DRAIN_CHECK_MS = 50
+_MS_PER_SECOND = 1000
+
+
+class EntryNode:
+    """One entry instance.
+
+    Attributes:
+      phase: "joining", "serving", "draining" (out of address answers, still
+        serving callers that hold old ones), or "closed" (finishing what is in
+        progress).
+    """
+
+    def __init__(self, loop, settings):
+        """Wire the parts and begin to join.
+
+        Args:
+          loop: The Loop.
+          settings: Settings, see daemons/entry.py.
+        Raises:
+          OSError: If an address cannot be listened on.
+        """
+        self.timers = loop.timers
+        self.settings = settings
+        self.metrics = PrometheusMetrics()
+        self.binding = Binding(settings.instance, secrets.token_hex(8))
+        self.random = random.Random(self.binding.boot)
+        self.config = ConfigHolder()
+        self.inventory = Inventory()
+        self.fleet = Fleet()
+        self.limits = AccountLimits(loop.clock)
+        self.phase = JOINING
+        self.on_stopped = None
+        self._wire_network(loop)
+        self._wire_core()
+        self._wire_shared_work()
+        self._subscribe()
+
+    @property
+    def is_serving(self):
+        """Whether requests are taken, also from callers with old answers."""
+        return self.phase in {SERVING, DRAINING}
+
+    @property
+    def is_accepting(self):
+        """Whether this instance is handed out to callers."""
+        return self.phase == SERVING
+
+    def now_ms(self):
+        """Return the time on this process's clock."""
+        return self.timers.clock.now_ms()
+
+    def dump(self):
+        """Return the state of this instance, a map for people."""
+        return dump_node(self)
+
+    def stop(self):
+        """Stop as planned: nothing in progress is cut off."""
+        if self.phase in {DRAINING, CLOSED}:
+            return
+        self._enter(DRAINING)
+        self.peering.membership.announce(draining=True)
+        self.peering.notify()
+        self.timers.after(self.settings.address_ttl_ms, self._close)
+
+    def on_probe(self, request, on_reply):
+        """See PeerServicer."""
+        self.peering.on_probe(request, on_reply)
+
+    def on_pull(self, request, on_reply):
+        """See PeerServicer."""
+        self.peering.on_pull(request, on_reply)
+
+    def on_forward(self, request, on_reply):
+        """See PeerServicer."""
+        self.service_desk.on_forward(request, on_reply)
+
+    def on_borrow(self, request, on_reply):
+        """See PeerServicer."""
+        self.portions.on_borrow(request, on_reply)
+
+    def _wire_network(self, loop):
+        settings = self.settings
+        self.http_client = HttpClient().register(loop)
+        self.peer_client = PeerClient(loop)
+        self.peer_server = PeerServer(loop, settings.peer_address, self)
+        self.caller_api = CallerApi(self)
+        self.http_server = HttpServer(
+            settings.http_address,
+            self.caller_api.answer,
+            loop.timers,
+        ).register(loop)
+
+    def _wire_core(self):
+        settings = self.settings
+        ports = Ports(
+            engines=HttpEngines(self.http_client),
+            timers=self.timers,
+            random=self.random,
+            metrics=self.metrics,
+        )
+        self.dispatcher = Dispatcher(
+            ports,
+            self.fleet,
+            self.limits,
+            settings.data_centre,
+        )
+        services = HttpServices(self.http_client)
+        self.service_router = ServiceRouter(ports, self.fleet, services)
+        self.peering = Peering(
+            self,
+            self._describe_self(),
+            {'config': self.config, 'instances': self.inventory},
+        )
+
+    def _wire_shared_work(self):
+        self.service_desk = ServiceDesk(
+            self,
+            self.service_router,
+            self.peering,
+            self.binding,
+        )
+        self.owner = Owner(self, self.peering, self.config, self.fleet)
+        self.portions = PortionExchange(
+            self,
+            self.peering,
+            self.limits,
+            self.config,
+        )
+        self.poller = LoadPoller(
+            self.http_client,
+            self.timers,
+            self.fleet,
+            self.peering.membership.own,
+        )
+        self.watches = [
+            self._make_watch('config'),
+            self._make_watch('instances'),
+        ]
+        self.reader = PlatformReader(
+            self,
+            self.peering,
+            list(zip(self.watches, (self.config, self.inventory))),
+        )
+        seeds = [f'{host}:{port}' for host, port in self.settings.seeds]
+        self.joiner = Joiner(
+            self,
+            self.peering,
+            self.config,
+            seeds,
+            self._on_joined,
+        )
+        self.peering.start()
+
+    def _make_watch(self, store):
+        address = self.settings.platform
+        return PlatformWatch(self.http_client, self.timers, address, store)
+
+    def _describe_self(self):
+        settings = self.settings
+        return Member(
+            settings.instance,
+            self.binding.boot,
+            int(time.time() * _MS_PER_SECOND),
+            peer_address=settings.peer_address_text,
+            http_address=settings.http_address_text,
+            data_centre=settings.data_centre,
+            draining=True,
+        )
+
+    def _subscribe(self):
+        self.config.subscribe(self._on_config)
+        self.inventory.subscribe(self._on_inventory)
+        self.poller.on_report = self.dispatcher.pump
+        self.metrics.add_gauge(
+            'requests_in_progress',
+            'Completions admitted and not ended.',
+            lambda: self.dispatcher.in_progress,
+        )
+        self.metrics.add_gauge(
+            'config_revision',
+            'The revision of the configuration in force.',
+            lambda: self.config.revision,
+        )
+        self.metrics.add_gauge(
+            'members',
+            'Entry instances not believed dead.',
+            lambda: len(self.peering.membership.believed_alive()),
+        )
+
+    def _on_joined(self):
+        self.reader.end_join()
+        if self.phase == JOINING:
+            self._enter(SERVING)
+            self.peering.membership.announce(draining=False)
+            self.peering.notify()
+
+    def _on_config(self, config):
+        self.dispatcher.config = config
+        self.service_router.config = config
+        log_change('config_in_force', revision=config.revision)
+        self.peering.notify()
+        self.dispatcher.pump()
+
+    def _on_inventory(self, records):
+        self.fleet.replace(records)
+        self.peering.seed(self.inventory.entry_instances())
+        self.peering.notify()
+        for record in records:
+            is_own = record.identity == self.settings.instance
+            if is_own and record.state == LEAVING:
+                self.stop()
+        self.dispatcher.pump()
+
+    def _close(self):
+        self._enter(CLOSED)
+        self._drain_loop = self.timers.every(
+            _DRAIN_CHECK_MS, self._check_drained
+        )
+
+    def _check_drained(self):
+        busy = self.dispatcher.in_progress + self.service_desk.in_progress
+        if busy or self.http_server.open_exchanges:
+            return
+        self._drain_loop.cancel()
+        log_change('stopped')
+        self.peer_server.stop()
+        self.peer_client.close()
+        if self.on_stopped is not None:
+            self.on_stopped()
+
+    def _enter(self, phase):
+        self.phase = phase
+        log_change('phase', phase=phase)
--- /dev/null
+++ b/crankchute/entry/owning.py
@@ -0,0 +1,129 @@
+"""Reconciling the engines that this instance owns with the configuration."""
+
+from http import HTTPStatus
+
+import orjson
+
+from crankchute.adapters.http_client import build_request
+from crankchute.adapters.log import log_change
+from crankchute.core.addresses import choose_owner
+from crankchute.core.candidates import SILENT_MS, list_members
+from crankchute.core.ownership import Order, Ownership
+from crankchute.core.placement import EngineSlot, may_switch, plan_models
+from crankchute.ports.http import WholeResponse
+
+_PASS_MS = 1000
+_DEMAND_KEPT = 0.8
+
+
+class Owner:
+    """Sends fenced orders to owned engines whose state is not as wanted."""
+
+    def __init__(self, parts, peering, config, fleet):
+        """Start the passes.
+
+        Args:
+          parts: An object with `timers`, `http_client` and `metrics`.
+          peering: The Peering.
+          config: The ConfigHolder.
+          fleet: The Fleet.
+        """
+        self._timers = parts.timers
+        self._client = parts.http_client
+        self._metrics = parts.metrics
+        self._peering = peering
+        self._config = config
+        self._fleet = fleet
+        self._ownership = Ownership()
+        self._demand = {}
+        self._timers.every(_PASS_MS, self.run_pass)
+
+    @property
+    def owned(self):
+        """The ids of the engines owned now."""
+        return self._ownership.owned()
+
+    def note_demand(self, job):
+        """Count a request towards its model's demand."""
+        known = self._demand.get(job.model, 0)
+        self._demand[job.model] = known + job.tokens
+
+    def run_pass(self):
+        """Compare every owned engine with the plan and order what differs."""
+        config = self._config.config
+        if config is None or not config.policy.placement:
+            return
+        for pool in config.pools.values():
+            if pool.kind == 'model':
+                self._reconcile_pool(config, pool)
+        for model in self._demand:
+            self._demand[model] *= _DEMAND_KEPT
+
+    def _reconcile_pool(self, config, pool):
+        now_ms = self._timers.clock.now_ms()
+        alive = [
+            backend
+            for backend in list_members(config, self._fleet, pool.name)
+            if _is_reporting(backend, now_ms)
+        ]
+        slots = [EngineSlot(one.identity, one.load.models) for one in alive]
+        plan = plan_models(pool, slots, self._demand)
+        for backend in alive:
+            self._update_owner(backend, now_ms)
+            model = config.models[plan[backend.identity]]
+            wanted = {model.name: model.version}
+            if self._may_order(pool, backend, now_ms) and may_switch(
+                backend.identity,
+                {one.identity: one.load.models for one in alive},
+                wanted,
+            ):
+                self._order(backend, wanted)
+
+    def _update_owner(self, backend, now_ms):
+        membership = self._peering.membership
+        owner = choose_owner(
+            membership.believed_alive(),
+            backend.identity,
+            backend.listed.data_centre,
+        )
+        is_owner = owner == membership.own.identity
+        self._ownership.update(backend.identity, is_owner, now_ms)
+
+    def _may_order(self, pool, backend, now_ms):
+        return self._ownership.may_order(
+            backend.identity,
+            pool.checks_fences,
+            now_ms,
+        )
+
+    def _order(self, backend, models):
+        fence = self._ownership.next_fence(
+            self._config.revision,
+            self._peering.membership.own.incarnation,
+        )
+        order = Order(fence, models)
+        document = {'fence': order.fence.rank(), 'models': order.models}
+        address = backend.listed.address
+        body = orjson.dumps(document)
+        payload = build_request('POST', address, '/v1/orders', body)
+        self._metrics.count('orders_sent')
+
+        def take(status, _body):
+            log_change(
+                'engine_ordered',
+                engine=backend.identity,
+                models=models,
+                accepted=status == HTTPStatus.OK,
+            )
+
+        self._client.send(address, payload, WholeResponse(take, _ignore))
+
+
+def _is_reporting(backend, now_ms):
+    if backend.load is None or backend.is_leaving:
+        return False
+    return now_ms - backend.load.at_ms <= SILENT_MS
+
+
+def _ignore(_exc):
+    """Take a failure; the next pass orders again."""
--- /dev/null
+++ b/crankchute/load/__init__.py
@@ -0,0 +1,1 @@
+"""Package marker."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""The specification of the core protocol."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,13 @@
+"""Clusters of processes that tests share."""
+
+import pytest
+
+from bench.cluster import Cluster, Shape
+
+
+@pytest.fixture(scope='module')
+def cluster(tmp_path_factory):
+    """Run a small cluster for the tests of one module."""
+    shape = Shape(entries=3, engines=4)
+    with Cluster(shape, tmp_path_factory.mktemp('logs')) as running:
+        yield running
--- /dev/null
+++ b/tests/path_test.py
@@ -0,0 +1,130 @@
+"""The whole path: callers' interface, streams, long prompts, services."""
+
+from http.client import HTTPConnection
+from types import MappingProxyType
+
+import orjson
+import pytest
+
+from bench.cluster import LOOPBACK
+from bench.text import make_prompt
+from crankchute.client.caller import CallOptions
+from crankchute.client.service_call import ServiceRequest
+from crankchute.client.session import Session
+from crankchute.standins.engine_model import expected_answer
+
+_HEADERS = MappingProxyType(
+    {
+        'Crankchute-Account': 'north-terminal',
+        'Crankchute-Class': 'fares',
+        'Crankchute-Deadline-Ms': '20000',
+    }
+)
+
+
+def _post(cluster, path, document):
+    conn = HTTPConnection(
+        LOOPBACK,
+        cluster.entries[0].port,
+        timeout=30,
+    )
+    conn.request('POST', path, orjson.dumps(document), dict(_HEADERS))
+    res = conn.getresponse()
+    return res.status, res.headers, res.read()
+
+
+@pytest.mark.parametrize(
+    ('workload', 'account', 'tokens'),
+    [
+        ('fares', 'north-terminal', 1_000),
+        ('manifests', 'dispatch-north', 40_000),
+        ('complaints', 'audit-desk', 900_000),
+    ],
+)
+def test_answer_is_whole(cluster, workload, account, tokens):
+    """Prompts of any length get their whole answer, and memory is freed."""
+    prompt = make_prompt(tokens, seed=1)
+    options = CallOptions(workload, 60_000, model='small', max_tokens=9)
+    end = Session(cluster.seeds, account).complete(prompt, options)
+    assert end.code is None
+    assert end.text == expected_answer('small', prompt.encode(), 9)
+    pinned = [
+        engine.fetch('GET', '/admin/state')[1]['pinned']
+        for engine in cluster.engines
+    ]
+    assert not any(pinned)
+
+
+@pytest.mark.parametrize(
+    ('path', 'body'),
+    [
+        ('/v1/completions', {'prompt': 'user: hello\n'}),
+        (
+            '/v1/chat/completions',
+            {'messages': [{'role': 'user', 'content': 'hello'}]},
+        ),
+    ],
+)
+def test_usual_interface(cluster, path, body):
+    """Both forms answer whole, and in events with an explicit end."""
+    document = {**body, 'model': 'small', 'max_tokens': 3}
+    wanted = expected_answer('small', b'user: hello\n', 3)
+    status, _, whole = _post(cluster, path, document)
+    choice = orjson.loads(whole)['choices'][0]
+    text = choice.get('text') or choice['message']['content']
+    assert (status, text, choice['finish_reason']) == (200, wanted, 'length')
+
+    status, headers, streamed = _post(
+        cluster,
+        path,
+        {**document, 'stream': True},
+    )
+    events = streamed.decode().split('\n\n')
+    assert headers['Content-Type'] == 'text/event-stream'
+    assert events[-2:] == ['data: [DONE]', '']
+    chunks = [
+        orjson.loads(event.removeprefix('data: ')) for event in events[:-2]
+    ]
+    choices = [chunk['choices'][0] for chunk in chunks]
+    texts = [
+        one.get('text') or one.get('delta', {}).get('content', '')
+        for one in choices
+    ]
+    assert ''.join(texts) == wanted
+    assert choices[-1]['finish_reason'] == 'length'
+    assert chunks[-1]['usage']['completion_tokens'] == 3
+
+
+def test_booking_runs_once(cluster):
+    """A booking is answered, and its key was executed exactly once."""
+    request = ServiceRequest('booking', 'POST', '/bookings', b'{"seat": 4}')
+    end = Session(cluster.seeds, 'travel-web').call_service(
+        request,
+        CallOptions('booking', 10_000),
+    )
+    assert end.is_ok
+    counts = cluster.services[0].fetch('GET', '/admin/counts')[1]
+    assert counts[end.key] == 1
+
+
+@pytest.mark.parametrize(
+    ('path', 'part'),
+    [
+        ('/v1/models', b'"small"'),
+        ('/healthz', b'ok'),
+        ('/metrics', b'crankchute_first_token_seconds_bucket'),
+        ('/v1/addresses?account=north-terminal', b'"binding"'),
+        ('/v1/state', b'"in_force"'),
+    ],
+)
+def test_pages(cluster, path, part):
+    """Each page of an entry instance answers."""
+    conn = HTTPConnection(
+        LOOPBACK,
+        cluster.entries[0].port,
+        timeout=10,
+    )
+    conn.request('GET', path)
+    res = conn.getresponse()
+    assert res.status == 200
+    assert part in res.read()
