Measure the request path, add the load tool, send replies in one write

Cause: the load tool and the path's cost were missing; a reply left in two writes, so a caller that sent its next request after the first part was taken for one that pipelines, and was cut off.

What was ruled out: a fault of the ledger or of the pool (the first answer was right, only the connection ended).

The change: one write for a reply; events that tell a waiting caller that its request is held, since long prompts waited longer than a caller's idle limit and were submitted again; fenced orders also for adapters and role; `load` with open-loop arrivals, histograms by length band and a plot.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,7 +12,7 @@
 import orjson
 
 from bench.cluster import Cluster, Shape
-from bench.text import make_prompt
+from crankchute.load.mix import make_prompt
 from crankchute.client.caller import CallOptions
 from crankchute.client.service_call import ServiceRequest
 from crankchute.client.session import Session
--- a/crankchute/adapters/http_server.py
+++ b/crankchute/adapters/http_server.py
@@ -11,7 +11,7 @@
 import orjson
 from circuits import BaseComponent, handler
 from circuits.net.events import close
-from circuits.web.events import response, stream
+from circuits.web.events import stream
 from circuits.web.http import HTTP
 
 from crankchute.adapters.http_intake import DEFAULT_LIMITS, Intake
@@ -88,11 +88,14 @@
         if not isinstance(body, bytes):
             body = orjson.dumps(body)
         self.started = True
-        self._res.status = int(status)
+        res = self._res
+        res.status = int(status)
         self._set_headers(content_type, headers)
-        self._res.body = body
-        self._server.fire(response(self._res))
-        self._server.end_exchange(self._req.sock)
+        res.headers['Content-Length'] = str(len(body))
+        if res.close:
+            res.headers['Connection'] = 'close'
+        self._write(b''.join((bytes(res), bytes(res.headers), body)))
+        self.finish()
 
     def refuse(self, refusal):
         """Send a refusal as a typed body.
--- a/crankchute/adapters/sse.py
+++ b/crankchute/adapters/sse.py
@@ -5,6 +5,8 @@
 _START = b'data: '
 _END = b'\n\n'
 DONE = b'data: [DONE]\n\n'
+#: A comment, which readers pass over; it tells that the sender is alive.
+KEEP_ALIVE = b': waiting\n\n'
 EVENT_STREAM = 'text/event-stream'
 
 
@@ -41,6 +43,6 @@
         documents = []
         for event in events:
             text = event.removeprefix(_START)
-            if text != b'[DONE]':
+            if text != b'[DONE]' and not event.startswith(b':'):
                 documents.append(orjson.loads(text))
         return documents
--- a/crankchute/core/candidates.py
+++ b/crankchute/core/candidates.py
@@ -155,7 +155,7 @@
         return False
     if now_ms - load.at_ms > SILENT_MS or now_ms < backend.refused_until_ms:
         return False
-    return model in load.models and backend.breaker.allows(now_ms)
+    return model in backend.models and backend.breaker.allows(now_ms)
 
 
 def _serves(pool, model):
--- a/crankchute/core/config.py
+++ b/crankchute/core/config.py
@@ -56,6 +56,7 @@
         'min_engines',
         'models',
         'name',
+        'role',
         'selector',
     )
 
@@ -73,6 +74,7 @@
         self.min_engines = document.get('min_engines', 1)
         self.long_share = document.get('long_share', _DEFAULT_LONG_SHARE)
         self.checks_fences = document.get('checks_fences', True)
+        self.role = document.get('role', '')
 
 
 class WorkloadClass:
--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -5,6 +5,7 @@
 """
 
 from crankchute.core.breaker import Breaker
+from crankchute.core.ownership import Holding
 from crankchute.core.prefix import PrefixKnowledge
 
 LIVE = 'live'
@@ -64,17 +65,17 @@
       memory_free: Tokens of KV memory that are free, an int.
       memory_total: All of its KV memory, in tokens.
       prefill_rate: Prompt tokens it works off in a millisecond, a float.
-      models: A map from model name to version.
+      holding: The Holding.
       leaving: Whether it says that it is leaving, a bool.
     """
 
     __slots__ = (
         'at_ms',
         'boot',
+        'holding',
         'leaving',
         'memory_free',
         'memory_total',
-        'models',
         'prefill_rate',
         'queued_tokens',
         'running',
@@ -94,7 +95,11 @@
         self.memory_free = document['memory_free']
         self.memory_total = document['memory_total']
         self.prefill_rate = document['prefill_rate']
-        self.models = document['models']
+        self.holding = Holding(
+            document['models'],
+            document.get('adapters', ()),
+            document.get('role', ''),
+        )
         self.leaving = document['leaving']
 
 
@@ -154,6 +159,11 @@
             return True
         return self.load is not None and self.load.leaving
 
+    @property
+    def models(self):
+        """The models that the server reported, a map to versions."""
+        return {} if self.load is None else self.load.holding.models
+
     def note_load(self, report):
         """Take a load report.
 
--- a/crankchute/core/ownership.py
+++ b/crankchute/core/ownership.py
@@ -39,25 +39,65 @@
         return [self.revision, self.incarnation, self.sequence]
 
 
+class Holding:
+    """What an engine holds, or shall hold.
+
+    Attributes:
+      models: A map from model name to version.
+      adapters: Names of adapters, sorted, a list.
+      role: The engine's role, a string; empty if it has none.
+    """
+
+    __slots__ = ('adapters', 'models', 'role')
+
+    def __init__(self, models, adapters=(), role=''):
+        """Create the record.
+
+        Args:
+          models: A map from model name to version.
+          adapters: Names of adapters.
+          role: The engine's role.
+        """
+        self.models = dict(models)
+        self.adapters = sorted(adapters)
+        self.role = role
+
+    def __eq__(self, other):
+        """Return whether both hold the same."""
+        return self.as_document() == other.as_document()
+
+    def __hash__(self):
+        """Return a hash that agrees with equality."""
+        return hash(tuple(sorted(self.models.items())))
+
+    def as_document(self):
+        """Return the record as a JSON document."""
+        return {
+            'models': self.models,
+            'adapters': self.adapters,
+            'role': self.role,
+        }
+
+
 class Order:
     """The wanted state of an engine.
 
     Attributes:
       fence: A Fence.
-      models: A map from model name to version that the engine shall hold.
+      wanted: A Holding.
     """
 
-    __slots__ = ('fence', 'models')
+    __slots__ = ('fence', 'wanted')
 
-    def __init__(self, fence, models):
+    def __init__(self, fence, wanted):
         """Create an order.
 
         Args:
           fence: A Fence.
-          models: A map from model name to version.
+          wanted: A Holding.
         """
         self.fence = fence
-        self.models = models
+        self.wanted = wanted
 
 
 class Ownership:
--- a/crankchute/core/placement.py
+++ b/crankchute/core/placement.py
@@ -105,17 +105,16 @@
 
     Args:
       identity: The engine's id.
-      held: A map from the id of each live engine of the pool to the map of
-        models and versions that it holds.
-      wanted: The map that the engine shall hold.
+      held: A map from the id of each live engine of the pool to its Holding.
+      wanted: The Holding that the engine shall have.
     Returns:
       False if it holds that already, or must wait for others.
     """
     if held[identity] == wanted:
         return False
-    if not held[identity]:
+    if not held[identity].models:
         return True
-    ranked = rank_by_hash(str(sorted(wanted.items())), held)
+    ranked = rank_by_hash(str(wanted.as_document()), held)
     wave = max(1, math.floor(len(ranked) * _WAVE_SHARE))
     before = ranked[: ranked.index(identity)]
     behind = [one for one in before if not _agrees(held[one], wanted)]
@@ -124,6 +123,7 @@
 
 def _agrees(held, wanted):
     """Tell whether no model is held at another version than wanted."""
-    return bool(held) and all(
-        held.get(model, version) == version for model, version in wanted.items()
+    return bool(held.models) and all(
+        held.models.get(model, version) == version
+        for model, version in wanted.models.items()
     )
--- a/crankchute/entry/answers.py
+++ b/crankchute/entry/answers.py
@@ -4,7 +4,12 @@
 from http import HTTPStatus
 from types import MappingProxyType
 
-from crankchute.adapters.sse import DONE, EVENT_STREAM, write_event
+from crankchute.adapters.sse import (
+    DONE,
+    EVENT_STREAM,
+    KEEP_ALIVE,
+    write_event,
+)
 from crankchute.core.outcomes import Outcome
 from crankchute.ports.engines import RequestSink
 
@@ -41,6 +46,9 @@
         reply_refusal(self._exchange, refusal)
         self._on_end()
 
+    def keep_alive(self):
+        """Send nothing: a whole answer cannot begin before its end."""
+
     def _document(self, choice, **more):
         is_chat = self._request.is_chat
         return {
@@ -89,6 +97,12 @@
 class StreamedAnswer(CompletionAnswer):
     """Sends each token as an event; the last event says that it is whole."""
 
+    def keep_alive(self):
+        """Tell a caller that waits long that its request is still held."""
+        if not self._exchange.started:
+            self._exchange.start_stream(EVENT_STREAM)
+        self._exchange.send(KEEP_ALIVE)
+
     def on_tokens(self, offset, tokens):
         """See RequestSink."""
         if not self._exchange.started:
--- a/crankchute/entry/caller_api.py
+++ b/crankchute/entry/caller_api.py
@@ -17,6 +17,7 @@
 
 _METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 _NOT_READY_MS = 500
+_KEEP_ALIVE_MS = 2000
 routes = Routes()
 
 
@@ -30,6 +31,8 @@
           node: The EntryNode.
         """
         self._node = node
+        self._answers = {}
+        node.timers.every(_KEEP_ALIVE_MS, self._keep_alive)
 
     def answer(self, exchange):
         """Answer one request.
@@ -57,11 +60,12 @@
             node.now_ms(),
             f'req-{secrets.token_hex(8)}',
         )
-        answer = make_answer(exchange, request, _ignore)
+        answer = make_answer(exchange, request, lambda: self._drop(request))
+        self._answers[request.job.request_id] = answer
         node.owner.note_demand(request.job)
         flow = node.dispatcher.submit(request.job, answer)
         if flow is not None and not flow.ended:
-            exchange.on_gone = lambda: node.dispatcher.cancel(flow)
+            exchange.on_gone = lambda: self._give_up(request, flow)
 
     @routes.add('GET', SERVICES_PATH)
     @routes.add('POST', SERVICES_PATH)
@@ -138,6 +142,17 @@
         """Answer the state of this process."""
         exchange.reply(HTTPStatus.OK, self._node.dump())
 
+    def _drop(self, request):
+        self._answers.pop(request.job.request_id, None)
+
+    def _give_up(self, request, flow):
+        self._drop(request)
+        self._node.dispatcher.cancel(flow)
+
+    def _keep_alive(self):
+        for answer in tuple(self._answers.values()):
+            answer.keep_alive()
+
     def _check_serving(self):
         if not self._node.is_serving:
             raise RequestRefused(
@@ -174,7 +189,3 @@
         exchange.reply(end.status, end.body, end.content_type)
     else:
         reply_refusal(exchange, end)
-
-
-def _ignore():
-    """Take the end of an answer, which needs no action here."""
--- a/crankchute/entry/owning.py
+++ b/crankchute/entry/owning.py
@@ -8,7 +8,7 @@
 from crankchute.adapters.log import log_change
 from crankchute.core.addresses import choose_owner
 from crankchute.core.candidates import SILENT_MS, list_members
-from crankchute.core.ownership import Order, Ownership
+from crankchute.core.ownership import Holding, Order, Ownership
 from crankchute.core.placement import EngineSlot, may_switch, plan_models
 from crankchute.ports.http import WholeResponse
 
@@ -66,17 +66,20 @@
             for backend in list_members(config, self._fleet, pool.name)
             if _is_reporting(backend, now_ms)
         ]
-        slots = [EngineSlot(one.identity, one.load.models) for one in alive]
+        slots = [EngineSlot(one.identity, one.models) for one in alive]
         plan = plan_models(pool, slots, self._demand)
+        held = {one.identity: one.load.holding for one in alive}
         for backend in alive:
             self._update_owner(backend, now_ms)
             model = config.models[plan[backend.identity]]
-            wanted = {model.name: model.version}
-            if self._may_order(pool, backend, now_ms) and may_switch(
-                backend.identity,
-                {one.identity: one.load.models for one in alive},
-                wanted,
-            ):
+            wanted = Holding(
+                {model.name: model.version},
+                model.adapters,
+                pool.role,
+            )
+            if not may_switch(backend.identity, held, wanted):
+                continue
+            if self._may_order(pool, backend, now_ms):
                 self._order(backend, wanted)
 
     def _update_owner(self, backend, now_ms):
@@ -96,13 +99,13 @@
             now_ms,
         )
 
-    def _order(self, backend, models):
+    def _order(self, backend, wanted):
         fence = self._ownership.next_fence(
             self._config.revision,
             self._peering.membership.own.incarnation,
         )
-        order = Order(fence, models)
-        document = {'fence': order.fence.rank(), 'models': order.models}
+        order = Order(fence, wanted)
+        document = dict(wanted.as_document(), fence=order.fence.rank())
         address = backend.listed.address
         body = orjson.dumps(document)
         payload = build_request('POST', address, '/v1/orders', body)
@@ -112,7 +115,7 @@
             log_change(
                 'engine_ordered',
                 engine=backend.identity,
-                models=models,
+                wanted=wanted.as_document(),
                 accepted=status == HTTPStatus.OK,
             )
 
--- a/crankchute/entry/state_dump.py
+++ b/crankchute/entry/state_dump.py
@@ -79,7 +79,7 @@
         'in_flight': backend.in_flight,
         'pending_tokens': backend.pending_tokens,
         'breaker_open': backend.breaker.is_open,
-        'models': None if load is None else load.models,
+        'models': backend.models,
         'load_age_ms': None if load is None else round(now_ms - load.at_ms),
     }
 
--- a/crankchute/standins/engine_loading.py
+++ b/crankchute/standins/engine_loading.py
@@ -13,6 +13,8 @@
 
     Attributes:
       models: A map from model name to version.
+      adapters: Names of adapters, a list.
+      role: What the engine is to be used for, a string.
       orders_taken: How many orders were taken, an int.
     """
 
@@ -32,13 +34,16 @@
         self._wanted = dict(options.get('models', {}))
         self._fetching = set()
         self.models = dict(self._wanted)
+        self.adapters = []
+        self.role = ''
         self.orders_taken = 0
 
     def take(self, document):
         """Take an order.
 
         Args:
-          document: A map with `fence`, a list that compares, and `models`.
+          document: A map with `fence`, a list that compares, and perhaps
+            `models`, `adapters` and `role`.
         Returns:
           False if the fence is checked and lower than one seen before.
         """
@@ -46,7 +51,9 @@
         if self._checks_fences and fence < self._highest:
             return False
         self._highest = max(self._highest, fence)
-        self._wanted = document['models']
+        self._wanted = document.get('models', self._wanted)
+        self.adapters = document.get('adapters', self.adapters)
+        self.role = document.get('role', self.role)
         self.orders_taken += 1
         self._reconcile()
         return True
--- a/crankchute/standins/engine_server.py
+++ b/crankchute/standins/engine_server.py
@@ -225,6 +225,8 @@
             boot=self.boot,
             leaving=self._leaving,
             models=self.loader.models,
+            adapters=self.loader.adapters,
+            role=self.loader.role,
             events=events,
         )
         exchange.reply(HTTPStatus.OK, document)
--- a/tests/path_test.py
+++ b/tests/path_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bench.cluster import LOOPBACK
-from bench.text import make_prompt
+from crankchute.load.mix import make_prompt
 from crankchute.client.caller import CallOptions
 from crankchute.client.service_call import ServiceRequest
 from crankchute.client.session import Session
