Prove the promises on real processes, and that each proof can fail

Cause: the promises stood without tests of the failures they are meant for.

An instance that stops left bytes unsent for a slow reader; it now waits for them. The first frame mutation left another check in place; it now removes the one that matters.

--- /dev/null
+++ b/bench/mutations.py
@@ -0,0 +1,165 @@
+"""Shows that the promises' tests can fail: each guard is taken out in turn.
+
+A copy of the code gets one change that disables a guard; the scenario that is
+meant for it must then find its promise broken.  Run it with
+`python -m bench.mutations`.
+"""
+
+import shutil
+import subprocess  # noqa: S404
+import sys
+import tempfile
+from pathlib import Path
+
+from bench.cluster import ROOT
+
+_LONGEST_S = 150
+
+
+class Mutation:
+    """One guard that is taken out, and the scenario that must notice."""
+
+    __slots__ = ('path', 'replaced', 'replacement', 'scenario', 'title')
+
+    def __init__(self, title, scenario, path, replaced, replacement):
+        """Create the mutation.
+
+        Args:
+          title: What is taken out.
+          scenario: A part of the scenario's name.
+          path: The file, relative to the repository.
+          replaced: The code that is replaced, once in the file.
+          replacement: The code that takes its place.
+        """
+        self.title = title
+        self.scenario = scenario
+        self.path = path
+        self.replaced = replaced
+        self.replacement = replacement
+
+
+MUTATIONS = (
+    Mutation(
+        'requests are not ended at their deadline',
+        'frozen and woken',
+        'crankchute/core/dispatcher.py',
+        'timers.after(remaining_ms, lambda: self._on_deadline(flow))',
+        'timers.after(remaining_ms * 9, lambda: self._on_deadline(flow))',
+    ),
+    Mutation(
+        'engines are not told that the caller is gone',
+        'memory returns',
+        'crankchute/entry/caller_api.py',
+        'exchange.on_gone = lambda: self._give_up(request, flow)',
+        'exchange.on_gone = None',
+    ),
+    Mutation(
+        'frames are not matched to their request',
+        'whole answers',
+        'crankchute/core/frames.py',
+        'if (frame.request_id, frame.attempt) != mine:',
+        'if mine is None:',
+    ),
+    Mutation(
+        'a lost answer is taken for a call that did not run',
+        'not run is true',
+        'crankchute/core/service_flow.py',
+        "return Refusal(Outcome.UNKNOWN, 'unknown', _SENT_TEXT)",
+        "return refuse_not_run('unknown', _SENT_TEXT, _HINT_MS)",
+    ),
+    Mutation(
+        'the ledger lets a key start again',
+        'at most once',
+        'crankchute/core/keys.py',
+        'return Claim.ENDED if entry.ended else Claim.RUNNING',
+        'return Claim.FIRST',
+    ),
+    Mutation(
+        'any instance dispatches any key',
+        'at most once',
+        'crankchute/core/keys.py',
+        'if key.binding != self._binding:',
+        'if key.binding is None:',
+    ),
+    Mutation(
+        'leaving backends are still chosen',
+        'leaving backend',
+        'crankchute/core/fleet.py',
+        'if self.listed.state == LEAVING:\n            return True',
+        'if self.listed.state == LEAVING:\n            return False',
+    ),
+    Mutation(
+        'a stop does not wait for what is in progress',
+        'planned stop',
+        'crankchute/entry/node.py',
+        'if busy or self.http_server.open_exchanges:',
+        'if busy < 0:',
+    ),
+    Mutation(
+        'a starting instance does not take what peers have',
+        'configuration',
+        'crankchute/entry/peering.py',
+        'if not is_behind or name in self._pulling or not address:',
+        "if name == 'config' and not self._stores[name].seen_revision:",
+    ),
+    Mutation(
+        'an invalid revision is taken',
+        'configuration',
+        'crankchute/core/config_check.py',
+        '    if findings:\n        raise ConfigError(findings)\n'
+        '    return Config',
+        '    return Config',
+    ),
+)
+
+
+def try_mutation(mutation):
+    """Run a scenario on code without a guard.
+
+    Args:
+      mutation: A Mutation.
+    Returns:
+      True if the scenario found the promise broken.
+    Raises:
+      ValueError: If the code to replace is not there exactly once.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        for name in ('crankchute', 'bench', 'examples'):
+            shutil.copytree(ROOT / name, Path(folder) / name)
+        _rewrite(Path(folder) / mutation.path, mutation)
+        command = [sys.executable, '-m', 'bench.faults', '--rounds=1']
+        done = subprocess.run(  # noqa: S603
+            [*command, mutation.scenario],
+            cwd=folder,
+            capture_output=True,
+            text=True,
+            timeout=_LONGEST_S,
+            check=False,
+        )
+    return done.stdout.startswith('broken')
+
+
+def main():
+    """Try every mutation, or those whose title has the given words."""
+    survived = 0
+    wanted = ' '.join(sys.argv[1:])
+    for mutation in MUTATIONS:
+        if wanted not in mutation.title:
+            continue
+        is_found = try_mutation(mutation)
+        survived += not is_found
+        word = 'found' if is_found else 'SURVIVED'
+        print(f'{word:9}{mutation.title} ({mutation.scenario})', flush=True)
+    return 1 if survived else 0
+
+
+def _rewrite(path, mutation):
+    text = path.read_text(encoding='utf-8')
+    if text.count(mutation.replaced) != 1:
+        raise ValueError(f'{mutation.title}: the code has changed')
+    changed = text.replace(mutation.replaced, mutation.replacement)
+    path.write_text(changed, encoding='utf-8')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/crankchute/adapters/sockets.py
+++ b/crankchute/adapters/sockets.py
@@ -50,6 +50,11 @@
             if not self._poller.isWriting(sock):
                 self._poller.addWriter(self, sock)
 
+    @property
+    def has_unsent(self):
+        """Whether bytes wait for a caller that reads slowly, a bool."""
+        return any(self._buffers.values())
+
     def is_open(self, sock):
         """Tell whether a socket is still connected here.
 
--- a/crankchute/entry/node.py
+++ b/crankchute/entry/node.py
@@ -35,6 +35,7 @@
 DRAINING = 'draining'
 CLOSED = 'closed'
 _DRAIN_CHECK_MS = 50
+_FLUSH_MS = 60_000
 _MS_PER_SECOND = 1000
 
 
@@ -250,6 +251,7 @@
 
     def _close(self):
         self._enter(CLOSED)
+        self._closed_ms = self.now_ms()
         self._drain_loop = self.timers.every(
             _DRAIN_CHECK_MS, self._check_drained
         )
@@ -258,6 +260,9 @@
         busy = self.dispatcher.in_progress + self.service_desk.in_progress
         if busy or self.http_server.open_exchanges:
             return
+        waited_ms = self.now_ms() - self._closed_ms
+        if self.http_server.server.has_unsent and waited_ms < _FLUSH_MS:
+            return
         self._drain_loop.cancel()
         log_change('stopped')
         self.peer_server.stop()
--- a/crankchute/standins/platform_server.py
+++ b/crankchute/standins/platform_server.py
@@ -31,6 +31,7 @@
     def __init__(self):
         """Create an empty store at revision 0."""
         self._entries = {}
+        self._history = []
         self._watchers = []
         self.revision = 0
 
@@ -38,6 +39,7 @@
         """Write a value, or delete it with None, and wake the watchers."""
         self.revision += 1
         self._entries[key] = (self.revision, text)
+        self._history.append((key, self.revision, text))
         watchers = self._watchers
         self._watchers = []
         for watcher in watchers:
@@ -56,6 +58,20 @@
         }
         return {'since': since, 'revision': self.revision, 'entries': entries}
 
+    def as_of(self, newest):
+        """Return everything as it was at a revision, as a document.
+
+        Args:
+          newest: The revision; one above the newest means the newest.
+        """
+        newest = min(newest, self.revision)
+        entries = {
+            key: [revision, text]
+            for key, revision, text in self._history
+            if revision <= newest
+        }
+        return {'since': 0, 'revision': newest, 'entries': entries}
+
 
 class RateCount:
     """Counts calls against a rate per second."""
@@ -162,13 +178,15 @@
 
     @routes.add('POST', '/admin/fault')
     def arrange_fault(self, exchange):
-        """Be down, or serve what was known now, or neither."""
-        self._fault.arrange(read_json(exchange))
+        """Be down, or stale as of a revision, or neither."""
+        document = read_json(exchange)
+        self._fault.arrange(document)
         self._frozen = None
         if self._fault.mode == FaultMode.STALE:
+            newest = document.get('revision', self._config.revision)
             self._frozen = (
-                self._config.changes(0),
-                self._instances.changes(0),
+                self._config.as_of(newest),
+                self._instances.as_of(self._instances.revision),
             )
         exchange.reply(HTTPStatus.OK, {})
 
