Check models of the core protocol, and drive the real core alike

Cause: the promises were proved by storms only, which visit few interleavings.

The machine of calls had one service only, so sending a sent call again could not be noticed; it has two now.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -14,6 +14,12 @@
 from bench.cluster import ROOT
 
 _LONGEST_S = 150
+_SCENARIO_MODULE = ('bench.faults', '--rounds=1')
+_TEST_MODULE = ('pytest', '-x', '-c', '/dev/null', '--rootdir=.')
+_COMPLETIONS = 'crankchute/core/completion_machine_test.py'
+_CALLS = 'crankchute/core/once_machine_test.py'
+_SINGLE = 'crankchute/core/single_flow.py'
+_GROUP = 'crankchute/core/group_flow.py'
 
 
 class Mutation:
@@ -26,7 +32,7 @@
 
         Args:
           title: What is taken out.
-          scenario: A part of the scenario's name.
+          scenario: A part of the scenario's name, or the path of a test.
           path: The file, relative to the repository.
           replaced: The code that is replaced, once in the file.
           replacement: The code that takes its place.
@@ -102,6 +108,55 @@
         'if not is_behind or name in self._pulling or not address:',
         "if name == 'config' and not self._stores[name].seen_revision:",
     ),
+    Mutation(
+        'an ended attempt stays counted',
+        _COMPLETIONS,
+        _SINGLE,
+        '        backend.in_flight -= 1\n',
+        '        backend.in_flight -= 0\n',
+    ),
+    Mutation(
+        'a group keeps its holds',
+        _COMPLETIONS,
+        _GROUP,
+        '            self._desk.engines.release(member.backend, self._group)\n',
+        '            member.held = False\n',
+    ),
+    Mutation(
+        'a hold that comes too late is kept',
+        _COMPLETIONS,
+        _GROUP,
+        '                self._desk.engines.release(member.backend, group)\n',
+        '                member.held = False\n',
+    ),
+    Mutation(
+        'a gap in a stream is passed over',
+        _COMPLETIONS,
+        'crankchute/core/frames.py',
+        'if frame.offset == self.offset:',
+        'if frame.offset >= self.offset:',
+    ),
+    Mutation(
+        'a sleeper is not ended when it wakes',
+        _COMPLETIONS,
+        'crankchute/core/dispatcher.py',
+        'timers.after(remaining_ms, lambda: self._on_deadline(flow))',
+        'timers.after(remaining_ms * 9, lambda: self._on_deadline(flow))',
+    ),
+    Mutation(
+        'a sent call is sent again',
+        _CALLS,
+        'crankchute/core/service_flow.py',
+        'if exc.sent and not self.call.repeatable:',
+        'if exc.sent and self.call.repeatable:',
+    ),
+    Mutation(
+        'an expired key may start',
+        _CALLS,
+        'crankchute/core/keys.py',
+        'if not now_ms < key.expiry_ms <= now_ms + self._longest_ms:',
+        'if key.expiry_ms > now_ms + self._longest_ms:',
+    ),
     Mutation(
         'an invalid revision is taken',
         'configuration',
@@ -114,28 +169,31 @@
 
 
 def try_mutation(mutation):
-    """Run a scenario on code without a guard.
+    """Run a scenario or a test on code without a guard.
 
     Args:
       mutation: A Mutation.
     Returns:
-      True if the scenario found the promise broken.
+      True if the promise was found broken.
     Raises:
       ValueError: If the code to replace is not there exactly once.
     """
+    is_test = mutation.scenario.endswith('.py')
+    module = _TEST_MODULE if is_test else _SCENARIO_MODULE
     with tempfile.TemporaryDirectory() as folder:
         for name in ('crankchute', 'bench', 'examples'):
             shutil.copytree(ROOT / name, Path(folder) / name)
         _rewrite(Path(folder) / mutation.path, mutation)
-        command = [sys.executable, '-m', 'bench.faults', '--rounds=1']
         done = subprocess.run(  # noqa: S603
-            [*command, mutation.scenario],
+            [sys.executable, '-m', *module, mutation.scenario],
             cwd=folder,
             capture_output=True,
             text=True,
             timeout=_LONGEST_S,
             check=False,
         )
+    if is_test:
+        return done.returncode == 1
     return done.stdout.startswith('broken')
 
 
--- /dev/null
+++ b/crankchute/core/once_machine_test.py
@@ -0,0 +1,182 @@
+"""A state machine of the real ledger and router, as in spec/once.py.
+
+The same actions: submissions of one key to its instance, crashes, time that
+passes the expiry, calls that run, are refused, or are lost.
+"""
+
+import random
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from crankchute.core.config_check import load_config
+from crankchute.core.dispatcher import Ports
+from crankchute.core.fakes import ManualTimers, make_documents, make_listed
+from crankchute.core.fleet import Fleet
+from crankchute.core.keys import Binding, Claim, KeyLedger, RequestKey
+from crankchute.core.outcomes import Outcome
+from crankchute.core.service_flow import (
+    ServiceAnswer,
+    ServiceCall,
+    ServiceRouter,
+)
+from crankchute.errors import BackendError
+from crankchute.ports.metrics import Metrics
+from crankchute.ports.services import ServicePort
+
+_LONGEST_MS = 10_000
+_EXPIRY_MS = 5000
+
+
+class FakeServices(ServicePort):
+    """Keeps calls until the machine decides what becomes of them."""
+
+    def __init__(self):
+        """Create without calls."""
+        self.waiting = []
+
+    def send(self, backend, call, listener):
+        """See ServicePort."""
+        self.waiting.append((call, listener))
+        return self
+
+    def cancel(self):
+        """Give a call up; what is under way may still run."""
+
+
+class OnceMachine(RuleBasedStateMachine):
+    """One key, submitted again and again."""
+
+    def __init__(self):
+        """Create one incarnation of the instance."""
+        super().__init__()
+        self.boot = 0
+        self.runs = 0
+        self.said_not_run = False
+        self.ends = []
+        self.admitted = 0
+        self.key = RequestKey(Binding('entry-1', 'boot-0'), _EXPIRY_MS, 'n')
+        self.start()
+
+    def start(self):
+        """Start an incarnation with nothing but its boot id."""
+        self.timers = ManualTimers()
+        self.services = FakeServices()
+        fleet = Fleet()
+        names = ('service-0', 'service-1')
+        fleet.replace([make_listed(name, 'service') for name in names])
+        ports = Ports(
+            engines=None,
+            timers=self.timers,
+            random=random.Random(1),
+            metrics=Metrics(),
+        )
+        self.router = ServiceRouter(ports, fleet, self.services)
+        self.router.config = load_config(1, make_documents())
+        binding = Binding('entry-1', f'boot-{self.boot}')
+        self.ledger = KeyLedger(binding, _LONGEST_MS)
+
+    @rule(deadline_ms=st.integers(min_value=1, max_value=4000))
+    def submit(self, deadline_ms):
+        """Submit the key."""
+        now_ms = self.timers.clock.now_ms()
+        claim = self.ledger.claim('acc', self.key, now_ms)
+        if claim == Claim.FIRST:
+            self.admitted += 1
+            call = ServiceCall(
+                method='POST',
+                path='/bookings',
+                body=b'{}',
+                content_type=None,
+                key=str(self.key),
+                repeatable=False,
+                pool='booking',
+                account='acc',
+                deadline_ms=now_ms + deadline_ms,
+            )
+            self.router.submit(call, self.note_end)
+        elif claim == Claim.RUNNING:
+            self.ledger.wait('acc', self.key, self.note_heard)
+
+    @precondition(lambda machine: machine.services.waiting)
+    @rule(heard=st.booleans())
+    def run_call(self, heard):
+        """Run a call at the service; its answer may be lost."""
+        call, listener = self.services.waiting.pop(0)
+        self.runs += 1
+        if heard:
+            listener.on_answer(ServiceAnswer(200, 'text/plain', b'done'))
+        else:
+            listener.on_failed(BackendError('closed', sent=True))
+
+    @precondition(lambda machine: machine.services.waiting)
+    @rule(sent=st.booleans())
+    def lose_call(self, sent):
+        """Lose a call on its way, or fail to connect."""
+        _, listener = self.services.waiting.pop(0)
+        listener.on_failed(BackendError('lost', sent=sent))
+
+    @precondition(lambda machine: machine.services.waiting)
+    @rule()
+    def refuse_call(self):
+        """Let the service say that it did not start the call."""
+        _, listener = self.services.waiting.pop(0)
+        listener.on_not_run('closed')
+
+    @rule(delay_ms=st.integers(min_value=1, max_value=9000))
+    def pass_time(self, delay_ms):
+        """Let time pass, also past the expiry."""
+        self.timers.advance(delay_ms)
+        self.ledger.forget_expired(self.timers.clock.now_ms())
+
+    @precondition(lambda machine: machine.boot == 0)
+    @rule()
+    def crash(self):
+        """Lose everything and start as another incarnation."""
+        self.boot = 1
+        self.admitted = 0
+        self.ends = []
+        self.start()
+
+    @invariant()
+    def runs_at_most_once(self):
+        """The service runs the key at most once."""
+        assert self.runs <= 1
+
+    @invariant()
+    def not_run_is_true(self):
+        """What was said not to have run did not run."""
+        assert not (self.said_not_run and self.runs)
+
+    @invariant()
+    def every_call_ends_once(self):
+        """Each admitted call has one end, or is still in progress."""
+        assert len(self.ends) + self.router.in_progress == self.admitted
+
+    def note_end(self, end):
+        """Take the end of the call."""
+        self.ends.append(end)
+        self.ledger.end('acc', self.key, end, 1)
+        self.note_heard(end)
+
+    def note_heard(self, end):
+        """Take what a caller hears."""
+        outcome = getattr(end, 'outcome', Outcome.OK)
+        if outcome == Outcome.NOT_RUN:
+            self.said_not_run = True
+
+
+OnceMachine.TestCase.settings = settings(
+    max_examples=150,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    phases=(Phase.generate,),
+)
+TestOnce = OnceMachine.TestCase
