Let long prompts flow, and let membership heal after a cut

A test of a node that was cut off showed that it stayed dead for all: nobody told it, so it never refuted; two halves that forgot each other never met again.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BIN)/python -m bench.faults
 
 bench: setup
-	$(BIN)/python -m bench.run
+	$(BIN)/python -m bench.policies
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
--- a/bench/capacity_core.py
+++ b/bench/capacity_core.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from crankchute.adapters.peer_records import write_member
+from bench.fake_network import build_network, make_member
 from crankchute.core.addresses import choose_addresses
 from crankchute.core.config_check import load_config
 from crankchute.core.config_holder import ConfigHolder
@@ -27,12 +27,10 @@
 )
 from crankchute.core.fleet import Fleet
 from crankchute.core.limits import AccountLimits
-from crankchute.core.membership import Member, Membership, Status
+from crankchute.core.membership import Status
 from crankchute.core.replica import ChangeSet, Entry
 from crankchute.ports.metrics import Metrics
-from crankchute.ports.peers import MembershipPorts
 
-_ROUND_MS = 1000
 _ROUNDS = 12
 _SHARD = 500
 _REPEATS = 200
@@ -40,89 +38,6 @@
 _MOST_ROUNDS = 60
 
 
-class FakeNetwork:
-    """Membership nodes that call one another directly.
-
-    Attributes:
-      nodes: A map from id to Membership.
-      dead: Ids that answer nothing.
-      messages, payload: How many messages and bytes were sent.
-    """
-
-    def __init__(self):
-        """Create without nodes."""
-        self.nodes = {}
-        self.dead = set()
-        self.now_ms = 0
-        self.messages = 0
-        self.payload = 0
-
-    def exchange(self, sender, receiver):
-        """Send a probe and its answer; return whether it came back."""
-        updates = self.nodes[sender].collect_updates()
-        self._count(updates)
-        if receiver in self.dead:
-            return False
-        self.nodes[receiver].merge(updates)
-        answers = self.nodes[receiver].collect_updates()
-        self._count(answers)
-        self.nodes[sender].merge(answers)
-        return True
-
-    def run_round(self):
-        """Let every node that lives run a round."""
-        self.now_ms += _ROUND_MS
-        for name, node in self.nodes.items():
-            if name not in self.dead:
-                node.run_round()
-
-    def _count(self, updates):
-        self.messages += 1
-        self.payload += sum(write_member(one).ByteSize() for one in updates)
-
-
-class FakePorts(MembershipPorts):
-    """The ports of one node of a FakeNetwork."""
-
-    def __init__(self, network, name):
-        """Create the ports.
-
-        Args:
-          network: The FakeNetwork.
-          name: The node's id.
-        """
-        self._network = network
-        self._name = name
-        self.random = random.Random(name)
-
-    def now_ms(self):
-        """See MembershipPorts."""
-        return self._network.now_ms
-
-    def probe(self, member, on_done):
-        """See MembershipPorts."""
-        on_done(self._network.exchange(self._name, member.identity))
-
-    def probe_through(self, helper, member, on_done):
-        """See MembershipPorts."""
-        reached = self._network.exchange(self._name, helper.identity)
-        if reached:
-            reached = self._network.exchange(helper.identity, member.identity)
-        on_done(reached)
-
-
-def build_network(size):
-    """Return a FakeNetwork whose nodes all know one another."""
-    network = FakeNetwork()
-    members = [_make_member(index) for index in range(size)]
-    for own in members:
-        ports = FakePorts(network, own.identity)
-        node = Membership(own, ports)
-        node.seed(members)
-        network.nodes[own.identity] = node
-    return network
-
-
 def measure_membership(size):
     """Measure rounds at rest, news, and a death.
 
@@ -143,20 +58,19 @@
         'bytes_per_round': round(network.payload / rest),
         'cpu_ms_per_round': round(spent / rest * 1000, 3),
     }
-    network.messages = 0
-    network.payload = 0
+    figures.update(_measure_news(network))
+    return figures
+
+
+def _measure_news(network):
     teller = next(iter(network.nodes))
     network.nodes[teller].announce(draining=True)
-    figures['rounds_for_news'] = _count_rounds(
-        network,
-        partial(_knows_draining, network, teller),
-    )
+    knows_news = partial(_knows_draining, network, teller)
+    news = _count_rounds(network, knows_news)
     network.dead.add(teller)
-    figures['rounds_to_suspect_everywhere'] = _count_rounds(
-        network,
-        partial(_knows_lost, network, teller),
-    )
-    return figures
+    knows_loss = partial(_knows_lost, network, teller)
+    loss = _count_rounds(network, knows_loss)
+    return {'rounds_for_news': news, 'rounds_to_suspect_everywhere': loss}
 
 
 def measure_config(accounts):
@@ -173,12 +87,11 @@
     entries = {key: Entry(1, text) for key, text in documents.items()}
     whole = ChangeSet(0, 1, entries)
     holder = ConfigHolder()
-    first_ms = _time_offer(holder, whole)
     change = ChangeSet(1, 2, {'accounts/0': Entry(2, changed)})
     return {
         'accounts': accounts,
         'document_kb': round(sum(map(len, documents.values())) / 1000),
-        'first_ms': first_ms,
+        'first_ms': _time_offer(holder, whole),
         'change_ms': _time_offer(holder, change),
         'kept_mb': _trace_holder(whole),
     }
@@ -242,7 +155,7 @@
 
 def measure_addresses(size):
     """Measure an address answer among a number of instances."""
-    members = [_make_member(index) for index in range(size)]
+    members = [make_member(index) for index in range(size)]
     started = time.process_time()
     for number in range(_REPEATS):
         choose_addresses(members, f'account-{number}', 3, 'dc-0')
@@ -268,17 +181,6 @@
     }
 
 
-def _make_member(index):
-    return Member(
-        f'entry-{index:04}',
-        f'boot-{index:016}',
-        1_700_000_000_000,
-        peer_address='127.0.0.1:20000',
-        http_address='127.0.0.1:30000',
-        data_centre=f'dc-{index % 9}',
-    )
-
-
 def _make_shards(accounts):
     documents = make_documents()
     documents.pop('accounts')
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -23,7 +23,8 @@
 LOOPBACK = '127.0.0.1'
 ROOT = Path(__file__).resolve().parent.parent
 _CENTRES = ('dc-1', 'dc-2', 'dc-3')
-_ENDED = -1
+#: How many engines an entry instance asks for their load.
+_ENGINES_ASKED = 24
 
 
 def pick_ports(count):
@@ -258,7 +259,8 @@
             for one in state['backends']
             if one['models'] or one['kind'] == 'service'
         ]
-        backends = self.shape.engines + self.shape.services
+        asked = min(self.shape.engines, _ENGINES_ASKED)
+        backends = asked + self.shape.services
         has_all = len(members) >= self.shape.entries
         return has_all and len(loaded) >= backends
 
--- a/bench/path.py
+++ b/bench/path.py
@@ -169,17 +169,13 @@
     )
     before = read_cpu_s(entry.pid)
     started = time.perf_counter()
-    socks = [
-        socket.create_connection((LOOPBACK, entry.port))
-        for _ in range(_STREAMS)
-    ]
-    for opened in socks:
-        opened.sendall(raw)
-    count = sum(_count_events(sock) for sock in socks)
+    events = _stream_many(entry.port, raw)
     elapsed = time.perf_counter() - started
     spent = read_cpu_s(entry.pid) - before
+    count = _STREAMS * _TOKENS
     return {
         'streams': _STREAMS,
+        'events': events,
         'tokens': count,
         'tokens_per_second': round(count / elapsed),
         'cpu_us_per_token': round(spent / count * 1_000_000, 1),
@@ -187,16 +183,27 @@
     }
 
 
+def _stream_many(port, raw):
+    address = (LOOPBACK, port)
+    socks = [socket.create_connection(address) for _ in range(_STREAMS)]
+    for opened in socks:
+        opened.sendall(raw)
+    return sum(_count_events(sock) for sock in socks)
+
+
 def main():
     """Run all measurements and print them as JSON."""
-    shape = Shape(entries=1, engines=2)
+    document = {}
     with tempfile.TemporaryDirectory() as folder:
-        with Cluster(shape, folder) as cluster:
-            document = {
-                'gaps': measure_gaps(cluster),
-                'requests': measure_requests(cluster),
-                'tokens': measure_tokens(cluster),
-            }
+        with Cluster(Shape(entries=1, engines=2), folder) as cluster:
+            document['gaps'] = measure_gaps(cluster)
+            document['requests'] = measure_requests(cluster)
+            document['tokens'] = measure_tokens(cluster)
+        for batch in (2, 4):
+            flags = [f'--tokens-per-event={batch}']
+            shape = Shape(entries=1, engines=2, engine_flags=flags)
+            with Cluster(shape, folder) as cluster:
+                document[f'tokens_by_{batch}'] = measure_tokens(cluster)
     text = orjson.dumps(document, option=orjson.OPT_INDENT_2).decode()
     print(text)
     return 0
--- a/crankchute/adapters/http_client.py
+++ b/crankchute/adapters/http_client.py
@@ -144,7 +144,7 @@
           channel: A name that is unique in the process.
         """
         super().__init__(channel=channel)
-        self.hub = ConnectionHub(channel=channel).register(self)
+        self.hub = ConnectionHub(channel, self._on_bytes).register(self)
         self._calls = {}
         self._idle = defaultdict(list)
 
@@ -194,8 +194,7 @@
         if sock is not None:
             self.hub.abort(sock)
 
-    @handler('read')
-    def _on_read(self, sock, chunk):
+    def _on_bytes(self, sock, chunk):
         call = self._calls.get(sock)
         if call is not None:
             call.receive(chunk)
--- a/crankchute/adapters/load_poller.py
+++ b/crankchute/adapters/load_poller.py
@@ -9,13 +9,20 @@
 from crankchute.core.hashing import rank_by_hash
 from crankchute.ports.http import WholeResponse
 
-_POLL_MS = 250
+_TICK_MS = 250
+_POLLS_PER_SECOND = 24
+_MS_PER_SECOND = 1000
 _SUBSET = 24
 _GIVE_UP_MS = 1500
 
 
 class LoadPoller:
-    """Polls a bounded subset of the engines, those of the own place first."""
+    """Polls a bounded subset of the engines, those of the own place first.
+
+    Attributes:
+      on_report: A function without arguments, called after each report.
+      polls: How many questions were asked, an int.
+    """
 
     def __init__(self, client, timers, fleet, own):
         """Start to poll.
@@ -31,23 +38,27 @@
         self._fleet = fleet
         self._own = own
         self._pending = {}
+        self._due_ms = {}
         self._subset = []
         self._version = None
         self.on_report = None
-        timers.every(_POLL_MS, self.poll)
+        self.polls = 0
+        timers.every(_TICK_MS, self.poll)
 
     def poll(self):
-        """Ask each engine of the subset that has no question pending."""
+        """Ask the engines of the subset whose turn it is.
+
+        Each engine is asked four times a second, or less often if the whole
+        subset would go over the rate that control may cost.
+        """
         now_ms = self._timers.clock.now_ms()
-        for backend in self.choose_subset():
-            asked = self._pending.get(backend.identity)
-            if asked is not None and now_ms - asked.at_ms < _GIVE_UP_MS:
-                continue
-            if asked is not None:
-                asked.call.cancel()
-            question = _Question(now_ms)
-            self._pending[backend.identity] = question
-            question.call = self._ask(backend, question)
+        subset = self.choose_subset()
+        gap_ms = len(subset) * _MS_PER_SECOND / _POLLS_PER_SECOND
+        for backend in subset:
+            if now_ms >= self._due_ms.get(backend.identity, 0):
+                due_ms = now_ms + gap_ms - _TICK_MS / 2
+                self._due_ms[backend.identity] = due_ms
+                self._ask_again(backend, now_ms)
 
     def choose_subset(self):
         """Return the engines that this process may use, a list of Backend.
@@ -60,6 +71,17 @@
             self._subset = self._rank_engines()
         return self._subset
 
+    def _ask_again(self, backend, now_ms):
+        asked = self._pending.get(backend.identity)
+        if asked is not None:
+            if now_ms - asked.at_ms < _GIVE_UP_MS:
+                return
+            asked.call.cancel()
+        question = _Question(now_ms)
+        self._pending[backend.identity] = question
+        self.polls += 1
+        question.call = self._ask(backend, question)
+
     def _rank_engines(self):
         engines = {
             one.identity: one
--- a/crankchute/adapters/sockets.py
+++ b/crankchute/adapters/sockets.py
@@ -106,10 +106,16 @@
 
     channel = 'hub'
 
-    def __init__(self, channel='hub'):
-        """Create the hub without any connection."""
+    def __init__(self, channel, receive):
+        """Create the hub without any connection.
+
+        Args:
+          channel: A name that is unique in the process.
+          receive: A function of a socket and the bytes that came on it.
+        """
         super().__init__(None, channel=channel)
         self._connecting = {}
+        self._receive = receive
 
     def parse_bind_parameter(self, bind):
         """Accept that there is no address to listen on."""
@@ -164,6 +170,21 @@
             return
         self._finish_connect(sock, on_done)
 
+    def _read(self, sock):
+        """Hand bytes over without the event that a server would fire."""
+        if sock not in self._clients:
+            return
+        try:
+            chunk = sock.recv(_READ_SIZE)
+        except BlockingIOError:
+            return
+        except OSError:
+            chunk = b''
+        if chunk:
+            self._receive(sock, chunk)
+        else:
+            self._close(sock)
+
     def _find_poller(self):
         if self._poller is None:
             self._poller = findcmp(self.root, IndexedPoller)
--- a/crankchute/client/completion_call.py
+++ b/crankchute/client/completion_call.py
@@ -166,6 +166,7 @@
         self._error = None
         self._idle = None
         self._idle_ms = None
+        self._heard_ms = None
         self._http_call = None
         self._offset = 0
 
@@ -233,16 +234,23 @@
             self._break_off('a part of the answer is missing')
             return
         self._call.on_first_token()
-        self._offset += 1
+        self._offset = document['next']
         self._texts.append(document['choices'][0]['text'])
 
     def _watch(self):
-        if self._idle is not None:
-            self._idle.cancel()
-        self._idle = self._parts.timers.after(self._idle_ms, self._on_idle)
+        self._heard_ms = self._parts.now_ms()
+        if self._idle is None:
+            self._set_idle(self._idle_ms)
+
+    def _set_idle(self, delay_ms):
+        self._idle = self._parts.timers.after(delay_ms, self._on_idle)
 
     def _on_idle(self):
-        self._break_off('the entry instance fell silent')
+        silent_ms = self._parts.now_ms() - self._heard_ms
+        if silent_ms < self._idle_ms:
+            self._set_idle(self._idle_ms - silent_ms)
+        else:
+            self._break_off('the entry instance fell silent')
 
     def _break_off(self, text):
         self._http_call.fail(text)
--- a/crankchute/core/candidates.py
+++ b/crankchute/core/candidates.py
@@ -68,8 +68,9 @@
 def list_group_candidates(config, fleet, job, now_ms, size):
     """Return the engines that a group for one prompt may be chosen from.
 
-    One data centre is enough if it has as many as are needed; the engines of
-    the long share are enough if they are as many.
+    The long share does not bind groups: they need much memory for a long
+    time, and a few engines could hold one group at a time.  One data centre
+    is enough if it has as many engines as are needed.
 
     Args:
       config: The Config in force.
@@ -80,13 +81,11 @@
     Returns:
       A list of Backend, shorter than the size if there are too few.
     """
-    members = list_candidates(config, fleet, job, now_ms)
-    if len(members) < size:
-        everyone = {}
-        for pool_name in job.pools:
-            for one in list_usable(config, fleet, job, pool_name, now_ms):
-                everyone[one.identity] = one
-        members = list(everyone.values())
+    everyone = {}
+    for pool_name in job.pools:
+        for one in list_usable(config, fleet, job, pool_name, now_ms):
+            everyone[one.identity] = one
+    members = list(everyone.values())
     by_centre = {}
     for one in members:
         by_centre.setdefault(one.listed.data_centre, []).append(one)
--- a/crankchute/core/dispatcher.py
+++ b/crankchute/core/dispatcher.py
@@ -121,10 +121,13 @@
         """
         members = self._dispatcher.group_candidates(job, avoided)
         size = self._dispatcher.group_size(job)
-        members = [one for one in members if not one.serving_long]
-        if size is None or len(members) < size:
+        if size is None:
             return None
-        members.sort(key=_free_memory, reverse=True)
+        share = (job.tokens + job.max_tokens) / size
+        members = [one for one in members if _free_memory(one) > share]
+        if len(members) < size:
+            return None
+        members.sort(key=_long_then_free)
         return sorted(members[:size], key=_identity_of)
 
     def choose_spare(self, job, used):
@@ -437,6 +440,10 @@
     return backend.load.memory_free
 
 
+def _long_then_free(backend):
+    return (backend.serving_long, -backend.load.memory_free)
+
+
 def _identity_of(backend):
     return backend.identity
 
--- a/crankchute/core/fair_queue.py
+++ b/crankchute/core/fair_queue.py
@@ -8,6 +8,8 @@
 
 from sortedcontainers import SortedDict
 
+from crankchute.core.job import length_band
+
 
 class FairQueue:
     """One lane: waiting flows, fair among accounts by weight."""
@@ -159,4 +161,4 @@
 
 
 def _lane_of(job):
-    return (job.pools, job.model, job.is_long)
+    return (job.pools, job.model, length_band(job.tokens))
--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -4,11 +4,15 @@
 load with a lag; the instance itself knows exactly what it has in flight.
 """
 
+from collections import Counter
+
 from crankchute.core.breaker import Breaker
 from crankchute.core.labels import match_labels
 from crankchute.core.ownership import Holding
 from crankchute.core.prefix import PrefixKnowledge
 
+#: How old an engine's load is at most when its report arrives.
+REPORT_LAG_MS = 200
 LIVE = 'live'
 LEAVING = 'leaving'
 KIND_ENGINE = 'engine'
@@ -62,6 +66,8 @@
       boot: The engine's incarnation.
       at_ms: When the report came, on this process's clock.
       queued_tokens: Prompt tokens that wait for prefill, an int.
+      queued_by_priority: The same as pairs of priority and tokens, a tuple;
+        one pair of priority 0 if the engine does not tell.
       running: How many streams it generates, an int.
       memory_free: Tokens of KV memory that are free, an int.
       memory_total: All of its KV memory, in tokens.
@@ -78,6 +84,7 @@
         'memory_free',
         'memory_total',
         'prefill_rate',
+        'queued_by_priority',
         'queued_tokens',
         'running',
     )
@@ -92,6 +99,9 @@
         self.at_ms = at_ms
         self.boot = document['boot']
         self.queued_tokens = document['queued_tokens']
+        self.queued_by_priority = tuple(
+            document.get('queued_by_priority', [(0, self.queued_tokens)]),
+        )
         self.running = document['running']
         self.memory_free = document['memory_free']
         self.memory_total = document['memory_total']
@@ -113,21 +123,19 @@
       in_flight: How many requests this instance has there, an int.
       pending_tokens: Prompt tokens this instance sent that have not led to a
         first token yet, an int.
-      sent: Pairs of time and prompt tokens of what was sent lately.
-      long_tokens: Prompt tokens of long prompts among the pending ones.
+      serving_long: How many long prompts of this instance are there.
       refused_until_ms: Until when the server asked not to be called.
     """
 
     __slots__ = (
+        '_pending',
         'breaker',
         'in_flight',
         'listed',
         'load',
-        'long_tokens',
         'pending_tokens',
         'prefix',
         'refused_until_ms',
-        'sent',
         'serving_long',
     )
 
@@ -141,8 +149,7 @@
         self.load = None
         self.in_flight = 0
         self.pending_tokens = 0
-        self.long_tokens = 0
-        self.sent = []
+        self._pending = Counter()
         self.refused_until_ms = 0
         self.serving_long = 0
         self.breaker = Breaker()
@@ -175,19 +182,53 @@
             self.prefix.forget()
         self.load = report
 
-    def unreported_tokens(self, lag_ms):
-        """Return prompt tokens sent too lately for the report to count them.
+    def note_sent(self, priority, tokens):
+        """Note that this instance sent a prompt.
 
         Args:
-          lag_ms: How old an engine's report may be when it arrives.
+          priority: Its priority at the engine.
+          tokens: Its length.
+        """
+        self.pending_tokens += tokens
+        self._pending[priority] += tokens
+
+    def note_answered(self, priority, tokens):
+        """Note that a prompt led to its first token, or was given up.
+
+        Args:
+          priority: Its priority at the engine.
+          tokens: Its length.
+        """
+        self.pending_tokens -= tokens
+        self._pending[priority] -= tokens
+
+    def tokens_ahead(self, priority, now_ms):
+        """Estimate the prompt tokens that would go before a new request.
+
+        What the engine reported has been worked off since at its own rate;
+        what this instance sent and has no first token of is known exactly.
+        The larger of the two counts, since one includes part of the other.
+
+        Args:
+          priority: The new request's priority at the engine.
+          now_ms: The time in milliseconds.
         Returns:
-          An int.
+          A float.
         """
-        if self.load is None:
-            return self.pending_tokens
-        horizon = self.load.at_ms - lag_ms
-        self.sent = [entry for entry in self.sent if entry[0] > horizon]
-        return sum(tokens for _, tokens in self.sent)
+        load = self.load
+        reported = sum(
+            tokens
+            for level, tokens in load.queued_by_priority
+            if level <= priority
+        )
+        age_ms = now_ms - load.at_ms + REPORT_LAG_MS
+        left = reported - load.prefill_rate * age_ms
+        own = sum(
+            tokens
+            for level, tokens in self._pending.items()
+            if level <= priority
+        )
+        return max(left, own)
 
 
 class Fleet:
--- /dev/null
+++ b/crankchute/core/limits_test.py
@@ -0,0 +1,79 @@
+"""Tests of account limits: shared without a coordinator, never exceeded."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from crankchute.core.config import Account
+from crankchute.core.limits import AccountUse, Portion
+
+_WIDTH = 3
+_TOLERANCE = 1e-9
+_STEP = st.tuples(
+    st.integers(min_value=0, max_value=_WIDTH - 1),
+    st.integers(min_value=0, max_value=_WIDTH - 1),
+    st.floats(min_value=0, max_value=1),
+    st.sampled_from(['ask', 'lost reply', 'wait']),
+    st.integers(min_value=0, max_value=1500),
+)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.lists(_STEP, max_size=40))
+def test_fractions_never_add_up_to_more_than_one(steps):
+    """Loans that are lost, late or expired never create a limit."""
+    portions = [Portion(_WIDTH) for _ in range(_WIDTH)]
+    now_ms = 0
+    for borrower, lender, wanted, event, delay_ms in steps:
+        asked_ms = now_ms
+        if event == 'wait':
+            now_ms += delay_ms
+        elif borrower != lender:
+            granted = portions[lender].lend(wanted, 0, now_ms)
+            now_ms += delay_ms
+            if event == 'ask':
+                portions[borrower].borrow(granted, asked_ms)
+        total = sum(portion.fraction(now_ms) for portion in portions)
+        assert total <= 1 + _TOLERANCE
+
+
+def _use(**limits):
+    return AccountUse(Account({'name': 'a', 'width': 1, **limits}), 0)
+
+
+def test_requests_in_progress_are_bounded():
+    """One more than allowed is refused with a hint, until one ends."""
+    use = _use(max_in_progress=2)
+    assert use.admit(1, 0) is None
+    assert use.admit(1, 0) is None
+    assert use.admit(1, 0) > 0
+    use.release()
+    assert use.admit(1, 0) is None
+
+
+def test_tokens_are_bounded_and_come_back():
+    """The hint says when there will be enough tokens."""
+    use = _use(tokens_per_second=1000)
+    assert use.admit(2000, 0) is None
+    hint_ms = use.admit(500, 0)
+    assert hint_ms == 500
+    assert use.admit(500, hint_ms - 10) is not None
+    assert use.admit(500, hint_ms) is None
+
+
+def test_prompt_above_the_burst_is_still_served():
+    """A prompt of more tokens than a burst holds waits for a full one."""
+    use = _use(tokens_per_second=1000)
+    assert use.admit(900_000, 0) is None
+    assert use.admit(1, 1000) > 0
+
+
+def test_idle_portion_is_lent_and_comes_back():
+    """A lender gives what it does not use, for a while."""
+    lender = Portion(2)
+    granted = lender.lend(0.4, 0.2, 0)
+    assert [granted, lender.fraction(0), lender.fraction(2501)] == [
+        pytest.approx(0.3),
+        pytest.approx(0.2),
+        pytest.approx(0.5),
+    ]
--- a/crankchute/core/membership.py
+++ b/crankchute/core/membership.py
@@ -17,6 +17,7 @@
 _INDIRECT = 3
 _SUSPECT_MS = 3000
 _FORGET_MS = 60_000
+_REVIVE_ROUNDS = 4
 
 
 class Status(enum.IntEnum):
@@ -127,6 +128,8 @@
         self._rumours = {}
         self._suspected_ms = {}
         self._round = []
+        self._rounds = 0
+        self._listed = {}
         self._listeners = []
         self.version = 0
 
@@ -174,12 +177,14 @@
         self._store(self._own)
 
     def seed(self, members):
-        """Add members that a list names and nobody told of yet.
+        """Take the list of members, and add those nobody told of yet.
 
         Args:
           members: Member records with incarnation 0.
         """
-        for member in members:
+        self._listed = {member.identity: member for member in members}
+        self._listed.pop(self._own.identity, None)
+        for member in self._listed.values():
             if member.identity not in self._members:
                 self._members[member.identity] = member
 
@@ -213,11 +218,18 @@
         return [self._own, *others]
 
     def run_round(self):
-        """Probe one member and let suspicions grow into deaths."""
+        """Probe one member and let suspicions grow into deaths.
+
+        Now and then a listed member that is believed lost is probed too, so
+        that two sides of a cut find each other again when it heals.
+        """
         self._bury_suspects()
+        self._rounds += 1
         target = self._next_target()
         if target is not None:
             self._ports.probe(target, lambda ok: self._on_probe(target, ok))
+        if self._rounds % _REVIVE_ROUNDS == 0:
+            self._probe_lost()
 
     def choose_peers(self, count):
         """Return some random members other than this node.
@@ -248,6 +260,20 @@
         for helper in helpers:
             self._ports.probe_through(helper, target, poll.note)
 
+    def _probe_lost(self):
+        lost = [
+            member
+            for identity, member in self._listed.items()
+            if self._is_lost(identity)
+        ]
+        if lost:
+            chosen = self._ports.random.choice(lost)
+            self._ports.probe(chosen, _ignore)
+
+    def _is_lost(self, identity):
+        known = self._members.get(identity)
+        return known is None or known.status == Status.DEAD
+
     def _next_target(self):
         while self._round:
             identity = self._round.pop()
@@ -278,6 +304,9 @@
             return
         if known is None or update.overrides(known):
             self._store(update)
+        elif known.status != Status.ALIVE:
+            # Whoever speaks up while it is believed lost must hear of it.
+            self._spread(update.identity)
         elif update.boot == known.boot:
             known.in_force = max(known.in_force, update.in_force)
 
@@ -288,6 +317,11 @@
         if known.status == Status.ALIVE:
             self._store(known.copy(status=Status.SUSPECT))
 
+    def _spread(self, identity):
+        size = len(self._members) + 1
+        turns = _SPREAD_FACTOR * math.ceil(math.log2(size))
+        self._rumours[identity] = _Rumour(identity, turns)
+
     def _bury_suspects(self):
         now_ms = self._ports.now_ms()
         for identity, since_ms in tuple(self._suspected_ms.items()):
@@ -303,9 +337,7 @@
     def _store(self, member):
         identity = member.identity
         self._members[identity] = member
-        size = len(self._members) + 1
-        turns = _SPREAD_FACTOR * math.ceil(math.log2(size))
-        self._rumours[identity] = _Rumour(identity, turns)
+        self._spread(identity)
         if member.status == Status.ALIVE:
             self._suspected_ms.pop(identity, None)
         else:
@@ -333,5 +365,9 @@
             self._on_lost()
 
 
+def _ignore(_answered):
+    """Take the end of a probe that only looks for a lost member."""
+
+
 def _turns_left(rumour):
     return rumour.left
--- /dev/null
+++ b/crankchute/core/placing_test.py
@@ -0,0 +1,288 @@
+"""Tests of where things go: policies, candidates, placement, addresses."""
+
+import random
+
+import pytest
+
+from crankchute.core.addresses import (
+    choose_addresses,
+    choose_owner,
+    is_reader,
+)
+from crankchute.core.breaker import Breaker
+from crankchute.core.candidates import list_candidates
+from crankchute.core.config import Pool
+from crankchute.core.config_check import load_config
+from crankchute.core.fair_queue import FairQueue
+from crankchute.core.fakes import (
+    make_documents,
+    make_job,
+    make_listed,
+    make_load,
+)
+from crankchute.core.fleet import Backend, Fleet
+from crankchute.core.hashing import rank_by_hash
+from crankchute.core.membership import Member, Status
+from crankchute.core.ownership import Holding, Ownership
+from crankchute.core.placement import EngineSlot, may_switch, plan_models
+from crankchute.core.policies import RoutingView, routing_policies
+from crankchute.core.prefix import PrefixKnowledge, hash_blocks
+from crankchute.core.retry_budget import RetryBudget
+
+_NAMES = ('engine-0', 'engine-1', 'engine-2', 'engine-3')
+
+
+def _fleet(**loads):
+    fleet = Fleet()
+    fleet.replace([make_listed(name) for name in _NAMES])
+    for backend in fleet:
+        changes = loads.get(backend.identity.replace('-', '_'), {})
+        fleet.note_load(backend, make_load(0, **changes))
+    return fleet
+
+
+def _view(job):
+    return RoutingView(job, 0, random.Random(1), 'dc-1', 1)
+
+
+@pytest.mark.parametrize('name', sorted(routing_policies))
+def test_every_policy_chooses_a_candidate(name):
+    """A policy returns one of the engines it was given."""
+    candidates = list(_fleet())
+    assert routing_policies[name](candidates, _view(make_job())) in candidates
+
+
+def test_earliest_start_avoids_long_queues_and_prefers_cached_prefixes():
+    """A queue repels a request, and a cached prefix attracts it."""
+    queue = [(0, 5_000_000)]
+    fleet = _fleet(
+        engine_0={'queued_by_priority': queue},
+        engine_1={'queued_by_priority': queue},
+    )
+    prompt = b'x' * 400_000
+    job = make_job(prompt=prompt, tokens=100_000)
+    hashes = hash_blocks(prompt, b'small')
+    fleet.get('engine-3').prefix.note_event(1, hashes, [], 0)
+    choose = routing_policies['earliest-start']
+    chosen = {choose(list(fleet), _view(job)).identity for _ in range(20)}
+    assert chosen == {'engine-3'}
+
+
+@pytest.mark.parametrize(
+    ('events', 'known'),
+    [
+        ([(1, [7], [])], 1),
+        ([(1, [7], []), (2, [], [7])], 0),
+        ([(1, [7], []), (3, [8], [])], 0),
+        ([(2, [7], []), (1, [], [7])], 1),
+    ],
+)
+def test_prefix_knowledge(events, known):
+    """Evictions, gaps and late events are heeded."""
+    knowledge = PrefixKnowledge()
+    for sequence, stored, evicted in events:
+        knowledge.note_event(sequence, stored, evicted, 0)
+    assert knowledge.count_bytes([7], 0) == known * 4096
+    assert not knowledge.count_bytes([7], 60_000)
+
+
+@pytest.mark.parametrize(
+    ('change', 'left'),
+    [
+        ({}, 4),
+        ({'leaving': True}, 3),
+        ({'models': {}}, 3),
+    ],
+)
+def test_candidates(change, left):
+    """An engine that leaves or lacks the model gets no new work."""
+    fleet = _fleet(engine_0=change)
+    config = load_config(1, make_documents())
+    assert len(list_candidates(config, fleet, make_job(), 0)) == left
+
+
+def test_silent_engines_are_no_candidates():
+    """An engine whose report is old is not believed alive."""
+    config = load_config(1, make_documents())
+    assert not list_candidates(config, _fleet(), make_job(), 10_000)
+
+
+def test_long_prompts_stay_on_their_share():
+    """All instances choose the same engines for long prompts."""
+    config = load_config(1, make_documents())
+    job = make_job(tokens=90_000)
+    chosen = list_candidates(config, _fleet(), job, 0)
+    again = list_candidates(config, _fleet(), job, 0)
+    names = [one.identity for one in chosen]
+    assert len(names) == 2
+    assert names == [one.identity for one in again]
+
+
+def test_breaker_opens_tries_once_and_closes():
+    """After failures one trial is let through; its end decides."""
+    breaker = Breaker()
+    for _ in range(3):
+        assert breaker.allows(0)
+        breaker.note_failure(0)
+    assert not breaker.allows(499)
+    assert breaker.allows(500)
+    breaker.note_start()
+    assert not breaker.allows(500)
+    breaker.note_failure(500)
+    assert not breaker.allows(1499)
+    breaker.note_start()
+    breaker.note_success()
+    assert breaker.allows(1500)
+
+
+def test_retry_budget_is_a_fraction_of_successes():
+    """Retries run out, and come back with successes only."""
+    budget = RetryBudget()
+    assert [budget.take() for _ in range(6)].count(True) == 5
+    for _ in range(11):
+        budget.note_success()
+    assert budget.take()
+    assert not budget.take()
+
+
+class _Waiting:
+    def __init__(self, number, account, priority=5):
+        self.job = make_job(
+            request_id=f'r{number}',
+            account=account,
+            priority=priority,
+        )
+
+
+def test_queue_is_fair_by_weight_and_priority():
+    """A heavy account does not hold up a light one; urgent work goes first."""
+    queue = FairQueue()
+    for number in range(4):
+        queue.add(_Waiting(number, 'heavy'), 1)
+    queue.add(_Waiting(4, 'light'), 1)
+    queue.add(_Waiting(5, 'urgent', priority=1), 1)
+    order = []
+    while queue:
+        flow = queue.first()
+        queue.discard(flow)
+        order.append(flow.job.account)
+    assert order[0] == 'urgent'
+    assert order.index('light') <= 2
+
+
+def test_plan_keeps_what_is_held():
+    """Without new demand nothing moves."""
+    pool = Pool(
+        {
+            'name': 'p',
+            'kind': 'model',
+            'selector': {},
+            'models': ['a', 'b'],
+        }
+    )
+    slots = [
+        EngineSlot('e0', ['a']),
+        EngineSlot('e1', ['a']),
+        EngineSlot('e2', ['b']),
+        EngineSlot('e3', ['b']),
+    ]
+    plan = plan_models(pool, slots, {'a': 10, 'b': 10})
+    assert plan == {'e0': 'a', 'e1': 'a', 'e2': 'b', 'e3': 'b'}
+
+
+def test_plan_follows_demand_and_keeps_the_minimum():
+    """A model in demand gets more engines; each keeps at least one."""
+    pool = Pool(
+        {
+            'name': 'p',
+            'kind': 'model',
+            'selector': {},
+            'models': ['a', 'b'],
+        }
+    )
+    slots = [EngineSlot(f'e{number}', []) for number in range(8)]
+    plan = plan_models(pool, slots, {'a': 90, 'b': 10})
+    held = list(plan.values())
+    assert len(held) == 8
+    assert held.count('a') > held.count('b')
+    assert held.count('b') >= 1
+
+
+def test_version_rolls_out_in_waves():
+    """Most of a pool keeps serving while a version changes."""
+    held = {f'e{number}': Holding({'a': 'v1'}) for number in range(8)}
+    wanted = Holding({'a': 'v2'})
+    waves = 0
+    while any(one != wanted for one in held.values()):
+        changing = [name for name in held if may_switch(name, held, wanted)]
+        assert 1 <= len(changing) <= 2
+        held.update(dict.fromkeys(changing, wanted))
+        waves += 1
+    assert waves >= 4
+
+
+def test_unchecked_engines_get_orders_after_the_lease():
+    """A new owner waits where the engine does not check fences."""
+    ownership = Ownership()
+    ownership.update('e0', True, 0)
+    assert ownership.may_order('e0', True, 0)
+    assert not ownership.may_order('e0', False, 3999)
+    assert ownership.may_order('e0', False, 4000)
+    ownership.update('e0', False, 4001)
+    assert not ownership.may_order('e0', True, 4001)
+
+
+def _members(count, **changes):
+    return [
+        Member(f'n{number}', 'b', 1, data_centre=f'dc-{number % 3}', **changes)
+        for number in range(count)
+    ]
+
+
+def test_addresses_are_few_near_first_and_stable():
+    """A lost instance moves only the accounts that used it."""
+    members = _members(12)
+    before = choose_addresses(members, 'acc', 3, 'dc-1')
+    assert len(before) == 3
+    near = [member.data_centre == 'dc-1' for member in before]
+    assert near == sorted(near, reverse=True)
+    others = [one for one in members if one not in before]
+    lost = [one for one in members if one is not others[0]]
+    assert choose_addresses(lost, 'acc', 3, 'dc-1') == before
+
+
+def test_draining_and_dead_instances_are_not_handed_out():
+    """Neither a draining nor a dead instance is in an answer."""
+    members = _members(2)
+    members[0].draining = True
+    members[1].status = Status.DEAD
+    assert not choose_addresses(members, 'acc', 3, 'dc-1')
+
+
+def test_two_readers_in_each_data_centre():
+    """Readers are few, and others take over when one is cut off."""
+    members = _members(12)
+    readers = [one for one in members if is_reader(members, one)]
+    assert len(readers) == 6
+    readers[0].reads_platform = False
+    changed = [one for one in members if is_reader(members, one)]
+    assert len(changed) == 6
+    assert readers[0] not in changed
+
+
+def test_owner_is_local_and_alive():
+    """An engine is owned by an instance of its data centre if there is one."""
+    members = _members(6)
+    owner = choose_owner(members, 'engine-0', 'dc-2')
+    assert owner in {'n2', 'n5'}
+    assert choose_owner([], 'engine-0', 'dc-2') is None
+    assert rank_by_hash('key', ['a', 'b']) == rank_by_hash('key', ['b', 'a'])
+
+
+def test_restarted_engine_loses_its_prefixes():
+    """Another boot id means that the cache is empty."""
+    backend = Backend(make_listed('engine-0'))
+    backend.note_load(make_load(0))
+    backend.prefix.note_event(1, [7], [], 0)
+    backend.note_load(make_load(1, boot='another'))
+    assert not backend.prefix.count_bytes([7], 1)
--- a/crankchute/core/policies.py
+++ b/crankchute/core/policies.py
@@ -10,11 +10,9 @@
 
 routing_policies = Registry()
 
-#: How old an engine's load may be when its report arrives.
-REPORT_LAG_MS = 300
 _FAR_PENALTY_MS = 4
 _STREAM_COST_MS = 0.5
-_MS_PER_LONG = 2
+_NEAR_MS = 8
 
 
 class RoutingView:
@@ -70,7 +68,7 @@
       Milliseconds, a float.
     """
     load = backend.load
-    waiting = load.queued_tokens + backend.unreported_tokens(REPORT_LAG_MS)
+    waiting = backend.tokens_ahead(view.job.engine_priority, view.now_ms)
     own = _count_uncached(backend, view)
     far = backend.listed.data_centre != view.data_centre
     distance_ms = _FAR_PENALTY_MS if far else 0
@@ -99,20 +97,21 @@
 @routing_policies.register('two-choices')
 def choose_of_two(candidates, view):
     """Choose the better of two random engines, by own requests in flight."""
-    count = min(len(candidates), 2)
-    pair = view.random.sample(candidates, count)
-    return min(pair, key=lambda backend: backend.in_flight)
+    return min(_draw_two(candidates, view), key=_in_flight)
 
 
 @routing_policies.register('earliest-start')
 def choose_earliest_start(candidates, view):
-    """Choose the engine where the first token is predicted earliest.
+    """Choose an engine where the first token is predicted about earliest.
 
-    Engines that work on long prompts count as later for short requests, so
-    that long prompts gather on few engines.
+    Instances do not know of one another's choices.  Each chooses at random
+    among the engines that are nearly as good as the best, so that they do
+    not all run to the same one.
     """
-    view.random.shuffle(candidates)
-    return min(candidates, key=lambda one: _start_with_company(one, view))
+    starts = [(estimate_start_ms(one, view), one) for one in candidates]
+    soonest = min(start for start, _ in starts)
+    near = [one for start, one in starts if start <= soonest + _NEAR_MS]
+    return min(_draw_two(near, view), key=_in_flight)
 
 
 def _count_uncached(backend, view):
@@ -125,8 +124,9 @@
     return backend.load.queued_tokens + backend.load.running
 
 
-def _start_with_company(backend, view):
-    start_ms = estimate_start_ms(backend, view)
-    if backend.serving_long and not view.job.is_long:
-        start_ms += _MS_PER_LONG * backend.serving_long
-    return start_ms
+def _draw_two(candidates, view):
+    return view.random.sample(candidates, min(len(candidates), 2))
+
+
+def _in_flight(backend):
+    return backend.in_flight
--- a/crankchute/core/single_flow.py
+++ b/crankchute/core/single_flow.py
@@ -35,6 +35,7 @@
         self._ended = False
         self._at_ms = flow.now_ms()
         self._stall = None
+        self._silent_ms = self._at_ms
         self.backend = backend
         self.started = False
 
@@ -48,8 +49,7 @@
         tokens = self._flow.job.tokens
         backend = self.backend
         backend.in_flight += 1
-        backend.pending_tokens += tokens
-        backend.sent.append((self._at_ms, tokens))
+        backend.note_sent(self._order.priority, tokens)
         backend.serving_long += self._flow.job.is_long
         backend.breaker.note_start()
         self._watch(_STALL_MS + first_ms * _FIRST_STALL_FACTOR)
@@ -95,11 +95,15 @@
     def _take(self, offset, frame):
         if not self.started:
             self.started = True
-            self.backend.pending_tokens -= self._flow.job.tokens
+            self._note_answered()
             self._flow.on_first_frame(self)
         self._watch(_STALL_MS)
         self._flow.on_tokens(offset, frame.tokens)
 
+    def _note_answered(self):
+        tokens = self._flow.job.tokens
+        self.backend.note_answered(self._order.priority, tokens)
+
     def _fail(self, text):
         self._cancel_call()
         self.on_failed(BackendError(text, sent=True))
@@ -109,24 +113,36 @@
             self._call.cancel()
 
     def _watch(self, allowed_ms):
-        if self._stall is not None:
-            self._stall.cancel()
-        self._stall = self._flow.timers.after(allowed_ms, self._on_stall)
+        """Allow the engine a time of silence from now.
+
+        A timer for each token would cost more than the token; one timer is
+        set again when it ends and finds that the engine has spoken.
+        """
+        self._silent_ms = self._flow.now_ms() + allowed_ms
+        if self._stall is None:
+            self._stall = self._flow.timers.after(allowed_ms, self._on_stall)
 
     def _on_stall(self):
-        if not self._ended:
+        self._stall = None
+        left_ms = self._silent_ms - self._flow.now_ms()
+        if self._ended:
+            return
+        if left_ms > 0:
+            self._watch(left_ms)
+        else:
             self._fail('the engine fell silent')
 
     def _close(self):
         if self._ended:
             return False
         self._ended = True
-        self._stall.cancel()
+        if self._stall is not None:
+            self._stall.cancel()
         backend = self.backend
         backend.in_flight -= 1
         backend.serving_long -= self._flow.job.is_long
         if not self.started:
-            backend.pending_tokens -= self._flow.job.tokens
+            self._note_answered()
         return True
 
 
--- a/crankchute/daemons/standin.py
+++ b/crankchute/daemons/standin.py
@@ -34,6 +34,7 @@
     Setting('token-ns', read_count, 'time of a prompt token, ns', '5000'),
     Setting('models', read_name, 'models held at the start', '', is_list=True),
     Setting('version', read_name, 'version of those models', 'v1'),
+    Setting('tokens-per-event', read_count, 'tokens in an event', '1'),
     Setting('checks-fences', read_flag, 'whether fences are checked', 'yes'),
     Setting(
         'weights',
@@ -77,6 +78,7 @@
         size,
         models=dict.fromkeys(settings.models, settings.version),
         checks_fences=settings.checks_fences,
+        tokens_per_event=settings.tokens_per_event,
         weights=next(iter(settings.weights), None),
     )
     return _run(loop)
--- a/crankchute/entry/answers.py
+++ b/crankchute/entry/answers.py
@@ -4,6 +4,8 @@
 from http import HTTPStatus
 from types import MappingProxyType
 
+import orjson
+
 from crankchute.adapters.sse import (
     DONE,
     EVENT_STREAM,
@@ -23,6 +25,9 @@
 _LIMIT_CODES = frozenset(('account_limit',))
 _DEADLINE_CODE = 'deadline_exceeded'
 _MS_PER_SECOND = 1000
+_MARK = '\x00mark'
+_MARK_JSON = orjson.dumps(_MARK)
+_PLACE_JSON = b'"offset":0,"next":0'
 
 
 class CompletionAnswer(RequestSink):
@@ -56,8 +61,8 @@
             'object': 'chat.completion' if is_chat else 'text_completion',
             'created': self._created,
             'model': self._request.job.model,
-            'choices': [choice],
             **more,
+            'choices': [choice],
         }
 
     def _usage(self, count):
@@ -94,9 +99,46 @@
         self._on_end()
 
 
+class EventTemplate:
+    """The events of one answer, in which only offset and text differ.
+
+    Writing the whole document for each token was half of a token's cost.
+    """
+
+    __slots__ = ('_before', '_between', '_tail')
+
+    def __init__(self, event):
+        """Cut an event into what stays and what differs.
+
+        Args:
+          event: The bytes of an event with offset 0 and the mark as text.
+        """
+        head, tail = event.split(_MARK_JSON)
+        before, after = head.split(_PLACE_JSON)
+        self._before = before
+        self._between = after
+        self._tail = tail
+
+    def render(self, offset, tokens):
+        """Return the bytes of an event.
+
+        Args:
+          offset: The index of its first token.
+          tokens: The texts of its tokens, a list.
+        """
+        place = b'"offset":%d,"next":%d' % (offset, offset + len(tokens))
+        text = orjson.dumps(''.join(tokens))
+        return b''.join((self._before, place, self._between, text, self._tail))
+
+
 class StreamedAnswer(CompletionAnswer):
     """Sends each token as an event; the last event says that it is whole."""
 
+    def __init__(self, exchange, request, on_end):
+        """See CompletionAnswer."""
+        super().__init__(exchange, request, on_end)
+        self._template = None
+
     def keep_alive(self):
         """Tell a caller that waits long that its request is still held."""
         if not self._exchange.started:
@@ -107,8 +149,10 @@
         """See RequestSink."""
         if not self._exchange.started:
             self._exchange.start_stream(EVENT_STREAM)
-        event = self._event(''.join(tokens), None, offset=offset)
-        self._exchange.send(event)
+        if self._template is None:
+            event = self._event(_MARK, None, offset=0, next=0)
+            self._template = EventTemplate(event)
+        self._exchange.send(self._template.render(offset, tokens))
 
     def on_end(self, count):
         """See RequestSink."""
--- a/crankchute/entry/peering.py
+++ b/crankchute/entry/peering.py
@@ -113,11 +113,17 @@
         """Call a peer and count the message; see PeerClient."""
         self._metrics.count('peer_messages', method)
         self._metrics.count('peer_bytes', amount=request.ByteSize())
+
+        def take(reply):
+            if reply is not None:
+                self._metrics.count('peer_bytes', amount=reply.ByteSize())
+            on_reply(reply)
+
         self._client.call(
             address,
             method,
             request,
-            on_reply,
+            take,
             timeout_ms=timeout_ms,
         )
 
--- a/crankchute/entry/state_dump.py
+++ b/crankchute/entry/state_dump.py
@@ -23,6 +23,7 @@
         ],
         'backends': [_dump_backend(one, now_ms) for one in node.fleet],
         'owned_engines': node.owner.owned,
+        'load_polls': node.poller.polls,
         'requests': {
             'in_progress': node.dispatcher.in_progress,
             'waiting': node.dispatcher.waiting,
--- a/crankchute/standins/engine_model.py
+++ b/crankchute/standins/engine_model.py
@@ -8,6 +8,7 @@
 
 import itertools
 import zlib
+from collections import Counter
 
 from crankchute.standins.engine_memory import EngineMemory
 
@@ -141,6 +142,14 @@
         works = itertools.chain(self._waiting.values(), self._running.values())
         return sum(work.left for work in works)
 
+    @property
+    def queued_by_priority(self):
+        """Prompt tokens that wait, as a map from priority to tokens."""
+        queued = Counter()
+        for work in (*self._waiting.values(), *self._running.values()):
+            queued[work.priority] += work.left
+        return +queued
+
     @property
     def running(self):
         """How many answers are being generated."""
--- a/crankchute/standins/engine_server.py
+++ b/crankchute/standins/engine_server.py
@@ -26,7 +26,7 @@
 class Generation:
     """One streamed answer, with the faults that hit it."""
 
-    __slots__ = ('_engine', '_exchange', '_fault', '_head', 'key')
+    __slots__ = ('_engine', '_exchange', '_fault', '_head', '_held', 'key')
 
     def __init__(self, engine, exchange, order, fault):
         """Create the record.
@@ -40,6 +40,7 @@
         self._engine = engine
         self._exchange = exchange
         self._fault = fault
+        self._held = []
         self._head = {
             'id': order['request_id'],
             'attempt': order['attempt'],
@@ -60,9 +61,10 @@
             self._send(crossed, offset, ['crossed '])
         if self._fault == FaultMode.DROP and offset == 2:
             return
-        self._send(self._head, offset, [token])
-        if self._fault == FaultMode.DUPLICATE:
-            self._send(self._head, offset, [token])
+        self._held.append(token)
+        if len(self._held) < self._engine.tokens_per_event:
+            return
+        self._flush(offset + 1)
 
     def on_done(self, work):
         """Send the end mark, or break the stream off after an expiry."""
@@ -71,6 +73,7 @@
         if work is None:
             self._exchange.abort()
             return
+        self._flush(work.offset)
         end = dict(self._head, offset=work.offset, count=work.max_tokens)
         self._exchange.send(write_event(end) + DONE)
         self._exchange.finish()
@@ -79,6 +82,16 @@
         """Free everything when the caller is gone."""
         self._engine.model.cancel(self.key)
 
+    def _flush(self, next_offset):
+        tokens = self._held
+        if not tokens:
+            return
+        self._held = []
+        first = next_offset - len(tokens)
+        self._send(self._head, first, tokens)
+        if self._fault == FaultMode.DUPLICATE:
+            self._send(self._head, first, tokens)
+
     def _send(self, head, offset, tokens):
         event = dict(head, offset=offset, tokens=tokens)
         self._exchange.send(write_event(event))
@@ -89,6 +102,7 @@
 
     Attributes:
       boot: The random id of this incarnation.
+      tokens_per_event: How many tokens an event of a stream carries.
       model: The EngineModel.
       loader: The ModelLoader.
     """
@@ -102,12 +116,13 @@
           settings: EngineSettings.
           options: `models` (a map of names to versions held at the start),
             `checks_fences` (a bool), `weights` (the weight store's address
-            or None).
+            or None), `tokens_per_event` (how many tokens an event carries).
         """
         self._timers = loop.timers
         self._fault = Fault()
         self._leaving = False
         self._snapshots = []
+        self.tokens_per_event = options.get('tokens_per_event', 1)
         self.boot = secrets.token_hex(4)
         self.model = EngineModel(loop.timers, settings)
         self._client = HttpClient(channel=f'engine-out-{bind[1]}')
@@ -329,6 +344,7 @@
         model = self.model
         snapshot = {
             'queued_tokens': model.queued_tokens,
+            'queued_by_priority': list(model.queued_by_priority.items()),
             'running': model.running,
             'memory_free': model.memory.free_tokens,
             'memory_total': model.memory.total,
