Survive bad answers and faults, and read more simply

Cause: reading the code through found input that would stop a part for good: a platform's answer that is not JSON ended its watch, one bad record of the instance list lost all of them, an unexpected fault in a handler left its request open so that a stop would never end, and calls passed on by peers could hold every thread that gossip needs.

The change: each gets a finding, a retry, an end of unknown outcome, or a bound; the time between tokens that admission counts with is now learned (it stayed at zero).

--- a/bench/local_fleet.py
+++ b/bench/local_fleet.py
@@ -232,6 +232,7 @@
                 'prefill_rate': model.settings.prefill_rate,
                 'models': {'small': 'v1'},
                 'leaving': False,
+                'events': list(model.memory.events),
             }
             for name, model in self._models.items()
             if name not in self._lost
@@ -244,4 +245,11 @@
                 backend = dispatcher.fleet.get(name)
                 report = LoadReport(now_ms, document)
                 dispatcher.fleet.note_load(backend, report)
+                _note_events(backend.prefix, document['events'], now_ms)
             dispatcher.pump()
+
+
+def _note_events(prefix, events, now_ms):
+    for event in events:
+        prefix.note_event(event.sequence, event.stored, event.evicted, now_ms)
+    prefix.note_fresh(now_ms)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -27,17 +27,20 @@
 )
 
 
-def compare(loads, seeds):
+def compare(loads, seeds, prefixes=0):
     """Run every policy at every load with every seed.
 
     Args:
       loads: Pairs of load and engines lost.
       seeds: A list of ints.
+      prefixes: See Trial.
     Returns:
       A list of rows, means over the seeds.
     """
     keys = _list_keys(loads)
-    trials = [trial for key in keys for trial in _list_trials(key, seeds)]
+    trials = [
+        trial for key in keys for trial in _list_trials(key, seeds, prefixes)
+    ]
     with multiprocessing.Pool() as pool:
         ends = pool.map(run_trial, trials, chunksize=1)
     width = 2 * len(seeds)
@@ -56,11 +59,18 @@
     ]
 
 
-def _list_trials(key, seeds):
+def _list_trials(key, seeds, prefixes):
     for seed in seeds:
         for only_short in (False, True):
             name, load, lost = key
-            yield Trial(name, load, seed, lost, only_short)
+            yield Trial(
+                name,
+                load,
+                seed,
+                lost,
+                only_short=only_short,
+                prefixes=prefixes,
+            )
 
 
 def make_row(key, ends):
@@ -129,11 +139,13 @@
     """Run the comparison and print a table."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', type=int, default=5)
+    parser.add_argument('--prefixes', type=int, default=0)
+    parser.add_argument('--loads', help='loads, separated by commas')
     parser.add_argument('--json', type=Path, help='file for all figures')
     flags = parser.parse_args()
-    loads = [(load, 0) for load in _LOADS]
-    loads.append((_LOADS[0], ENGINES // 3))
-    rows = compare(loads, list(range(1, flags.seeds + 1)))
+    loads = _read_loads(flags.loads)
+    seeds = list(range(1, flags.seeds + 1))
+    rows = compare(loads, seeds, flags.prefixes)
     _print_rows(rows)
     for load, lost in loads:
         _print_wins(rows, load, lost)
@@ -142,6 +154,12 @@
     return 0
 
 
+def _read_loads(text):
+    if text:
+        return [(float(load), 0) for load in text.split(',')]
+    return [*((load, 0) for load in _LOADS), (_LOADS[0], ENGINES // 3)]
+
+
 def _print_rows(rows):
     names = [name for name in rows[0] if name != 'seeds']
     print(' | '.join(names))
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -19,6 +19,9 @@
 _DURATION_S = 25
 _TAIL_MS = 40_000
 _MEAN_TOKENS = 15_000
+#: The length of shared openings, and the prompts that have one.
+_OPENING = 16_384
+_LARGEST_OPENED = 100_000
 _MS_PER_SECOND = 1000
 _MIX = (
     Part(
@@ -65,11 +68,13 @@
       lost: How many engines are lost after a third of the time.
       only_short: Whether the longer parts of the mix are left out, at the
         same times of the short ones.
+      prefixes: If not 0, among how many openings prompts of middling length
+        choose; those of 16k tokens to 100k have one.
     """
 
-    __slots__ = ('load', 'lost', 'only_short', 'policy', 'seed')
+    __slots__ = ('load', 'lost', 'only_short', 'policy', 'prefixes', 'seed')
 
-    def __init__(self, policy, load, seed, lost=0, only_short=False):
+    def __init__(self, policy, load, seed, lost=0, **details):
         """Create the trial.
 
         Args:
@@ -77,13 +82,14 @@
           load: See the class.
           seed: See the class.
           lost: See the class.
-          only_short: See the class.
+          details: `only_short` and `prefixes`, see the class.
         """
         self.policy = policy
         self.load = load
         self.seed = seed
         self.lost = lost
-        self.only_short = only_short
+        self.only_short = details.get('only_short', False)
+        self.prefixes = details.get('prefixes', 0)
 
 
 def run_trial(trial):
@@ -96,7 +102,7 @@
     """
     fleet = _make_fleet(trial.policy)
     for number, arrival in enumerate(_plan(trial, fleet.rate)):
-        prompt = make_prompt(arrival.tokens, number)
+        prompt = _write_prompt(trial, number, arrival.tokens)
         submit = partial(fleet.submit, number, arrival, prompt)
         fleet.timers.after(arrival.at_ms, submit)
     if trial.lost:
@@ -106,6 +112,13 @@
     return _summarise(fleet.sinks)
 
 
+def _write_prompt(trial, number, tokens):
+    if not trial.prefixes or not _OPENING <= tokens < _LARGEST_OPENED:
+        return make_prompt(tokens, number)
+    opening = make_prompt(_OPENING, f'opening-{number % trial.prefixes}')
+    return opening + make_prompt(tokens - _OPENING, number)
+
+
 def _make_fleet(policy):
     if policy == EXACT:
         return LocalFleet(ENGINES, 1, CHOSEN, _EXACT_LAG_MS)
--- a/crankchute/adapters/http_server.py
+++ b/crankchute/adapters/http_server.py
@@ -6,6 +6,7 @@
 """
 
 from contextlib import suppress
+from http import HTTPStatus
 from socket import SHUT_WR
 
 import orjson
@@ -14,6 +15,7 @@
 from circuits.web.events import stream
 from circuits.web.http import HTTP
 
+from crankchute.adapters.log import log_change
 from crankchute.adapters.http_intake import DEFAULT_LIMITS, Intake
 from crankchute.adapters.sockets import DirectServer
 from crankchute.errors import RequestRefused
@@ -251,6 +253,11 @@
             self._on_request(exchange)
         except RequestRefused as refusal:
             exchange.refuse(refusal)
+        except Exception as exc:
+            # Whatever went wrong, the caller gets an end and the connection
+            # does not count as busy for ever.
+            log_change('internal_error', error=repr(exc), path=exchange.path)
+            _reply_internal_error(exchange)
         return True
 
     @handler('disconnect')
@@ -301,6 +308,19 @@
             sock.shutdown(SHUT_WR)
 
 
+def _reply_internal_error(exchange):
+    if exchange.started:
+        exchange.abort()
+        return
+    error = {
+        'type': 'internal_error',
+        'message': 'the request met a fault of this process',
+        'outcome': 'unknown',
+        'retry_after_ms': None,
+    }
+    exchange.reply(HTTPStatus.INTERNAL_SERVER_ERROR, {'error': error})
+
+
 def refusal_body(refusal):
     """Return the typed body of a refusal.
 
--- a/crankchute/adapters/peers_grpc.py
+++ b/crankchute/adapters/peers_grpc.py
@@ -11,7 +11,7 @@
 
 from crankchute.proto import peer_pb2, peer_pb2_grpc
 
-_SERVER_THREADS = 4
+_SERVER_THREADS = 16
 _LONGEST_ANSWER_S = 30
 _MESSAGE_BYTES = 16_777_216
 _OPTIONS = (
--- a/crankchute/adapters/platform_http.py
+++ b/crankchute/adapters/platform_http.py
@@ -92,13 +92,14 @@
         self._guard.cancel()
         if self._source is None:
             return
-        if status != HTTPStatus.OK:
+        changes = _try_changes(status, body)
+        if changes is None:
             self._retry()
             return
         self.failing_since_ms = None
         self._retry_ms = _FIRST_RETRY_MS
         is_behind = not self._source.seen_revision
-        self._source.offer(read_changes(orjson.loads(body)))
+        self._source.offer(changes)
         if is_behind and not self._source.seen_revision:
             self._pause = self._timers.after(self._retry_ms, self._read)
             return
@@ -122,11 +123,21 @@
     """
     entries = {
         key: Entry(revision, _read_payload(payload))
-        for key, (revision, payload) in document['entries'].items()
+        for key, (revision, payload) in dict(document['entries']).items()
     }
     return ChangeSet(document['since'], document['revision'], entries)
 
 
+def _try_changes(status, body):
+    """Return the changes of an answer, or None if it is not one."""
+    if status != HTTPStatus.OK:
+        return None
+    try:
+        return read_changes(orjson.loads(body))
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
 def _read_payload(payload):
     if payload is None:
         return None
--- a/crankchute/adapters/timers.py
+++ b/crankchute/adapters/timers.py
@@ -5,12 +5,12 @@
 heap serves them all.
 """
 
-import heapq
-import itertools
-
 from circuits import BaseComponent, handler
 
-from crankchute.ports.time import Subscription, TimerService
+from crankchute.core.timer_heap import TimerHeap
+from crankchute.ports.time import TimerService
+
+_MS_PER_SECOND = 1000
 
 
 class LoopTimers(BaseComponent, TimerService):
@@ -26,8 +26,7 @@
         """
         super().__init__()
         self._clock = clock
-        self._heap = []
-        self._order = itertools.count()
+        self._heap = TimerHeap()
 
     @property
     def clock(self):
@@ -36,24 +35,20 @@
 
     def after(self, delay_ms, callback):
         """See TimerService."""
-        subscription = Subscription(callback)
-        self._push(delay_ms, subscription)
-        return subscription
+        due_ms = self._clock.now_ms() + delay_ms
+        return self._heap.subscribe(due_ms, callback)
 
     @handler('generate_events', priority=1)
     def _on_generate_events(self, event):
         self._run_due()
-        if self._heap:
-            wait_ms = self._heap[0][0] - self._clock.now_ms()
-            event.reduce_time_left(max(wait_ms, 0) / 1000)
-
-    def _push(self, delay_ms, subscription):
-        due_ms = self._clock.now_ms() + delay_ms
-        entry = (due_ms, next(self._order), subscription)
-        heapq.heappush(self._heap, entry)
+        due_ms = self._heap.next_due_ms()
+        if due_ms is not None:
+            wait_ms = max(due_ms - self._clock.now_ms(), 0)
+            event.reduce_time_left(wait_ms / _MS_PER_SECOND)
 
     def _run_due(self):
         now_ms = self._clock.now_ms()
-        while self._heap and self._heap[0][0] <= now_ms:
-            subscription = heapq.heappop(self._heap)[2]
+        subscription = self._heap.pop_due(now_ms)
+        while subscription is not None:
             subscription.run()
+            subscription = self._heap.pop_due(now_ms)
--- a/crankchute/client/completion_call.py
+++ b/crankchute/client/completion_call.py
@@ -12,6 +12,7 @@
     describe_failure,
     describe_refusal,
 )
+from crankchute.client.timed_call import TimedCall
 from crankchute.core.outcomes import Outcome
 from crankchute.errors import BackendError
 from crankchute.ports.http import ResponseSink
@@ -22,7 +23,7 @@
 _UNREADABLE = b'{}'
 
 
-class CompletionCall:
+class CompletionCall(TimedCall):
     """One completion; may be submitted again while nothing was delivered.
 
     A stream that breaks off is asked for again from its start, since a
@@ -38,48 +39,44 @@
           options: CallOptions.
           on_end: A function of a CallResult, called once.
         """
-        self._parts = parts
+        super().__init__(parts, options, on_end)
         self._prompt = prompt
-        self._options = options
-        self._on_end = on_end
-        self._started_ms = parts.now_ms()
-        self._tries = 0
         self._try = None
         self._sent = False
         self._last = None
-        self._deadline = None
         self.first_token_ms = None
 
     def start(self):
         """Submit the request."""
-        parts = self._parts
-        self._deadline = parts.timers.after(
-            self._options.deadline_ms,
-            self._on_deadline,
-        )
+        self.watch_deadline(self._on_deadline)
         self._submit()
 
     def on_first_token(self):
         """Note the time of the first token."""
         if self.first_token_ms is None:
-            self.first_token_ms = self._elapsed_ms()
+            self.first_token_ms = self.elapsed_ms()
 
     def on_whole(self, text, count):
         """End with a whole answer."""
         end = CallResult(Outcome.OK)
         end.text = text
         end.tokens = count
-        self._finish(end)
+        self.finish(end)
+
+    def finish(self, end):
+        """Tell the end, with the time to first token."""
+        end.first_token_ms = self.first_token_ms
+        super().finish(end)
 
     def on_refused(self, refusal):
         """Try again when the refusal says, or end with it."""
         self._try = None
         self._last = refusal
         if refusal.retry_after_ms is None:
-            self._finish(describe_refusal(refusal))
+            self.finish(describe_refusal(refusal))
             return
-        if refusal.retry_after_ms >= self._remaining_ms():
-            self._finish(describe_refusal(refusal))
+        if refusal.retry_after_ms >= self.remaining_ms():
+            self.finish(describe_refusal(refusal))
             return
         self._parts.book.expire()
         self._parts.timers.after(refusal.retry_after_ms, self._submit)
@@ -92,11 +89,11 @@
         self._parts.timers.after(_PAUSE_MS, self._submit)
 
     def _submit(self):
-        if self._on_end is not None:
+        if not self.is_over:
             self._parts.book.get(self._send)
 
     def _send(self, address):
-        if self._on_end is None:
+        if self.is_over:
             return
         self._tries += 1
         self.first_token_ms = None
@@ -111,7 +108,7 @@
             'max_tokens': options.max_tokens,
             'stream': True,
         }
-        remaining_ms = int(self._remaining_ms() - _MARGIN_MS)
+        remaining_ms = int(self.remaining_ms() - _MARGIN_MS)
         headers = self._parts.headers(options.workload, max(remaining_ms, 1))
         body = orjson.dumps(document)
         return build_request('POST', address, COMPLETIONS_PATH, body, headers)
@@ -121,27 +118,10 @@
             self._try.cancel()
         outcome = Outcome.FAILED if self._sent or self._try else Outcome.NOT_RUN
         if self._last is not None and not self._try and not self._sent:
-            self._finish(describe_refusal(self._last))
+            self.finish(describe_refusal(self._last))
             return
         text = 'the deadline passed without a whole answer'
-        self._finish(describe_failure(outcome, 'deadline_exceeded', text))
-
-    def _finish(self, end):
-        if self._on_end is None:
-            return
-        on_end = self._on_end
-        self._on_end = None
-        self._deadline.cancel()
-        end.tries = self._tries
-        end.first_token_ms = self.first_token_ms
-        end.total_ms = self._elapsed_ms()
-        on_end(end)
-
-    def _elapsed_ms(self):
-        return self._parts.now_ms() - self._started_ms
-
-    def _remaining_ms(self):
-        return self._options.deadline_ms - self._elapsed_ms()
+        self.finish(describe_failure(outcome, 'deadline_exceeded', text))
 
 
 class StreamTry(ResponseSink):
--- a/crankchute/client/service_call.py
+++ b/crankchute/client/service_call.py
@@ -16,6 +16,7 @@
     describe_failure,
     describe_refusal,
 )
+from crankchute.client.timed_call import TimedCall
 from crankchute.core.outcomes import Outcome
 from crankchute.ports.http import WholeResponse
 
@@ -60,7 +61,7 @@
         self.repeatable = method in {'GET', 'HEAD'}
 
 
-class BoundCall:
+class BoundCall(TimedCall):
     """One call of a plain service."""
 
     def __init__(self, parts, request, options, on_end):
@@ -72,34 +73,31 @@
           options: CallOptions.
           on_end: A function of a CallResult, called once.
         """
-        self._parts = parts
+        super().__init__(parts, options, on_end)
         self._request = request
-        self._options = options
-        self._on_end = on_end
-        self._started_ms = parts.now_ms()
-        self._tries = 0
         self._submissions = 0
         self._may_have_run = False
         self._key = None
         self._bound = None
         self._http_call = None
-        self._deadline = None
 
     def start(self):
         """Submit the call."""
-        self._deadline = self._parts.timers.after(
-            self._options.deadline_ms,
-            self._on_deadline,
-        )
+        self.watch_deadline(self._on_deadline)
         self._bind()
 
+    def finish(self, end):
+        """Tell the end, with the key that was last submitted."""
+        end.key = self._key
+        super().finish(end)
+
     def _bind(self):
         """Take an address, and a new key unless the call is repeatable."""
-        if self._on_end is not None:
+        if not self.is_over:
             self._parts.book.get(self._on_address)
 
     def _on_address(self, address):
-        if self._on_end is None:
+        if self.is_over:
             return
         self._submissions = 0
         if not self._request.repeatable:
@@ -121,7 +119,7 @@
         self._submissions += 1
         request = self._request
         path = f'/v1/services/{request.pool}{request.path}'
-        remaining_ms = int(self._remaining_ms() - _MARGIN_MS)
+        remaining_ms = int(self.remaining_ms() - _MARGIN_MS)
         headers = self._parts.headers(
             self._options.workload,
             max(remaining_ms, 1),
@@ -156,7 +154,7 @@
         end = CallResult(Outcome.OK)
         end.status = status
         end.body = body
-        self._finish(end)
+        self.finish(end)
 
     def _on_refused(self, refusal):
         if refusal.passed_on:
@@ -164,14 +162,14 @@
         if self._may_have_run and not self._request.repeatable:
             end = describe_refusal(refusal)
             end.outcome = _worst(refusal.outcome)
-            self._finish(end)
+            self.finish(end)
             return
         hint_ms = refusal.retry_after_ms
         is_lost = refusal.code == 'binding_lost'
         if is_lost:
             hint_ms = _PAUSE_MS
-        if hint_ms is None or hint_ms >= self._remaining_ms():
-            self._finish(describe_refusal(refusal))
+        if hint_ms is None or hint_ms >= self.remaining_ms():
+            self.finish(describe_refusal(refusal))
             return
         self._parts.book.expire()
         self._parts.timers.after(hint_ms, self._bind)
@@ -188,10 +186,10 @@
 
     def _ask_again(self):
         """Submit the same key again, to learn what became of it."""
-        if self._on_end is None:
+        if self.is_over:
             return
         if self._submissions >= _MOST_SUBMISSIONS:
-            self._finish(_lost())
+            self.finish(_lost())
             return
         addresses = [
             self._bound,
@@ -206,22 +204,7 @@
         has_sent = self._http_call is not None or self._may_have_run
         outcome = Outcome.UNKNOWN if has_sent else Outcome.NOT_RUN
         text = 'the deadline passed without an answer'
-        self._finish(describe_failure(outcome, 'deadline_exceeded', text))
-
-    def _finish(self, end):
-        if self._on_end is None:
-            return
-        on_end = self._on_end
-        self._on_end = None
-        self._deadline.cancel()
-        end.tries = self._tries
-        end.total_ms = self._parts.now_ms() - self._started_ms
-        end.key = self._key
-        on_end(end)
-
-    def _remaining_ms(self):
-        elapsed_ms = self._parts.now_ms() - self._started_ms
-        return self._options.deadline_ms - elapsed_ms
+        self.finish(describe_failure(outcome, 'deadline_exceeded', text))
 
 
 def _worst(outcome):
--- a/crankchute/core/fakes.py
+++ b/crankchute/core/fakes.py
@@ -1,15 +1,13 @@
 """Small fakes of the core's ports, for tests, measurements and embedders."""
 
-import heapq
-import itertools
-
 import orjson
 
 from crankchute.core.fleet import Listed, LoadReport
 from crankchute.core.frames import Frame
 from crankchute.core.job import Job
+from crankchute.core.timer_heap import TimerHeap
 from crankchute.ports.engines import EnginePort, RequestSink, SegmentExport
-from crankchute.ports.time import Clock, Subscription, TimerService
+from crankchute.ports.time import Clock, TimerService
 
 _MEMORY = 400_000
 _RATE = 130
@@ -38,8 +36,7 @@
     def __init__(self):
         """Create the service at time zero."""
         self._clock = ManualClock()
-        self._heap = []
-        self._order = itertools.count()
+        self._heap = TimerHeap()
 
     @property
     def clock(self):
@@ -48,10 +45,8 @@
 
     def after(self, delay_ms, callback):
         """See TimerService."""
-        subscription = Subscription(callback)
         due_ms = self._clock.time_ms + max(delay_ms, 0)
-        heapq.heappush(self._heap, (due_ms, next(self._order), subscription))
-        return subscription
+        return self._heap.subscribe(due_ms, callback)
 
     def advance(self, delay_ms):
         """Let time pass and run what comes due, in order.
@@ -60,10 +55,11 @@
           delay_ms: Milliseconds.
         """
         end_ms = self._clock.time_ms + delay_ms
-        while self._heap and self._heap[0][0] <= end_ms:
-            due_ms, _, subscription = heapq.heappop(self._heap)
+        due_ms = self._heap.next_due_ms()
+        while due_ms is not None and due_ms <= end_ms:
             self._clock.time_ms = max(self._clock.time_ms, due_ms)
-            subscription.run()
+            self._heap.pop_due(due_ms).run()
+            due_ms = self._heap.next_due_ms()
         self._clock.time_ms = end_ms
 
     def jump(self, delay_ms):
--- a/crankchute/core/placing_test.py
+++ b/crankchute/core/placing_test.py
@@ -109,7 +109,15 @@
 
 def test_long_prompts_stay_on_their_share():
     """All instances choose the same engines for long prompts."""
-    config = load_config(1, make_documents())
+    pool = {
+        'name': 'text',
+        'kind': 'model',
+        'selector': {},
+        'models': ['small'],
+        'long_share': 0.5,
+    }
+    service = {'name': 'booking', 'kind': 'service', 'selector': {}}
+    config = load_config(1, make_documents(pools=[pool, service]))
     job = make_job(tokens=90_000)
     chosen = list_candidates(config, _fleet(), job, 0)
     again = list_candidates(config, _fleet(), job, 0)
--- a/crankchute/core/single_flow.py
+++ b/crankchute/core/single_flow.py
@@ -168,6 +168,7 @@
         self._attempt = None
         self._failed_on = set()
         self._ended = False
+        self._first_ms = None
         self.job = job
         self.delivered = 0
         self.timers = desk.timers
@@ -229,8 +230,17 @@
 
     def on_first_frame(self, attempt):
         """Note that the engine started to answer."""
+        if self._first_ms is None:
+            self._first_ms = self.now_ms()
         self._desk.note_first(self, attempt.backend)
 
+    def token_gap_ms(self):
+        """Return the mean time between the tokens that were delivered."""
+        if self._first_ms is None:
+            return 0
+        elapsed_ms = self.now_ms() - self._first_ms
+        return elapsed_ms / max(self.delivered - 1, 1)
+
     def on_frame_dropped(self):
         """Count a frame that was not of this attempt."""
         self._desk.metrics.count('frames_dropped')
--- a/crankchute/entry/inventory.py
+++ b/crankchute/entry/inventory.py
@@ -4,7 +4,7 @@
 
 from crankchute.core.fleet import KIND_ENTRY, Listed
 from crankchute.core.replica import Replica
-from crankchute.errors import StaleRevisionError
+from crankchute.errors import Finding, StaleRevisionError
 
 
 class Inventory:
@@ -12,6 +12,7 @@
 
     Attributes:
       records: The Listed records, a list.
+      findings: What is wrong with records that were left out, a list.
     """
 
     def __init__(self):
@@ -19,6 +20,7 @@
         self._replica = Replica()
         self._listeners = []
         self.records = []
+        self.findings = []
 
     @property
     def seen_revision(self):
@@ -57,9 +59,10 @@
         except StaleRevisionError:
             return False
         self._replica = self._replica.advanced(changes)
-        self.records = [
-            Listed(orjson.loads(document)) for document in documents.values()
-        ]
+        self.records = []
+        self.findings = []
+        for key, document in documents.items():
+            self._read_record(key, document)
         for listener in self._listeners:
             listener(self.records)
         return True
@@ -67,3 +70,10 @@
     def entry_instances(self):
         """Return the listed entry instances, a list of Listed."""
         return [one for one in self.records if one.kind == KIND_ENTRY]
+
+    def _read_record(self, key, document):
+        """Take one record, or a finding; the others are not lost by it."""
+        try:
+            self.records.append(Listed(orjson.loads(document)))
+        except (KeyError, TypeError, ValueError) as exc:
+            self.findings.append(Finding(f'instances.{key}', repr(exc)))
--- a/crankchute/entry/service_desk.py
+++ b/crankchute/entry/service_desk.py
@@ -14,6 +14,8 @@
 _SWEEP_MS = 1000
 _FORWARD_MARGIN_MS = 100
 _REFUSAL_BYTES = 256
+#: Calls of peers that wait here hold threads which gossip needs too.
+_MOST_FORWARDED = 8
 
 
 class ServiceDesk:
@@ -33,6 +35,7 @@
         self._router = router
         self._peering = peering
         self._ledger = KeyLedger(binding, LONGEST_KEY_MS)
+        self._forwarded = 0
         self._acts = {
             Claim.FIRST: self._run_once,
             Claim.RUNNING: self._join_running,
@@ -113,10 +116,16 @@
             account=request.account,
             deadline_ms=self._now_ms() + request.remaining_ms,
         )
-        if not self._is_mine(key):
+        if not self._is_mine(key) or self._forwarded >= _MOST_FORWARDED:
             on_reply(write_end(_unreachable(passed_on=False)))
             return
-        self.submit(call, lambda end: on_reply(write_end(end)))
+        self._forwarded += 1
+
+        def finish(end):
+            self._forwarded -= 1
+            on_reply(write_end(end))
+
+        self.submit(call, finish)
 
     def _run_once(self, call, key, on_end):
         def finish(end):
--- a/crankchute/entry/state_dump.py
+++ b/crankchute/entry/state_dump.py
@@ -18,6 +18,7 @@
         'uptime_ms': round(now_ms),
         'config': _dump_config(node),
         'platform': _dump_platform(node, now_ms),
+        'instance_findings': [str(one) for one in node.inventory.findings],
         'members': [
             _dump_member(one) for one in node.peering.membership.all_members()
         ],
