Let every stand-in have the faults that tests ask for

Cause: the plain service could neither cross nor truncate, the platform could only be down or stale, and engines did not say whether they check fences.

The change: one way out for whole answers with all faults; engines report whether they check fences, and an owner heeds that beside the pool's setting.

--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -74,11 +74,13 @@
       prefill_rate: Prompt tokens it works off in a millisecond, a float.
       holding: The Holding.
       leaving: Whether it says that it is leaving, a bool.
+      checks_fences: Whether it says that it checks fences, a bool.
     """
 
     __slots__ = (
         'at_ms',
         'boot',
+        'checks_fences',
         'holding',
         'leaving',
         'memory_free',
@@ -112,6 +114,7 @@
             document.get('role', ''),
         )
         self.leaving = document['leaving']
+        self.checks_fences = document.get('checks_fences', True)
 
 
 class Backend:
--- a/crankchute/entry/owning.py
+++ b/crankchute/entry/owning.py
@@ -103,7 +103,7 @@
     def _may_order(self, pool, backend, now_ms):
         return self._ownership.may_order(
             backend.identity,
-            pool.checks_fences,
+            pool.checks_fences and backend.load.checks_fences,
             now_ms,
         )
 
--- a/crankchute/standins/engine_loading.py
+++ b/crankchute/standins/engine_loading.py
@@ -15,6 +15,7 @@
       models: A map from model name to version.
       adapters: Names of adapters, a list.
       role: What the engine is to be used for, a string.
+      checks_fences: Whether orders with a lower fence are refused.
       orders_taken: How many orders were taken, an int.
     """
 
@@ -28,7 +29,7 @@
         """
         self._client = client
         self._timers = timers
-        self._checks_fences = options.get('checks_fences', True)
+        self.checks_fences = options.get('checks_fences', True)
         self._weights = options.get('weights')
         self._highest = []
         self._wanted = dict(options.get('models', {}))
@@ -48,7 +49,7 @@
           False if the fence is checked and lower than one seen before.
         """
         fence = document['fence']
-        if self._checks_fences and fence < self._highest:
+        if self.checks_fences and fence < self._highest:
             return False
         self._highest = max(self._highest, fence)
         self._wanted = document.get('models', self._wanted)
--- a/crankchute/standins/engine_server.py
+++ b/crankchute/standins/engine_server.py
@@ -242,6 +242,7 @@
             models=self.loader.models,
             adapters=self.loader.adapters,
             role=self.loader.role,
+            checks_fences=self.loader.checks_fences,
             events=events,
         )
         exchange.reply(HTTPStatus.OK, document)
--- a/crankchute/standins/faults.py
+++ b/crankchute/standins/faults.py
@@ -3,6 +3,13 @@
 import enum
 import os
 import signal
+from http import HTTPStatus
+
+import orjson
+
+from crankchute.adapters.http_server import JSON_TYPE
+
+_KEPT_BYTES = 5
 
 
 class FaultMode(enum.StrEnum):
@@ -60,3 +67,44 @@
             if self._left <= 0:
                 self.mode = FaultMode.NONE
         return mode
+
+
+class FaultyReplies:
+    """Whole answers of a stand-in, as its fault lets them go out."""
+
+    def __init__(self, timers, fault):
+        """Create the way out of a stand-in.
+
+        Args:
+          timers: A TimerService.
+          fault: The stand-in's Fault.
+        """
+        self._timers = timers
+        self._fault = fault
+        self._former = {}
+
+    def send(self, exchange, document, mode):
+        """Answer a request, or do what the mode says instead.
+
+        Args:
+          exchange: An Exchange.
+          document: A JSON document.
+          mode: The FaultMode that was taken for this request.
+        """
+        former = self._former
+        self._former = document
+        if mode == FaultMode.CROSS:
+            document = former
+        if mode == FaultMode.DROP:
+            exchange.abort()
+        elif mode == FaultMode.TRUNCATE:
+            exchange.start_stream(JSON_TYPE)
+            exchange.send(orjson.dumps(document)[:_KEPT_BYTES])
+            exchange.abort()
+        elif mode == FaultMode.DELAY:
+            self._timers.after(
+                self._fault.delay_ms,
+                lambda: exchange.reply(HTTPStatus.OK, document),
+            )
+        elif mode != FaultMode.FREEZE:
+            exchange.reply(HTTPStatus.OK, document)
--- a/crankchute/standins/platform_server.py
+++ b/crankchute/standins/platform_server.py
@@ -11,7 +11,7 @@
 from crankchute.adapters.http_server import HttpServer
 from crankchute.adapters.routes import Routes, read_json, read_query
 from crankchute.errors import RequestRefused
-from crankchute.standins.faults import Fault, FaultMode
+from crankchute.standins.faults import Fault, FaultMode, FaultyReplies
 
 _READS_PER_SECOND = 2000
 _LARGEST_VALUE = 1_048_576
@@ -121,6 +121,7 @@
         self._fault = Fault()
         self._config = Store()
         self._instances = Store()
+        self._replies = FaultyReplies(loop.timers, self._fault)
         self._frozen = None
         clock = loop.clock
         self._reads = RateCount(clock, _READS_PER_SECOND)
@@ -221,12 +222,12 @@
         wait_ms = float(query.get('wait', '0')) * _MS_PER_SECOND
         if self._frozen is not None:
             index = 0 if store is self._config else 1
-            _Watch(exchange, _FrozenStore(self._frozen[index]), since).begin(
-                self._timers,
-                wait_ms,
-            )
-            return
-        _Watch(exchange, store, since).begin(self._timers, wait_ms)
+            store = _FrozenStore(self._frozen[index])
+        watch = _Watch(exchange, store, since, self._send)
+        watch.begin(self._timers, wait_ms)
+
+    def _send(self, exchange, document):
+        self._replies.send(exchange, document, self._fault.take())
 
 
 class _FrozenStore:
@@ -246,7 +247,8 @@
 class _Watch:
     """A read that waits for a change, up to a time."""
 
-    def __init__(self, exchange, store, since):
+    def __init__(self, exchange, store, since, send):
+        self._send = send
         self._exchange = exchange
         self._store = store
         self._since = since
@@ -264,7 +266,7 @@
             return
         self._done = True
         since = min(self._since, self._store.revision)
-        self._exchange.reply(HTTPStatus.OK, self._store.changes(since))
+        self._send(self._exchange, self._store.changes(since))
 
 
 class _Listing:
--- a/crankchute/standins/service_server.py
+++ b/crankchute/standins/service_server.py
@@ -6,7 +6,7 @@
 
 from crankchute.adapters.http_server import HttpServer
 from crankchute.adapters.routes import Routes, read_json
-from crankchute.standins.faults import Fault, FaultMode
+from crankchute.standins.faults import Fault, FaultMode, FaultyReplies
 
 KEY_HEADER = 'Crankchute-Key'
 NOT_RUN_HEADER = 'Crankchute-Not-Run'
@@ -23,8 +23,8 @@
           loop: The Loop.
           bind: A pair of IP number and port.
         """
-        self._timers = loop.timers
         self._fault = Fault()
+        self._replies = FaultyReplies(loop.timers, self._fault)
         self._executed = Counter()
         self._sums = Counter()
         self.http = HttpServer(
@@ -52,7 +52,7 @@
         self._executed[key] += 1
         self._sums[exchange.path] += 1
         answer = {'done': exchange.path, 'key': key, 'echo': document}
-        self._answer(exchange, answer, fault)
+        self._replies.send(exchange, answer, fault)
 
     @routes.add('GET', '/bookings')
     @routes.add('GET', '/holds')
@@ -60,7 +60,7 @@
     def read(self, exchange):
         """Answer how many were made; this may be repeated."""
         count = self._sums[exchange.path]
-        self._answer(exchange, {'count': count}, self._fault.take())
+        self._replies.send(exchange, {'count': count}, self._fault.take())
 
     @routes.add('GET', '/admin/counts')
     def counts(self, exchange):
@@ -75,15 +75,3 @@
 
     def _on_request(self, exchange):
         routes.dispatch(self, exchange)
-
-    def _answer(self, exchange, document, fault):
-        if fault == FaultMode.DROP:
-            exchange.abort()
-        elif fault == FaultMode.DELAY:
-            delay_ms = self._fault.delay_ms
-            self._timers.after(
-                delay_ms,
-                lambda: exchange.reply(HTTPStatus.OK, document),
-            )
-        elif fault != FaultMode.FREEZE:
-            exchange.reply(HTTPStatus.OK, document)
