Take ports for tests from outside the range of outgoing connections

Cause: from a fresh clone one test module failed to start (195 passed, 5 errors): an engine stand-in found its port taken. The kernel gives free ports out of the range that outgoing connections use too, so between picking a port and listening on it any connection of a run side by side could take it.

What was ruled out: the joining of entry instances; their logs show nothing, and only the one engine's log has "Address already in use".

The change: ports come from below that range, apart for each test worker, and in turn; a backend that ends while a cluster starts is named at once instead of waited for.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -7,7 +7,6 @@
 
 import os
 import signal
-import socket
 import subprocess  # noqa: S404
 import sys
 import time
@@ -18,26 +17,15 @@
 
 import orjson
 
+from bench.ports import LOOPBACK, pick_ports
 from crankchute.commands.check import read_folder
 
-LOOPBACK = '127.0.0.1'
 ROOT = Path(__file__).resolve().parent.parent
 _CENTRES = ('dc-1', 'dc-2', 'dc-3')
 #: How many engines an entry instance asks for their load.
 _ENGINES_ASKED = 24
 
 
-def pick_ports(count):
-    """Return free ports of the loopback interface, a list of ints."""
-    socks = [socket.socket() for _ in range(count)]
-    for one in socks:
-        one.bind((LOOPBACK, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for bound in socks:
-        bound.close()
-    return ports
-
-
 def fetch(port, method, path, document=None, timeout_s=10):
     """Make one request to a process on loopback.
 
@@ -246,8 +234,9 @@
             wait_for(partial(self._is_ready, entry))
 
     def _is_ready(self, entry):
-        if entry.exit_code is not None:
-            raise RuntimeError(f'{entry.name} ended')
+        for proc in (entry, *self.engines, *self.services):
+            if proc.exit_code is not None:
+                raise RuntimeError(f'{proc.name} ended')
         state = self.state(entry)
         members = [
             one
