Look at the clock before each frame, and take out what nothing uses

A process that sleeps between the poll and the read of a socket wakes inside the same pass: it read what had gathered and passed it on before its timers ran.

What was ruled out: the order of timers and sockets within a pass, which is right; the scenario itself, which allows the one event that may be under way.

The change: an attempt ends its request when a frame comes after the deadline. The state machine got a rule that sleeps at that point. The mutation of the deadline now lengthens the deadline itself, since the timer alone is no longer the only guard; another takes out the new look at the clock. Functions and counters that nothing used are gone, and each package says what it holds.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -48,9 +48,16 @@
     Mutation(
         'requests are not ended at their deadline',
         'frozen and woken',
-        'crankchute/core/dispatcher.py',
-        'timers.after(remaining_ms, lambda: self._on_deadline(flow))',
-        'timers.after(remaining_ms * 9, lambda: self._on_deadline(flow))',
+        'crankchute/core/job.py',
+        'return self.deadline_ms - now_ms',
+        'return self.deadline_ms - now_ms + 99_999',
+    ),
+    Mutation(
+        'frames are passed on after a sleep past the deadline',
+        _COMPLETIONS,
+        _SINGLE,
+        'if self.job.remaining_ms(self.now_ms()) < 0:',
+        'if self.job.remaining_ms(self.now_ms()) < -99_999:',
     ),
     Mutation(
         'engines are not told that the caller is gone',
@@ -140,8 +147,8 @@
         'a sleeper is not ended when it wakes',
         _COMPLETIONS,
         'crankchute/core/dispatcher.py',
-        'timers.after(remaining_ms, lambda: self._on_deadline(flow))',
-        'timers.after(remaining_ms * 9, lambda: self._on_deadline(flow))',
+        'timers.after(remaining_ms, lambda: self.expire(flow))',
+        'timers.after(remaining_ms * 9, lambda: self.expire(flow))',
     ),
     Mutation(
         'a sent call is sent again',
--- a/crankchute/adapters/__init__.py
+++ b/crankchute/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Package marker."""
+"""The ports met with libraries: circuits, grpcio, prometheus_client, eliot."""
--- a/crankchute/adapters/http_client.py
+++ b/crankchute/adapters/http_client.py
@@ -57,11 +57,6 @@
         """The pair of IP number and port that is called."""
         return self._address
 
-    @property
-    def finished(self):
-        """Whether the sink has been told the end, a bool."""
-        return self._finished
-
     def start(self, sock, exc):
         """Send the request on a connection, or fail if there is none.
 
--- a/crankchute/adapters/metrics.py
+++ b/crankchute/adapters/metrics.py
@@ -21,11 +21,8 @@
     ('frames_dropped', 'Frames that belonged to no attempt here.', None),
     ('group_replacements', 'Lost members of groups replaced.', None),
     ('group_restarts', 'Groups that freed everything to start over.', None),
-    ('tokens_streamed', 'Tokens passed to callers.', None),
     ('bad_requests', 'Requests refused for what they said.', 'code'),
     ('orders_sent', 'Orders sent to engines.', None),
-    ('platform_reads', 'Reads of the platform.', None),
-    ('config_refused', 'Configuration revisions refused.', None),
     ('peer_messages', 'Messages to other instances.', 'method'),
     ('peer_bytes', 'Bytes of messages to other instances.', None),
 )
--- a/crankchute/client/__init__.py
+++ b/crankchute/client/__init__.py
@@ -1,1 +1,1 @@
-"""Package marker."""
+"""The client library: addresses, bindings, retries, deadlines."""
--- a/crankchute/commands/__init__.py
+++ b/crankchute/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Package marker."""
+"""The command line, a module for each command."""
--- a/crankchute/core/__init__.py
+++ b/crankchute/core/__init__.py
@@ -1,1 +1,1 @@
-"""Package marker."""
+"""Decisions, without sockets, threads, clock reads or global randomness."""
--- a/crankchute/core/completion_machine_test.py
+++ b/crankchute/core/completion_machine_test.py
@@ -129,6 +129,19 @@
         self.timers.advance(0)
         self.report()
 
+    @precondition(lambda machine: machine.engines.generating)
+    @rule(
+        choice=st.integers(min_value=0),
+        delay_ms=st.integers(min_value=1000, max_value=70_000),
+    )
+    def wake_in_a_read(self, choice, delay_ms):
+        """Let the process sleep between noticing a frame and reading it."""
+        self.timers.jump(delay_ms)
+        running = self.engines.generating
+        running[choice % len(running)].send('next')
+        self.timers.advance(0)
+        self.report()
+
     @precondition(lambda machine: machine.flows)
     @rule(choice=st.integers(min_value=0))
     def go_away(self, choice):
@@ -145,6 +158,7 @@
         now_ms = self.timers.clock.now_ms()
         for sink in self.sinks:
             assert sink.ends <= 1
+            assert not sink.is_late
             overdue = now_ms > sink.job.deadline_ms + _SLACK_MS
             assert sink.ends or sink.gone or not overdue
 
--- a/crankchute/core/dispatcher.py
+++ b/crankchute/core/dispatcher.py
@@ -98,7 +98,7 @@
         self._flows[job.request_id] = flow
         remaining_ms = job.remaining_ms(self.now_ms())
         timers = self._ports.timers
-        timers.after(remaining_ms, lambda: self._on_deadline(flow))
+        timers.after(remaining_ms, lambda: self.expire(flow))
         self.enqueue(flow)
         return flow
 
@@ -135,10 +135,18 @@
             flow.end(refusal)
             self.note_end(flow, refusal.outcome)
 
-    def end_all(self, refusal):
-        """End every request in progress, as when the process must go."""
-        for flow in tuple(self._flows.values()):
-            self.end(flow, refusal)
+    def expire(self, flow):
+        """End a request whose deadline has passed."""
+        if flow.ended:
+            return
+        outcome = Outcome.FAILED if flow.dispatched else Outcome.NOT_RUN
+        refusal = Refusal(
+            outcome,
+            'deadline_exceeded',
+            'the deadline has passed',
+            retry_after_ms=SMALLEST_HINT_MS,
+        )
+        self.end(flow, refusal)
 
     def note_end(self, flow, outcome):
         """Free what an ended request used."""
@@ -242,18 +250,6 @@
     def _budget(self, account):
         return self._budgets.setdefault(account, RetryBudget())
 
-    def _on_deadline(self, flow):
-        if flow.ended:
-            return
-        outcome = Outcome.FAILED if flow.dispatched else Outcome.NOT_RUN
-        refusal = Refusal(
-            outcome,
-            'deadline_exceeded',
-            'the deadline has passed',
-            retry_after_ms=SMALLEST_HINT_MS,
-        )
-        self.end(flow, refusal)
-
 
 def _largest_memory(candidates):
     totals = [one.load.memory_total for one in candidates]
--- a/crankchute/core/fakes.py
+++ b/crankchute/core/fakes.py
@@ -191,6 +191,7 @@
       refusal: The Refusal, or None.
       first_ms: When the first token came, or None.
       ended_ms: When the end came, or None.
+      is_late: Whether a token came after the deadline.
       gone: Whether the caller went away, for a test to set.
     """
 
@@ -209,12 +210,15 @@
         self.refusal = None
         self.first_ms = None
         self.ended_ms = None
+        self.is_late = False
         self.gone = False
 
     def on_tokens(self, offset, tokens):
         """See RequestSink."""
+        now_ms = self._clock.now_ms()
         if self.first_ms is None:
-            self.first_ms = self._clock.now_ms()
+            self.first_ms = now_ms
+        self.is_late = self.is_late or now_ms > self.job.deadline_ms
         self.tokens.extend(tokens)
 
     def on_end(self, count):
--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -16,7 +16,6 @@
 LIVE = 'live'
 LEAVING = 'leaving'
 KIND_ENGINE = 'engine'
-KIND_SERVICE = 'service'
 KIND_ENTRY = 'entry'
 
 
--- a/crankchute/core/flow_desk.py
+++ b/crankchute/core/flow_desk.py
@@ -124,7 +124,7 @@
         share = len(part) / max(len(job.prompt), 1)
         return int(job.tokens * share) + job.max_tokens + 1
 
-    def note_first(self, flow, _backend):
+    def note_first(self, flow):
         """Note a request's first token; an engine has room again."""
         job = flow.job
         if flow.delivered == 0:
@@ -142,6 +142,10 @@
             until_ms = self.timers.clock.now_ms() + retry_after_ms
             backend.refused_until_ms = until_ms
 
+    def expire(self, flow):
+        """End a request whose deadline has passed."""
+        self._dispatcher.expire(flow)
+
     def requeue(self, flow):
         """Let a flow wait again, after a short random pause."""
         pause_ms = _REQUEUE_MS * (1 + self._random.random())
--- a/crankchute/core/retry_budget.py
+++ b/crankchute/core/retry_budget.py
@@ -18,11 +18,6 @@
         """Create a budget with a few retries to start with."""
         self._units = float(_INITIAL)
 
-    @property
-    def units(self):
-        """How many retries are left, a float."""
-        return self._units
-
     def note_success(self):
         """Pay in for a success."""
         self._units = min(self._units + _PAID_PER_SUCCESS, _LARGEST)
--- a/crankchute/core/single_flow.py
+++ b/crankchute/core/single_flow.py
@@ -63,7 +63,7 @@
 
     def on_frame(self, frame):
         """See EngineListener."""
-        if self._ended:
+        if self._ended or self._flow.expire_if_late():
             return
         offset = self._matcher.offset
         fate = self._matcher.match(frame)
@@ -96,7 +96,7 @@
         if not self.started:
             self.started = True
             self._note_answered()
-            self._flow.on_first_frame(self)
+            self._flow.on_first_frame()
         self._watch(_STALL_MS)
         self._flow.on_tokens(offset, frame.tokens)
 
@@ -223,16 +223,29 @@
             self.cancel()
             self._sink.on_refused(refusal)
 
+    def expire_if_late(self):
+        """End the request if its deadline has passed.
+
+        A process may sleep between noticing that bytes came and reading
+        them, and then its timers have not run yet.
+
+        Returns:
+          True if the request has ended.
+        """
+        if self.job.remaining_ms(self.now_ms()) < 0:
+            self._desk.expire(self)
+        return self._ended
+
     def on_tokens(self, offset, tokens):
         """Pass tokens on to the caller."""
         self.delivered = offset + len(tokens)
         self._sink.on_tokens(offset, tokens)
 
-    def on_first_frame(self, attempt):
+    def on_first_frame(self):
         """Note that the engine started to answer."""
         if self._first_ms is None:
             self._first_ms = self.now_ms()
-        self._desk.note_first(self, attempt.backend)
+        self._desk.note_first(self)
 
     def token_gap_ms(self):
         """Return the mean time between the tokens that were delivered."""
--- a/crankchute/daemons/__init__.py
+++ b/crankchute/daemons/__init__.py
@@ -1,1 +1,1 @@
-"""Package marker."""
+"""Thin processes over the library."""
--- a/crankchute/entry/reading.py
+++ b/crankchute/entry/reading.py
@@ -30,11 +30,6 @@
         delay_ms = _FIRST_READ_MS * parts.random.random()
         self._timers.after(delay_ms, self._begin)
 
-    @property
-    def is_reading(self):
-        """Whether this instance watches the platform."""
-        return any(watch.is_on for watch, _ in self._sources)
-
     def end_join(self):
         """Leave the reading to the chosen readers from now on."""
         self._joining = False
--- a/crankchute/entry/service_desk.py
+++ b/crankchute/entry/service_desk.py
@@ -1,7 +1,7 @@
 """Calls of plain services: keys, the once-only ledger, and forwarding."""
 
 from crankchute.core.keys import Claim, KeyLedger, parse_key
-from crankchute.core.outcomes import Outcome, Refusal, refuse_not_run
+from crankchute.core.outcomes import Outcome, Refusal
 from crankchute.core.service_flow import ServiceAnswer, ServiceCall
 from crankchute.entry.completion_request import bad_request, find_service_pool
 from crankchute.errors import BadKeyError
@@ -257,8 +257,3 @@
         'answer_not_kept',
         'the call ended, and its answer was too large to keep',
     )
-
-
-def refuse_closing():
-    """Return the refusal of an instance that is stopping."""
-    return refuse_not_run('stopping', 'this instance is stopping', 1)
--- a/crankchute/load/__init__.py
+++ b/crankchute/load/__init__.py
@@ -1,1 +1,1 @@
-"""Package marker."""
+"""The load tool: mixes, open-loop arrivals, reports."""
--- a/crankchute/ports/__init__.py
+++ b/crankchute/ports/__init__.py
@@ -1,1 +1,1 @@
-"""Package marker."""
+"""What the core needs from outside, as abstract classes."""
--- a/crankchute/proto/__init__.py
+++ b/crankchute/proto/__init__.py
@@ -1,1 +1,1 @@
-"""Package marker."""
+"""The protocol between entry instances, and the code generated from it."""
--- a/crankchute/standins/__init__.py
+++ b/crankchute/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Package marker."""
+"""Small stand-ins of the outside systems, for tests and measurements."""
