Show every length band in the metrics from the start

Cause: from a fresh clone one test failed (201 passed, 1 failed): the histogram of time to first token had no buckets until an instance had answered a prompt, so the test's verdict hung on which tests ran before it in the same worker.

The change: every band is there at zero, as the metric's conventions ask.

--- a/crankchute/adapters/metrics.py
+++ b/crankchute/adapters/metrics.py
@@ -8,7 +8,7 @@
     generate_latest,
 )
 
-from crankchute.core.job import length_band
+from crankchute.core.job import length_band, length_bands
 from crankchute.ports.metrics import Metrics
 
 _SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10, 30, 60)
@@ -51,6 +51,8 @@
             buckets=_SECONDS,
             registry=self.registry,
         )
+        for band in length_bands():
+            self._first_token.labels(band)
 
     def add_gauge(self, name, text, function):
         """Add a gauge that is read when metrics are asked for.
