Write the streamed request and the sum of what goes ahead once

Cause: read again, the request for a streamed answer to a short prompt stood in five places of the measurements and scenarios, and the sum of tokens at or above a priority twice in one function.

What was ruled out: one record class for the load mix and the configuration, which look alike in shape only.

--- a/bench/path.py
+++ b/bench/path.py
@@ -29,8 +29,8 @@
 _PROMPT_HEADERS = (
     ('Crankchute-Account', 'north-terminal'),
     ('Crankchute-Class', 'fares'),
-    ('Crankchute-Deadline-Ms', '50000'),
 )
+_DEADLINE_MS = 50_000
 
 
 def read_cpu_s(pid):
@@ -60,6 +60,24 @@
     return '\r\n'.join([*lines, '', '']).encode() + body
 
 
+def build_stream_request(max_tokens, deadline_ms):
+    """Return the bytes of a request for a streamed answer to a short prompt.
+
+    Args:
+      max_tokens: The answer's length in tokens.
+      deadline_ms: Milliseconds in which it must end.
+    """
+    deadline = ('Crankchute-Deadline-Ms', str(deadline_ms))
+    document = {
+        'model': 'small',
+        'prompt': 'a fare',
+        'max_tokens': max_tokens,
+        'stream': True,
+    }
+    headers = (*_PROMPT_HEADERS, deadline)
+    return build_raw('POST', '/v1/completions', headers, document)
+
+
 def stream_times(port, raw):
     """Send a request and return the times at which its events came."""
     times = []
@@ -99,17 +117,7 @@
             'deadline_ms': 60_000,
         },
     )
-    through = build_raw(
-        'POST',
-        '/v1/completions',
-        _PROMPT_HEADERS,
-        {
-            'model': 'small',
-            'prompt': 'a fare',
-            'max_tokens': _TOKENS,
-            'stream': True,
-        },
-    )
+    through = build_stream_request(_TOKENS, _DEADLINE_MS)
     straight = _gaps(stream_times(cluster.engines[0].port, direct))
     passed = _gaps(stream_times(cluster.entries[0].port, through))
     return {
@@ -156,17 +164,7 @@
       A map of figures.
     """
     entry = cluster.entries[0]
-    raw = build_raw(
-        'POST',
-        '/v1/completions',
-        _PROMPT_HEADERS,
-        {
-            'model': 'small',
-            'prompt': 'a fare',
-            'max_tokens': _TOKENS,
-            'stream': True,
-        },
-    )
+    raw = build_stream_request(_TOKENS, _DEADLINE_MS)
     before = read_cpu_s(entry.pid)
     started = time.perf_counter()
     events = _stream_many(entry.port, raw)
--- a/bench/scenarios/base.py
+++ b/bench/scenarios/base.py
@@ -3,16 +3,12 @@
 import socket
 
 from bench.cluster import LOOPBACK, Shape
-from bench.path import build_raw
+from bench.path import build_stream_request
 from bench.storm import find_broken, find_late, wait_memory_free
 from crankchute.core.registry import Registry
 
 scenarios = Registry()
 LONG_PROMPT = 'long prompt loses a member'
-PROMPT_HEADERS = (
-    ('Crankchute-Account', 'north-terminal'),
-    ('Crankchute-Class', 'fares'),
-)
 _READ_SIZE = 65_536
 _LAST_CHUNK = b'0\r\n\r\n'
 
@@ -72,12 +68,7 @@
 
 def vanish(entry):
     """Ask for a long answer and go away without reading it."""
-    raw = build_raw(
-        'POST',
-        '/v1/completions',
-        (*PROMPT_HEADERS, ('Crankchute-Deadline-Ms', '50000')),
-        {'model': 'small', 'prompt': 'x', 'max_tokens': 9000, 'stream': True},
-    )
+    raw = build_stream_request(9000, 50_000)
     with socket.create_connection((LOOPBACK, entry.port)) as sock:
         sock.sendall(raw)
         sock.recv(64)
--- a/bench/scenarios/changes.py
+++ b/bench/scenarios/changes.py
@@ -6,9 +6,8 @@
 from functools import partial
 
 from bench.cluster import LOOPBACK, wait_for
-from bench.path import build_raw
+from bench.path import build_stream_request
 from bench.scenarios.base import (
-    PROMPT_HEADERS,
     Verdict,
     judge,
     read_to_end,
@@ -100,17 +99,7 @@
     """A long answer that is under way while its instance stops."""
 
     def __init__(self, entry):
-        raw = build_raw(
-            'POST',
-            '/v1/completions',
-            (*PROMPT_HEADERS, ('Crankchute-Deadline-Ms', '55000')),
-            {
-                'model': 'small',
-                'prompt': 'x',
-                'max_tokens': _STREAM_TOKENS,
-                'stream': True,
-            },
-        )
+        raw = build_stream_request(_STREAM_TOKENS, 55_000)
         self._sock = socket.create_connection((LOOPBACK, entry.port))
         self._sock.sendall(raw)
 
--- a/bench/scenarios/ending.py
+++ b/bench/scenarios/ending.py
@@ -5,10 +5,9 @@
 import time
 
 from bench.cluster import LOOPBACK
-from bench.path import build_raw
+from bench.path import build_stream_request
 from bench.scenarios.base import (
     LONG_PROMPT,
-    PROMPT_HEADERS,
     Verdict,
     judge,
     read_pending,
@@ -36,12 +35,7 @@
 def pause_instance(cluster, rounds):
     """Promise 1: an instance sleeps past the deadline of what it carries."""
     entry = cluster.entries[0]
-    raw = build_raw(
-        'POST',
-        '/v1/completions',
-        (*PROMPT_HEADERS, ('Crankchute-Deadline-Ms', '1500')),
-        {'model': 'small', 'prompt': 'x', 'max_tokens': 4000, 'stream': True},
-    )
+    raw = build_stream_request(4000, 1_500)
     late = []
     for _ in range(rounds):
         with socket.create_connection((LOOPBACK, entry.port)) as sock:
--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -218,19 +218,10 @@
           A float.
         """
         load = self.load
-        reported = sum(
-            tokens
-            for level, tokens in load.queued_by_priority
-            if level <= priority
-        )
+        reported = _sum_ahead(load.queued_by_priority, priority)
         age_ms = now_ms - load.at_ms + REPORT_LAG_MS
         left = reported - load.prefill_rate * age_ms
-        own = sum(
-            tokens
-            for level, tokens in self._pending.items()
-            if level <= priority
-        )
-        return max(left, own)
+        return max(left, _sum_ahead(self._pending.items(), priority))
 
 
 class Fleet:
@@ -328,3 +319,13 @@
                 backend = Backend(record)
             backend.listed = record
             self._backends[record.identity] = backend
+
+
+def _sum_ahead(queued, priority):
+    """Sum the tokens that go before a request of a priority.
+
+    Args:
+      queued: Pairs of priority and tokens.
+      priority: The request's priority.
+    """
+    return sum(tokens for level, tokens in queued if level <= priority)
