--- a/crankchute/adapters/clock.py
+++ b/crankchute/adapters/clock.py
@@ -29,3 +29,19 @@
         )
         self._latest_ms = max(self._latest_ms, elapsed * _MS_PER_SECOND)
         return self._latest_ms
+
+
+class SteadyClock(Clock):
+    """Elapsed time by the steady clock alone.
+
+    It suits machines whose time of day jumps: a jump would end every deadline
+    early, and it could not be told from time spent asleep.
+    """
+
+    def __init__(self):
+        """Start the clock at zero."""
+        self._start = time.monotonic()
+
+    def now_ms(self):
+        """See Clock."""
+        return (time.monotonic() - self._start) * _MS_PER_SECOND
--- a/crankchute/adapters/http_client.py
+++ b/crankchute/adapters/http_client.py
@@ -1,14 +1,47 @@
 """The HTTP client side: streamed responses over the connection hub."""
 
-from collections import defaultdict
+from functools import partial
 
 import httptools
 from circuits import BaseComponent, handler
 
+from crankchute.adapters.idle_connections import IdleConnections
 from crankchute.adapters.sockets import ConnectionHub
 from crankchute.errors import BackendError
 
-_IDLE_PER_ADDRESS = 32
+_NO_BODY_STATUSES = frozenset((204, 304))
+_CLOSED = 'the connection was closed'
+
+
+class CallOptions:
+    """How one call uses connections.
+
+    Attributes:
+      fresh: Whether a connection of its own must be opened, so that a
+        connection closed by the other side cannot be mistaken for a request
+        that arrived, a bool.
+      idle_ms: The longest time that a reused connection may have been idle,
+        in milliseconds, or None.
+      connect_ms: How long opening a connection may take, or None for as long
+        as the system allows.
+    """
+
+    __slots__ = ('connect_ms', 'fresh', 'idle_ms')
+
+    def __init__(self, *, fresh=False, idle_ms=None, connect_ms=None):
+        """Create the options.
+
+        Args:
+          fresh: See the class.
+          idle_ms: See the class.
+          connect_ms: See the class.
+        """
+        self.fresh = fresh
+        self.idle_ms = idle_ms
+        self.connect_ms = connect_ms
+
+
+_DEFAULT_OPTIONS = CallOptions()
 
 
 class HttpCall:
@@ -17,6 +50,7 @@
     Attributes:
       status: The response's status, or None before it came.
       headers: The response's headers, names in lower case.
+      raw_headers: The headers as they came, pairs of bytes.
     """
 
     __slots__ = (
@@ -27,7 +61,11 @@
         '_payload',
         '_sent',
         '_sink',
+        '_until_close',
+        'connecting',
         'headers',
+        'is_new',
+        'raw_headers',
         'sock',
         'status',
     )
@@ -47,8 +85,12 @@
         self._sink = sink
         self._finished = False
         self._sent = False
+        self._until_close = False
         self._parser = httptools.HttpResponseParser(self)
+        self.connecting = None
         self.headers = {}
+        self.is_new = False
+        self.raw_headers = []
         self.status = None
         self.sock = None
 
@@ -57,6 +99,11 @@
         """The pair of IP number and port that is called."""
         return self._address
 
+    @property
+    def sent(self):
+        """Whether bytes of the request may have left, a bool."""
+        return self._sent
+
     def start(self, sock, exc):
         """Send the request on a connection, or fail if there is none.
 
@@ -64,6 +111,7 @@
           sock: A connected socket, or None.
           exc: The OSError if there is no socket.
         """
+        self.connecting = None
         if self._finished:
             self._client.discard(sock)
         elif sock is None:
@@ -83,9 +131,25 @@
         """
         try:
             self._parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade:
+            self.fail('the response changes the protocol')
         except httptools.HttpParserError as exc:
             self.fail(f'malformed response: {exc}')
 
+    def receive_end(self, *, broken):
+        """Take the end of the connection.
+
+        A body without a length is whole only when its connection ended in an
+        orderly way.
+
+        Args:
+          broken: Whether the connection ended by an error.
+        """
+        if self._until_close and not broken:
+            self._complete(keep=False)
+        else:
+            self.fail(_CLOSED)
+
     def cancel(self):
         """Give the call up and close its connection; the sink hears nothing."""
         if not self._finished:
@@ -103,15 +167,31 @@
             self._client.detach(self, keep=False)
             self._sink.on_error(BackendError(text, sent=self._sent))
 
+    def on_message_begin(self):
+        """Parser callback: a response starts; a second one is one too many."""
+        if self._finished:
+            self._client.discard(self.sock)
+
     def on_header(self, name, text):
         """Parser callback: one header."""
-        self.headers[name.lower().decode()] = text.decode('latin-1')
+        self.raw_headers.append((name, text))
+        self.headers[name.lower().decode('latin-1')] = text.decode('latin-1')
 
     def on_headers_complete(self):
         """Parser callback: the head is whole."""
+        if self._finished:
+            return
         self.status = self._parser.get_status_code()
-        if not self._finished:
-            self._sink.on_head(self.status, self.headers)
+        if self.status < 200:  # noqa: WPS432  (informational responses)
+            self.headers = {}
+            self.raw_headers = []
+            return
+        self._until_close = (
+            'content-length' not in self.headers
+            and 'transfer-encoding' not in self.headers
+            and self.status not in _NO_BODY_STATUSES
+        )
+        self._sink.on_head(self.status, self.headers)
 
     def on_body(self, chunk):
         """Parser callback: a part of the body."""
@@ -120,50 +200,77 @@
 
     def on_message_complete(self):
         """Parser callback: the response is whole."""
+        if self.status >= 200:  # noqa: WPS432  (informational responses)
+            self._complete(keep=self._parser.should_keep_alive())
+
+    def _complete(self, *, keep):
         if not self._finished:
             self._finished = True
-            keep = self._parser.should_keep_alive()
             self._client.detach(self, keep=keep)
             self._sink.on_done()
 
 
 class HttpClient(BaseComponent):
-    """Sends requests and keeps idle connections for the next ones."""
+    """Sends requests and keeps idle connections for the next ones.
+
+    Attributes:
+      opened: How many connections were opened, an int.
+    """
 
     channel = 'hub'
 
-    def __init__(self, channel='hub'):
+    def __init__(self, channel='hub', timers=None):
         """Create the client with its own hub of connections.
 
         Args:
           channel: A name that is unique in the process.
+          timers: A TimerService; without one, the limits on time of
+            CallOptions are not kept.
         """
         super().__init__(channel=channel)
         self.hub = ConnectionHub(channel, self._on_bytes).register(self)
+        self._timers = timers
         self._calls = {}
-        self._idle = defaultdict(list)
+        self._idle = IdleConnections(self.hub.is_open, self._now_ms)
+        self.opened = 0
 
-    def send(self, address, payload, sink, *, fresh=False):
+    def send(self, address, payload, sink, options=_DEFAULT_OPTIONS):
         """Start a call.
 
         Args:
           address: A pair of IP number and port.
           payload: The bytes of the whole request.
           sink: A ResponseSink.
-          fresh: Whether a connection of its own must be opened, so that a
-            connection closed by the other side cannot be mistaken for a
-            request that arrived.
+          options: CallOptions.
         Returns:
           An HttpCall.
         """
         call = HttpCall(self, address, payload, sink)
-        sock = None if fresh else self._take_idle(address)
-        if sock is None:
-            self.hub.connect_to(*address, call.start)
-        else:
+        sock = None
+        if not options.fresh:
+            sock = self._idle.take(address, options.idle_ms)
+        if sock is not None:
             call.start(sock, None)
+            return call
+        self.opened += 1
+        call.is_new = True
+        call.connecting = self.hub.connect_to(*address, call.start)
+        if options.connect_ms is not None and self._timers is not None:
+            self._timers.after(
+                options.connect_ms,
+                partial(self._check_connected, call),
+            )
         return call
 
+    def has_idle(self, address, idle_ms=None):
+        """Tell whether a connection is open that a call could use.
+
+        Args:
+          address: A pair of IP number and port.
+          idle_ms: The longest time it may have been idle, or None.
+        """
+        return self._idle.has(address, idle_ms)
+
     def attach(self, call):
         """Route the bytes of a call's connection to it."""
         self._calls[call.sock] = call
@@ -175,48 +282,51 @@
           call: An HttpCall that ended.
           keep: Whether the connection may serve another call.
         """
+        if call.connecting is not None:
+            self.hub.give_up_connect(call.connecting)
+            call.connecting = None
         sock = call.sock
         if self._calls.pop(sock, None) is None:
             return
-        idle = self._idle[call.address]
-        if keep and len(idle) < _IDLE_PER_ADDRESS:
-            idle.append(sock)
-        else:
+        kept = keep and self._idle.add(call.address, sock, call.headers)
+        if not kept:
             self.hub.abort(sock)
 
     def discard(self, sock):
         """Close a connection that nobody wants any more."""
         if sock is not None:
+            self._idle.remove(sock)
             self.hub.abort(sock)
 
+    def _now_ms(self):
+        return 0 if self._timers is None else self._timers.clock.now_ms()
+
+    def _check_connected(self, call):
+        sock = call.connecting
+        if sock is not None and self.hub.give_up_connect(sock):
+            call.start(None, 'it took too long')
+
     def _on_bytes(self, sock, chunk):
         call = self._calls.get(sock)
-        if call is not None:
+        if call is None:
+            # Nothing was asked on this connection, so the bytes are nobody's.
+            self.discard(sock)
+        else:
             call.receive(chunk)
 
     @handler('disconnect')
     def _on_disconnect(self, sock):
+        broken = self.hub.take_broken(sock)
         call = self._calls.pop(sock, None)
-        if call is not None:
-            call.fail('the connection was closed')
-            return
-        for idle in self._idle.values():
-            if sock in idle:
-                idle.remove(sock)
-                break
+        if call is None:
+            self._idle.remove(sock)
+        else:
+            call.receive_end(broken=broken)
 
     @handler('error')
     def _on_error(self, *_args):
         """Take socket errors; the disconnect that follows is what counts."""
 
-    def _take_idle(self, address):
-        idle = self._idle[address]
-        while idle:
-            sock = idle.pop()
-            if self.hub.is_open(sock):
-                return sock
-        return None
-
 
 def build_request(method, address, path, body=b'', headers=()):
     """Return the bytes of an HTTP request.
@@ -226,16 +336,15 @@
       address: A pair of IP number and port.
       path: The path with its query.
       body: Bytes.
-      headers: Pairs of name and text.
+      headers: Pairs of name and text; a Host among them replaces the usual.
     Returns:
       Bytes.
     """
     host, port = address
-    lines = [
-        f'{method} {path} HTTP/1.1',
-        f'Host: {host}:{port}',
-        f'Content-Length: {len(body)}',
-    ]
+    lines = [f'{method} {path} HTTP/1.1']
+    if not any(name.lower() == 'host' for name, _text in headers):
+        lines.append(f'Host: {host}:{port}')
+    lines.append(f'Content-Length: {len(body)}')
     lines.extend(f'{name}: {text}' for name, text in headers)
     lines.append('\r\n')
     return '\r\n'.join(lines).encode('latin-1') + body
--- a/crankchute/adapters/http_intake.py
+++ b/crankchute/adapters/http_intake.py
@@ -47,7 +47,15 @@
 
 
 class Intake:
-    """What is known of the request that is arriving on one connection."""
+    """What is known of the request that is arriving on one connection.
+
+    Attributes:
+      done: Whether the request is whole, a bool.
+      started_ms: When its first bytes came, or None.
+      target: The request's target as sent, bytes.
+      headers: Pairs of name and value as sent, bytes.
+      parts: The parts of the body, a list of bytes.
+    """
 
     __slots__ = (
         '_body_size',
@@ -60,7 +68,10 @@
         '_reply',
         '_size',
         'done',
+        'headers',
+        'parts',
         'started_ms',
+        'target',
     )
 
     def __init__(self, limits, reply):
@@ -84,7 +95,20 @@
         self._head_done = False
         self._message_count = 0
         self.done = False
+        self.headers = []
+        self.parts = []
         self.started_ms = None
+        self.target = b''
+
+    @property
+    def method(self):
+        """The request's method, a string."""
+        return self._parser.get_method().decode('latin-1')
+
+    @property
+    def keeps_alive(self):
+        """Whether the caller keeps its connection after the answer."""
+        return self._parser.should_keep_alive()
 
     def feed(self, chunk, now_ms):
         """Take bytes from the connection.
@@ -100,6 +124,8 @@
         self._size += len(chunk)
         try:
             self._parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade as exc:
+            raise _bad_request('protocols are not changed here') from exc
         except httptools.HttpParserCallbackError as exc:
             self._raise_cause(exc)
         except httptools.HttpParserError as exc:
@@ -132,6 +158,14 @@
         """Parser callback: a request line starts."""
         self._message_count += 1
 
+    def on_url(self, part):
+        """Parser callback: a part of the request's target.
+
+        Args:
+          part: Bytes.
+        """
+        self.target += part
+
     def on_header(self, name, text):
         """Parser callback: one header.
 
@@ -142,6 +176,7 @@
         self._head_size += len(name) + len(text)
         if self._head_size > self._limits.head_bytes:
             raise _head_too_large(self._limits)
+        self.headers.append((name, text))
         key = name.lower()
         if key == b'content-length' and text.isdigit():
             self._check_body(int(text))
@@ -164,6 +199,7 @@
         """
         self._body_size += len(chunk)
         self._check_body(self._body_size)
+        self.parts.append(chunk)
 
     def on_message_complete(self):
         """Parser callback: the request is whole."""
--- a/crankchute/adapters/loop.py
+++ b/crankchute/adapters/loop.py
@@ -29,10 +29,14 @@
 
     channel = 'loop'
 
-    def __init__(self):
-        """Create the loop with a poller and a timer service."""
+    def __init__(self, clock=None):
+        """Create the loop with a poller and a timer service.
+
+        Args:
+          clock: A Clock; a ProcessClock if None.
+        """
         super().__init__()
-        self.clock = ProcessClock()
+        self.clock = ProcessClock() if clock is None else clock
         IndexedPoller().register(self)
         self.timers = LoopTimers(self.clock).register(self)
         self._on_signals = {}
--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -1,10 +1,14 @@
 """Conversions between the core's objects and the messages between peers."""
 
+from crankchute.core.engine_board import Change, Work
 from crankchute.core.membership import Member
 from crankchute.core.replica import ChangeSet, Entry
+from crankchute.core.sharing import Briefing, WorkNews
 from crankchute.proto import peer_pb2
 
 _MEMBER_FIELDS = Member.__slots__
+#: The age sent for a configuration that was never proved the newest.
+_NO_PROOF = -1
 
 
 def write_member(member):
@@ -50,3 +54,68 @@
         for entry in reply.entries
     }
     return ChangeSet(reply.since, reply.revision, entries)
+
+
+def write_briefing(briefing, now_ms):
+    """Return the message of a Briefing.
+
+    Args:
+      briefing: A Briefing.
+      now_ms: The time on this process's clock.
+    """
+    age_ms = briefing.proof_age_ms
+    return peer_pb2.Briefing(
+        instance=briefing.instance,
+        boot=briefing.boot,
+        is_serving=briefing.is_serving,
+        version=briefing.version,
+        proof_age_ms=_NO_PROOF if age_ms is None else age_ms,
+        left=briefing.left,
+        news=[_write_news(one, now_ms) for one in briefing.news],
+    )
+
+
+def read_briefing(record, now_ms):
+    """Return the Briefing of a message.
+
+    Args:
+      record: The message.
+      now_ms: The time on this process's clock.
+    """
+    age_ms = record.proof_age_ms
+    return Briefing(
+        instance=record.instance,
+        boot=record.boot,
+        is_serving=record.is_serving,
+        version=record.version,
+        proof_age_ms=None if age_ms < 0 else age_ms,
+        left=list(record.left),
+        news=[_read_news(one, now_ms) for one in record.news],
+    )
+
+
+def _write_news(news, now_ms):
+    work = news.work
+    return peer_pb2.WorkNews(
+        change=int(news.change),
+        key=work.key,
+        engine=work.engine,
+        read_ms=work.read_ms,
+        memory=work.memory,
+        is_writer=work.is_writer,
+        is_long=work.is_long,
+        remaining_ms=work.until_ms - now_ms,
+    )
+
+
+def _read_news(record, now_ms):
+    work = Work(
+        record.key,
+        record.engine,
+        read_ms=record.read_ms,
+        memory=record.memory,
+        is_writer=record.is_writer,
+        is_long=record.is_long,
+        until_ms=now_ms + record.remaining_ms,
+    )
+    return WorkNews(Change(record.change), work)
--- a/crankchute/adapters/peers_grpc.py
+++ b/crankchute/adapters/peers_grpc.py
@@ -22,6 +22,11 @@
     ('grpc.initial_reconnect_backoff_ms', 200),
     ('grpc.max_reconnect_backoff_ms', 2000),
     ('grpc.use_local_subchannel_pool', 1),
+    # A cut network says nothing, so an unanswered ping ends a connection.
+    ('grpc.keepalive_time_ms', 2000),
+    ('grpc.keepalive_timeout_ms', 1000),
+    ('grpc.http2.max_pings_without_data', 0),
+    ('grpc.http2.min_ping_interval_without_data_ms', 1000),
 )
 _MS_PER_SECOND = 1000
 _MOST_CHANNELS = 64
@@ -35,29 +40,38 @@
 
         Args:
           loop: The Loop.
-          answerer: An object with on_probe, on_pull, on_forward and on_borrow,
-            each a function of the request and of a function of the reply.
+          answerer: An object with a method for each call that it takes, such
+            as on_probe, a function of the request and of a function of the
+            reply.
         """
         self._loop = loop
         self._answerer = answerer
 
     def Probe(self, request, context):  # noqa: N802  (named by the protocol)
         """See peer.proto."""
-        return self._ask(self._answerer.on_probe, request, context)
+        return self._ask('on_probe', request, context)
 
     def Pull(self, request, context):  # noqa: N802  (named by the protocol)
         """See peer.proto."""
-        return self._ask(self._answerer.on_pull, request, context)
+        return self._ask('on_pull', request, context)
 
     def Forward(self, request, context):  # noqa: N802  (named by the protocol)
         """See peer.proto."""
-        return self._ask(self._answerer.on_forward, request, context)
+        return self._ask('on_forward', request, context)
 
     def Borrow(self, request, context):  # noqa: N802  (named by the protocol)
         """See peer.proto."""
-        return self._ask(self._answerer.on_borrow, request, context)
+        return self._ask('on_borrow', request, context)
 
-    def _ask(self, function, request, context):
+    def Share(self, request, context):  # noqa: N802  (named by the protocol)
+        """See peer.proto."""
+        return self._ask('on_share', request, context)
+
+    def _ask(self, name, request, context):
+        function = getattr(self._answerer, name, None)
+        if function is None:
+            status = grpc.StatusCode.UNIMPLEMENTED
+            return context.abort(status, 'not served here')
         fut = Future()
         self._loop.post(function, request, fut.set_result)
         allowed_s = min(context.time_remaining() or 0, _LONGEST_ANSWER_S)
@@ -117,7 +131,7 @@
 
         Args:
           address: "IP:port".
-          method: "Probe", "Pull", "Forward" or "Borrow".
+          method: The name of a call in peer.proto, such as "Probe".
           request: The method's message.
           on_reply: A function of the reply, or of None on any failure.
           timeout_ms: Milliseconds to wait.
--- a/crankchute/adapters/service_http.py
+++ b/crankchute/adapters/service_http.py
@@ -1,6 +1,6 @@
 """Plain services over HTTP: the adapter of ServicePort."""
 
-from crankchute.adapters.http_client import build_request
+from crankchute.adapters.http_client import CallOptions, build_request
 from crankchute.core.service_flow import ServiceAnswer
 from crankchute.ports.http import WholeResponse
 from crankchute.ports.services import ServicePort
@@ -47,4 +47,5 @@
 
         sink = WholeResponse(take, listener.on_failed)
         fresh = not call.repeatable
-        return self._client.send(address, payload, sink, fresh=fresh)
+        options = CallOptions(fresh=fresh)
+        return self._client.send(address, payload, sink, options)
--- a/crankchute/adapters/sockets.py
+++ b/crankchute/adapters/sockets.py
@@ -17,6 +17,9 @@
 
 _IN_PROGRESS = frozenset((errno.EINPROGRESS, errno.EWOULDBLOCK))
 _READ_SIZE = 65536
+#: How long bytes may stay unacknowledged, in milliseconds.  A cut network or a
+#: machine without power says nothing, so this is what ends such connections.
+_USER_TIMEOUT_MS = 4000
 
 
 class DirectServer(TCPServer):
@@ -116,6 +119,7 @@
         super().__init__(None, channel=channel)
         self._connecting = {}
         self._receive = receive
+        self._broken = set()
 
     def parse_bind_parameter(self, bind):
         """Accept that there is no address to listen on."""
@@ -129,18 +133,47 @@
           port: A port number.
           on_done: Called once with the socket and None, or None and an
             OSError when nothing was sent.
+        Returns:
+          The socket, or None if the connection failed at once.
         """
         self._find_poller()
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_tcp_options(sock)
         code = sock.connect_ex((host, port))
         if code and code not in _IN_PROGRESS:
             sock.close()
             on_done(None, OSError(code, 'connect failed'))
-            return
+            return None
         self._connecting[sock] = on_done
         self._poller.addWriter(self, sock)
+        return sock
+
+    def give_up_connect(self, sock):
+        """Stop waiting for a connection; nothing is told of it any more.
+
+        Args:
+          sock: A socket that connect_to returned.
+        Returns:
+          True if it was still connecting.
+        """
+        if self._connecting.pop(sock, None) is None:
+            return False
+        self._poller.discard(sock)
+        sock.close()
+        return True
+
+    def take_broken(self, sock):
+        """Tell, once, whether a closed connection ended by an error.
+
+        Args:
+          sock: A socket whose disconnect was told.
+        Returns:
+          False if the other side ended it in an orderly way.
+        """
+        is_broken = sock in self._broken
+        self._broken.discard(sock)
+        return is_broken
 
     def abort(self, sock):
         """Close a connection without sending what is buffered.
@@ -180,6 +213,7 @@
             return
         except OSError:
             chunk = b''
+            self._broken.add(sock)
         if chunk:
             self._receive(sock, chunk)
         else:
@@ -202,3 +236,17 @@
 
     def _create_socket(self):
         """Create no socket, since nothing is listened on."""
+
+
+def set_tcp_options(sock):
+    """Send small writes at once, and notice a peer that is gone.
+
+    Args:
+      sock: A TCP socket.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _USER_TIMEOUT_MS,
+    )
--- a/crankchute/client/service_call.py
+++ b/crankchute/client/service_call.py
@@ -9,7 +9,7 @@
 import secrets
 from http import HTTPStatus
 
-from crankchute.adapters.http_client import build_request
+from crankchute.adapters.http_client import CallOptions, build_request
 from crankchute.client.completion_call import read_refusal
 from crankchute.client.results import (
     CallResult,
@@ -143,7 +143,7 @@
             address,
             payload,
             sink,
-            fresh=fresh,
+            CallOptions(fresh=fresh),
         )
 
     def _on_response(self, status, body):
--- /dev/null
+++ b/crankchute/core/choosers.py
@@ -0,0 +1,151 @@
+"""Choosing the server of a plain service's next request."""
+
+import abc
+
+from crankchute.core.forward_job import Placement, Repeat
+from crankchute.core.outcomes import refuse_not_run
+from crankchute.core.registry import Registry
+
+#: Choosers by name: classes whose instances are made from ChooserParts.
+choosers = Registry()
+#: The name of the chooser of plain services.
+LEAST_BUSY = 'least-busy'
+
+_HINT_MS = 300
+#: A server of a plain service is asked anew elsewhere after this many times
+#: the time within which an answer has its full worth.
+_SILENCE_FACTOR = 3
+_LEAST_SILENCE_MS = 800
+
+
+class ChooserParts:
+    """What choosers decide by.
+
+    Attributes:
+      pool: The PoolConfig.
+      members: A function that returns the Backends of the pool that may get
+        new requests.
+      timers: A TimerService.
+      random: A random.Random.
+      board: The EngineBoard.
+      news: A function of a BoardNews, told of what this instance sends.
+    """
+
+    __slots__ = ('board', 'members', 'news', 'pool', 'random', 'timers')
+
+    def __init__(self, **fields):
+        """Gather the parts.
+
+        Args:
+          fields: A value for each attribute.
+        """
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
+
+
+class Chooser(abc.ABC):
+    """Chooses servers for the requests of one pool."""
+
+    def __init__(self, parts):
+        """Create the chooser.
+
+        Args:
+          parts: ChooserParts.
+        """
+        self._parts = parts
+
+    def now_ms(self):
+        """Return the time on this process's clock."""
+        return self._parts.timers.clock.now_ms()
+
+    def usable(self, avoided):
+        """Return the servers that may be asked now.
+
+        Servers that failed lately are left alone while others are left.
+
+        Args:
+          avoided: Ids of servers that must not be asked.
+        Returns:
+          A list of Backend.
+        """
+        members = [
+            one for one in self._parts.members() if one.identity not in avoided
+        ]
+        now_ms = self.now_ms()
+        sound = [one for one in members if one.breaker.allows(now_ms)]
+        return sound or members
+
+    @abc.abstractmethod
+    def choose(self, job, avoided):
+        """Choose where a request runs.
+
+        Args:
+          job: A ForwardJob.
+          avoided: Ids of servers that must not be asked.
+        Returns:
+          A Placement, or a Refusal.
+        """
+
+    @abc.abstractmethod
+    def stall_ms(self, job, attempt):
+        """Return how long a server may be silent, or None.
+
+        Args:
+          job: A ForwardJob.
+          attempt: The Attempt.
+        """
+
+    def note_sent(self, job, attempt):
+        """Note that an attempt was sent."""
+
+    def note_first(self, job, attempt):
+        """Note that an attempt led to its first event."""
+
+    def note_end(self, job, attempt):
+        """Note that an attempt ended."""
+
+    def note_rejection(self, job, attempt, rejection):
+        """Note that a server did not take a request."""
+
+    def refuse(self):
+        """Return the Refusal given when no server may be asked."""
+        return refuse_not_run(
+            'no_backend',
+            'no backend server of the pool takes requests now',
+            _HINT_MS,
+        )
+
+
+@choosers.register(LEAST_BUSY)
+class LeastBusyChooser(Chooser):
+    """Asks the server with the fewest requests of this instance."""
+
+    def choose(self, job, avoided):
+        """See Chooser."""
+        members = self.usable(avoided)
+        if not members:
+            return self.refuse()
+        self._parts.random.shuffle(members)
+        return Placement(min(members, key=_in_flight))
+
+    def stall_ms(self, job, attempt):
+        """See Chooser; what may start once is waited for to the end."""
+        if job.repeat != Repeat.AGAIN:
+            return None
+        return max(job.goal_ms * _SILENCE_FACTOR, _LEAST_SILENCE_MS)
+
+
+@choosers.register('random')
+class RandomChooser(LeastBusyChooser):
+    """Asks any server; a baseline."""
+
+    def choose(self, job, avoided):
+        """See Chooser."""
+        members = self.usable(avoided)
+        if not members:
+            return self.refuse()
+        return Placement(self._parts.random.choice(members))
+
+
+def _in_flight(backend):
+    return backend.in_flight
--- /dev/null
+++ b/crankchute/core/engine_board.py
@@ -0,0 +1,192 @@
+"""What every engine is believed to be working on.
+
+An instance knows its own requests exactly and those of others from the news
+they send.  Reports of engines are some hundred milliseconds old, longer than
+a short prompt takes, so decisions go by this board.  It decides only
+efficiency: a wrong entry makes a worse choice and nothing else, and every
+entry ends with its request's deadline.
+"""
+
+import enum
+import heapq
+
+
+class Change(enum.IntEnum):
+    """What happened to a piece of work."""
+
+    SENT = 0
+    STARTED = 1
+    ENDED = 2
+
+
+class Work:
+    """One prompt, or a part of one, at one engine.
+
+    Attributes:
+      key: The request and the engine, a string that is unique in the fleet.
+      engine: The engine's id.
+      read_ms: How long reading it takes there.
+      memory: How many tokens of KV memory it needs there.
+      is_writer: Whether the engine writes the answer too, a bool.
+      is_long: Whether the prompt counts as long, a bool.
+      until_ms: When it must have ended, on this process's clock.
+      started: Whether its first event was seen, a bool.
+    """
+
+    __slots__ = (
+        'engine',
+        'is_long',
+        'is_writer',
+        'key',
+        'memory',
+        'read_ms',
+        'started',
+        'until_ms',
+    )
+
+    def __init__(self, key, engine, **fields):
+        """Create the record of work that was just sent.
+
+        Args:
+          key: See the class.
+          engine: See the class.
+          fields: A value for each other attribute but `started`.
+        """
+        self.key = key
+        self.engine = engine
+        self.read_ms = fields['read_ms']
+        self.memory = fields['memory']
+        self.is_writer = fields['is_writer']
+        self.is_long = fields['is_long']
+        self.until_ms = fields['until_ms']
+        self.started = False
+
+
+class EngineState:
+    """The work at one engine.
+
+    Attributes:
+      works: A map from key to Work.
+      read_until_ms: When it has read all that was sent, as predicted.
+      slowness: How much slower than published it was seen to be, a float.
+    """
+
+    __slots__ = ('memory', 'read_until_ms', 'slowness', 'works', 'writers')
+
+    def __init__(self):
+        """Create the state of an idle engine."""
+        self.works = {}
+        self.read_until_ms = float(0)
+        self.slowness = float(1)
+        self.memory = 0
+        self.writers = 0
+
+    def wait_ms(self, now_ms):
+        """Return how long a new prompt waits for those being read."""
+        return max(self.read_until_ms - now_ms, 0)
+
+    def add(self, work, now_ms):
+        """Take work that was sent.
+
+        Args:
+          work: A Work.
+          now_ms: The time.
+        """
+        self.works[work.key] = work
+        self.memory += work.memory
+        self.writers += work.is_writer
+        begin_ms = max(self.read_until_ms, now_ms)
+        self.read_until_ms = begin_ms + work.read_ms * self.slowness
+
+    def start(self, key, now_ms):
+        """Note that a prompt was read.
+
+        Args:
+          key: The key of its Work.
+          now_ms: The time.
+        """
+        work = self.works.get(key)
+        if work is not None and not work.started:
+            work.started = True
+            self._settle(now_ms)
+
+    def end(self, key, now_ms):
+        """Note that work ended.
+
+        Args:
+          key: The key of its Work.
+          now_ms: The time.
+        """
+        work = self.works.pop(key, None)
+        if work is None:
+            return
+        self.memory -= work.memory
+        self.writers -= work.is_writer
+        if not work.started:
+            self._settle(now_ms)
+
+    def _settle(self, now_ms):
+        """Count as waiting no more than what is still to be read."""
+        left_ms = sum(
+            work.read_ms for work in self.works.values() if not work.started
+        )
+        until_ms = now_ms + left_ms * self.slowness
+        self.read_until_ms = min(self.read_until_ms, until_ms)
+
+
+class EngineBoard:
+    """The states of all engines by id."""
+
+    def __init__(self, now_ms):
+        """Create an empty board.
+
+        Args:
+          now_ms: A function that returns the time in milliseconds.
+        """
+        self._now_ms = now_ms
+        self._states = {}
+        self._ends = []
+
+    def state(self, engine):
+        """Return the EngineState of an engine.
+
+        Args:
+          engine: The engine's id.
+        """
+        state = self._states.get(engine)
+        if state is None:
+            state = EngineState()
+            self._states[engine] = state
+        return state
+
+    def add(self, work):
+        """Take a Work that was sent, by this instance or another."""
+        self.state(work.engine).add(work, self._now_ms())
+        heapq.heappush(self._ends, (work.until_ms, work.key, work.engine))
+        self._drop_expired()
+
+    def start(self, engine, key):
+        """Note that a prompt's first event was seen."""
+        self.state(engine).start(key, self._now_ms())
+
+    def end(self, engine, key):
+        """Note that work ended."""
+        self.state(engine).end(key, self._now_ms())
+
+    def keep_only(self, engines):
+        """Forget engines that are gone.
+
+        Args:
+          engines: A collection of the ids that are left.
+        """
+        for engine in tuple(self._states):
+            if engine not in engines:
+                self._states.pop(engine)
+
+    def _drop_expired(self):
+        now_ms = self._now_ms()
+        while self._ends and self._ends[0][0] < now_ms:
+            _until_ms, key, engine = heapq.heappop(self._ends)
+            state = self._states.get(engine)
+            if state is not None:
+                state.end(key, now_ms)
--- /dev/null
+++ b/crankchute/core/forward_desk.py
@@ -0,0 +1,195 @@
+"""The forwarding engine: takes requests, and answers what flows ask for.
+
+Which backend server gets a request is decided by a chooser; choosers are in
+a registry, one for pools of model engines and one for plain services, beside
+baselines that experiments compare them with.
+"""
+
+from crankchute.core.forward_flow import ForwardFlow
+from crankchute.core.outcomes import Outcome, refuse_not_run
+from crankchute.core.sliding_budget import SlidingBudget
+
+_NO_BACKEND_MS = 500
+
+
+class RetryLimits:
+    """How much of the requests may be repeated, by all instances together."""
+
+    __slots__ = ('ratio', 'slack', 'window_ms')
+
+    def __init__(self, *, ratio, slack, window_ms):
+        """Create the limits.
+
+        Args:
+          ratio: Retries for each request.
+          slack: Retries beyond that in any window.
+          window_ms: The window in milliseconds.
+        """
+        self.ratio = ratio
+        self.slack = slack
+        self.window_ms = window_ms
+
+
+class ForwardDesk:
+    """Serves forwarded requests and knows those in progress.
+
+    Attributes:
+      port: The ForwardPort.
+      metrics: A Metrics port.
+      journal: A ForwardJournal, which logs decisions.
+    """
+
+    def __init__(self, ports, limits):
+        """Create a desk without choosers.
+
+        Args:
+          ports: A ForwardPorts.
+          limits: RetryLimits.
+        """
+        self._timers = ports.timers
+        self._limits = limits
+        self._chooser_of = ports.chooser_of
+        self._budgets = {}
+        self._instances = 1
+        self._flows = set()
+        self.port = ports.forward
+        self.metrics = ports.metrics
+        self.journal = ports.journal
+
+    @property
+    def in_progress(self):
+        """How many requests have not ended, an int."""
+        return len(self._flows)
+
+    def submit(self, job, sink):
+        """Start to serve a request.
+
+        Args:
+          job: A ForwardJob.
+          sink: An AnswerSink; its end is told exactly once.
+        Returns:
+          A ForwardFlow, whose cancel() gives the request up.
+        """
+        self._budget(job.pool).note_request(self.now_ms())
+        flow = ForwardFlow(job, self, sink)
+        self._flows.add(flow)
+        flow.start()
+        return flow
+
+    def note_instances(self, known):
+        """Note how many instances share the retry budget.
+
+        Args:
+          known: An int.
+        """
+        self._instances = max(self._instances, known)
+        for budget in self._budgets.values():
+            budget.note_instances(known)
+
+    def now_ms(self):
+        """Return the time on this process's clock."""
+        return self._timers.clock.now_ms()
+
+    def after(self, delay_ms, callback):
+        """Run a callback later; see TimerService."""
+        return self._timers.after(delay_ms, callback)
+
+    def choose(self, flow, avoided):
+        """Choose where a request's next attempt runs.
+
+        Args:
+          flow: A ForwardFlow.
+          avoided: Ids of servers that it must not be sent to again.
+        Returns:
+          A Placement, or a Refusal.
+        """
+        chooser = self._chooser_of(flow.job.pool)
+        if chooser is None:
+            return refuse_not_run(
+                'no_pool',
+                f'there is no pool {flow.job.pool!r}',
+                _NO_BACKEND_MS,
+            )
+        return chooser.choose(flow.job, avoided)
+
+    def stall_ms(self, flow, attempt):
+        """Return how long an attempt's server may be silent, or None."""
+        chooser = self._chooser_of(flow.job.pool)
+        return None if chooser is None else chooser.stall_ms(flow.job, attempt)
+
+    def take_retry(self, job):
+        """Take a retry of a job's pool from the budget, if there is one."""
+        taken = self._budget(job.pool).take(self.now_ms())
+        self.metrics.count('retries' if taken else 'retries_denied')
+        return taken
+
+    def note_attempt(self, flow, attempt, cause):
+        """Note that a request is sent to a server."""
+        self._tell(flow, 'note_sent', attempt)
+        self.journal.log_attempt(flow, attempt, cause)
+
+    def note_first(self, flow, attempt):
+        """Note that a server began to answer with an event."""
+        self._tell(flow, 'note_first', attempt)
+
+    def note_attempt_end(self, flow, attempt, cause):
+        """Note that an attempt ended."""
+        self._tell(flow, 'note_end', attempt)
+        self.journal.log_attempt_end(flow, attempt, cause)
+
+    def note_rejection(self, flow, attempt, rejection):
+        """Note that a server did not take a request."""
+        self.metrics.count('engine_refusals', rejection.code)
+        self._tell(flow, 'note_rejection', attempt, rejection)
+
+    def note_dropped(self, flow, attempt):
+        """Count an event that the caller had already."""
+        self.metrics.count('frames_dropped')
+
+    def note_end(self, flow, outcome, code):
+        """Note that a request ended."""
+        self._flows.discard(flow)
+        self.metrics.count('requests_ended', outcome.value)
+        if outcome == Outcome.NOT_RUN:
+            self.metrics.count('refusals', code)
+        self.journal.log_end(flow, outcome, code)
+
+    def _tell(self, flow, method, attempt, *details):
+        chooser = self._chooser_of(flow.job.pool)
+        if chooser is not None:
+            getattr(chooser, method)(flow.job, attempt, *details)
+
+    def _budget(self, pool):
+        budget = self._budgets.get(pool)
+        if budget is None:
+            limits = self._limits
+            budget = SlidingBudget(
+                limits.ratio,
+                limits.slack,
+                limits.window_ms,
+            )
+            budget.note_instances(self._instances)
+            self._budgets[pool] = budget
+        return budget
+
+
+class ForwardPorts:
+    """What a desk works with."""
+
+    __slots__ = ('chooser_of', 'forward', 'journal', 'metrics', 'timers')
+
+    def __init__(self, *, forward, timers, metrics, journal, chooser_of):
+        """Gather the ports.
+
+        Args:
+          forward: A ForwardPort.
+          timers: A TimerService.
+          metrics: A Metrics port.
+          journal: A ForwardJournal.
+          chooser_of: A function from a pool's name to a Chooser or None.
+        """
+        self.forward = forward
+        self.timers = timers
+        self.metrics = metrics
+        self.journal = journal
+        self.chooser_of = chooser_of
--- /dev/null
+++ b/crankchute/core/forward_flow.py
@@ -0,0 +1,359 @@
+"""One forwarded request on its way: attempts, retries, resumption, its end.
+
+A request that may start once goes to another server only after a proof that
+it did not start: a refused connection, or the server's own word.  Whatever
+happens after its bytes left without an answer is unknown.  A stream that may
+be resumed is taken up at another server after the last event that the caller
+has; a part of an event is never passed on.
+"""
+
+from crankchute.core.forward_job import AttemptOrder
+from crankchute.core.outcomes import Outcome, Refusal, refuse_not_run
+from crankchute.errors import BackendError
+from crankchute.ports.forwarding import AttemptListener
+
+_HINT_MS = 300
+_FIRST_SERVER_ERROR = 500
+
+
+class Attempt(AttemptListener):
+    """One submission to one server; tells its flow one end."""
+
+    __slots__ = (
+        '_body',
+        '_call',
+        '_flow',
+        '_head',
+        '_is_over',
+        '_silence',
+        'placement',
+        'sent_ms',
+        'started',
+    )
+
+    def __init__(self, flow, placement):
+        """Create an attempt; start() sends it.
+
+        Args:
+          flow: The ForwardFlow.
+          placement: A Placement.
+        """
+        self._flow = flow
+        self._body = []
+        self._call = None
+        self._head = None
+        self._is_over = False
+        self._silence = None
+        self.placement = placement
+        self.sent_ms = flow.now_ms()
+        self.started = False
+
+    @property
+    def backend(self):
+        """The Backend that was asked."""
+        return self.placement.backend
+
+    def start(self, port, order, allowed_ms):
+        """Send the request.
+
+        Args:
+          port: A ForwardPort.
+          order: An AttemptOrder.
+          allowed_ms: How long the server may be silent at first, or None.
+        """
+        self.backend.in_flight += 1
+        self.backend.breaker.note_start()
+        self._watch(allowed_ms)
+        job = self._flow.job
+        self._call = port.send(job, self.placement, order, self)
+        if self._is_over:
+            self._call.cancel()
+
+    def cancel(self):
+        """Give the attempt up; the flow hears nothing more of it."""
+        if self._close():
+            self.backend.breaker.note_abandoned()
+            if self._call is not None:
+                self._call.cancel()
+
+    def on_head(self, head):
+        """See AttemptListener."""
+        if not self._is_over:
+            self._head = head
+
+    def on_body(self, chunk):
+        """See AttemptListener."""
+        self._body.append(chunk)
+
+    def on_event(self, event):
+        """See AttemptListener."""
+        if self._is_over:
+            return
+        if not self.started:
+            self.started = True
+            self._flow.on_first_event(self)
+        self._watch(self._flow.stall_ms(self))
+        self._flow.on_event(self, self._head, event)
+
+    def on_end(self):
+        """See AttemptListener."""
+        if not self._close():
+            return
+        head = self._head
+        is_fault = head.status >= _FIRST_SERVER_ERROR
+        if is_fault:
+            self.backend.breaker.note_failure(self._flow.now_ms())
+        else:
+            self.backend.breaker.note_success()
+        self._flow.on_attempt_end(self, head, b''.join(self._body))
+
+    def on_not_run(self, rejection):
+        """See AttemptListener."""
+        if self._close():
+            self.backend.breaker.note_abandoned()
+            self._flow.on_attempt_not_run(self, rejection)
+
+    def on_failed(self, exc):
+        """See AttemptListener."""
+        if self._close():
+            self.backend.breaker.note_failure(self._flow.now_ms())
+            self._flow.on_attempt_failed(self, exc)
+
+    def _watch(self, allowed_ms):
+        if self._silence is not None:
+            self._silence.cancel()
+            self._silence = None
+        if allowed_ms is not None:
+            self._silence = self._flow.after(allowed_ms, self._on_silence)
+
+    def _on_silence(self):
+        self._silence = None
+        if self._is_over:
+            return
+        if self._call is not None:
+            self._call.cancel()
+        text = 'the backend server fell silent'
+        self.on_failed(BackendError(text, sent=True))
+
+    def _close(self):
+        if self._is_over:
+            return False
+        self._is_over = True
+        self._watch(None)
+        self.backend.in_flight -= 1
+        return True
+
+
+class ForwardFlow:
+    """Serves one job; its sink is told exactly one end.
+
+    Attributes:
+      job: The ForwardJob.
+      attempts: How many times the request was sent, an int.
+      delivered: The id of the last event that the caller has, or None.
+      passed: How many events were passed on, an int.
+    """
+
+    __slots__ = (
+        '_attempt',
+        '_avoided',
+        '_desk',
+        '_maybe_ran',
+        '_sink',
+        '_streaming',
+        '_timer',
+        'attempts',
+        'delivered',
+        'ended',
+        'job',
+        'passed',
+    )
+
+    def __init__(self, job, desk, sink):
+        """Create a flow; start() begins it.
+
+        Args:
+          job: A ForwardJob.
+          desk: A ForwardDesk.
+          sink: An AnswerSink.
+        """
+        self._desk = desk
+        self._sink = sink
+        self._attempt = None
+        self._avoided = set()
+        self._maybe_ran = False
+        self._streaming = False
+        self._timer = None
+        self.attempts = 0
+        self.delivered = job.resume_after
+        self.ended = False
+        self.job = job
+        self.passed = 0
+
+    def start(self):
+        """Send the request and watch its deadline."""
+        remaining_ms = self.job.remaining_ms(self.now_ms())
+        self._timer = self.after(remaining_ms, self._on_deadline)
+        self._try_next(None)
+
+    def cancel(self):
+        """Give the request up because its caller is gone."""
+        if self.ended:
+            return
+        self._cancel_attempt()
+        self._end(Outcome.FAILED, 'caller_gone')
+
+    def now_ms(self):
+        """Return the time on this process's clock."""
+        return self._desk.now_ms()
+
+    def after(self, delay_ms, callback):
+        """Run a callback later; see TimerService."""
+        return self._desk.after(delay_ms, callback)
+
+    def stall_ms(self, attempt):
+        """Return how long a server may be silent now, or None."""
+        return self._desk.stall_ms(self, attempt)
+
+    def on_first_event(self, attempt):
+        """Note that a server began to answer."""
+        self._desk.note_first(self, attempt)
+
+    def on_event(self, attempt, head, event):
+        """Pass an event on, unless the caller has it already."""
+        if self._expire_if_late():
+            return
+        if not self._is_new(event):
+            self._desk.note_dropped(self, attempt)
+            return
+        if not self._streaming:
+            self._streaming = True
+            self._sink.on_head(head)
+        if event.number is not None:
+            self.delivered = event.number
+        self.passed += 1
+        self._sink.on_event(event)
+
+    def on_attempt_end(self, attempt, head, body):
+        """End with the server's answer, or try again after its failure."""
+        self._desk.note_attempt_end(self, attempt, 'answered')
+        if self.job.is_stream and head.is_success and not body:
+            self._finish_stream(head)
+            return
+        is_fault = head.status >= _FIRST_SERVER_ERROR
+        if is_fault and self._may_go_on(attempt):
+            self._maybe_ran = True
+            self._try_next(head.status)
+        elif self._streaming:
+            self._break_off('the stream could not be taken up')
+        else:
+            self._sink.on_answer(head, body)
+            outcome = Outcome.FAILED if is_fault else Outcome.OK
+            self._end(outcome, str(head.status))
+
+    def on_attempt_not_run(self, attempt, rejection):
+        """Try elsewhere after a server that did not start."""
+        self._attempt = None
+        self._desk.note_attempt_end(self, attempt, rejection.code)
+        self._desk.note_rejection(self, attempt, rejection)
+        self._avoided.add(attempt.backend.identity)
+        if self._has_attempts() and self._desk.take_retry(self.job):
+            self._try_next(rejection.code)
+        else:
+            self._give_up(rejection.code, 'no backend server took it')
+
+    def on_attempt_failed(self, attempt, exc):
+        """Try elsewhere if that is allowed, or end."""
+        self._attempt = None
+        self._desk.note_attempt_end(self, attempt, str(exc))
+        self._avoided.add(attempt.backend.identity)
+        if not exc.sent:
+            self.attempts -= 1
+            self._try_next('not_connected')
+            return
+        self._maybe_ran = True
+        if self.job.may_repeat and self._may_go_on(attempt):
+            self._try_next('failed')
+        else:
+            self._give_up('backend_failed', str(exc))
+
+    def _try_next(self, cause):
+        if self._expire_if_late():
+            return
+        choice = self._desk.choose(self, self._avoided)
+        if isinstance(choice, Refusal):
+            self._give_up(choice.code, choice.text, choice.retry_after_ms)
+            return
+        self.attempts += 1
+        self._attempt = Attempt(self, choice)
+        self._desk.note_attempt(self, self._attempt, cause)
+        remaining_ms = self.job.remaining_ms(self.now_ms())
+        order = AttemptOrder(remaining_ms, self.delivered)
+        allowed_ms = self._desk.stall_ms(self, self._attempt)
+        self._attempt.start(self._desk.port, order, allowed_ms)
+
+    def _finish_stream(self, head):
+        if not self._streaming:
+            self._sink.on_head(head)
+        self._sink.on_end()
+        self._end(Outcome.OK, 'whole')
+
+    def _has_attempts(self):
+        return self.attempts < self.job.max_attempts
+
+    def _may_go_on(self, attempt):
+        self._avoided.add(attempt.backend.identity)
+        if not self.job.may_repeat or not self._has_attempts():
+            return False
+        return self._desk.take_retry(self.job)
+
+    def _is_new(self, event):
+        if event.number is None or self.delivered is None:
+            return True
+        return event.number > self.delivered
+
+    def _expire_if_late(self):
+        if not self.ended and self.job.remaining_ms(self.now_ms()) < 0:
+            self._on_deadline()
+        return self.ended
+
+    def _on_deadline(self):
+        if self.ended:
+            return
+        self._maybe_ran = self._maybe_ran or self._attempt is not None
+        self._cancel_attempt()
+        self._give_up('deadline_exceeded', 'the deadline has passed')
+
+    def _cancel_attempt(self):
+        attempt = self._attempt
+        self._attempt = None
+        if attempt is not None:
+            attempt.cancel()
+            self._desk.note_attempt_end(self, attempt, 'cancelled')
+
+    def _give_up(self, code, text, retry_after_ms=None):
+        if self._streaming:
+            self._break_off(text)
+            return
+        if retry_after_ms is None:
+            retry_after_ms = _HINT_MS
+        if self._maybe_ran:
+            refusal = Refusal(self._unfinished(), code, text)
+        else:
+            refusal = refuse_not_run(code, text, retry_after_ms)
+        self._sink.on_refused(refusal)
+        self._end(refusal.outcome, code)
+
+    def _break_off(self, text):
+        refusal = Refusal(Outcome.FAILED, 'broken_off', text)
+        self._sink.on_refused(refusal)
+        self._end(Outcome.FAILED, 'broken_off')
+
+    def _unfinished(self):
+        return Outcome.FAILED if self.job.may_repeat else Outcome.UNKNOWN
+
+    def _end(self, outcome, code):
+        self.ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._desk.note_end(self, outcome, code)
--- /dev/null
+++ b/crankchute/core/forward_job.py
@@ -0,0 +1,177 @@
+"""A request that is forwarded as it came, as the core sees it."""
+
+import enum
+
+#: The rank of a request at an engine when nothing says otherwise.
+_USUAL_PRIORITY = 5
+
+
+class Repeat(enum.Enum):
+    """What a request allows after it may have started at a server."""
+
+    #: It may start once.
+    ONCE = 'once'
+    #: It may start again elsewhere.
+    AGAIN = 'again'
+    #: It is a stream that may be taken up elsewhere at an event.
+    RESUME = 'resume'
+
+
+class PromptSize:
+    """The size of a prompt and of its answer, in tokens.
+
+    Attributes:
+      prompt: Tokens in, an int.
+      answer: The most tokens out, an int.
+    """
+
+    __slots__ = ('answer', 'prompt')
+
+    def __init__(self, prompt, answer):
+        """Create the size.
+
+        Args:
+          prompt: Tokens in.
+          answer: The most tokens out.
+        """
+        self.prompt = prompt
+        self.answer = answer
+
+    @property
+    def memory(self):
+        """How many tokens of KV memory it needs in the end, an int."""
+        return self.prompt + self.answer
+
+
+class ForwardJob:
+    """A checked request on its way to a backend server.
+
+    Attributes:
+      request_id: The caller's id of this submission, a string.
+      pool: The name of the pool of backend servers that serves it.
+      repeat: A Repeat.
+      is_stream: Whether the answer is a stream of events, a bool.
+      is_keyed: Whether it was let in by a key that may be revoked, a bool.
+      account: The client account's name, or None.
+      size: A PromptSize, or None for a plain service.
+      priority: 0 (first) to 9.
+      arrived_ms: When it came, on this process's clock.
+      deadline_ms: When the last answer must be given, on the same clock.
+      goal_ms: Milliseconds from arrival within which an answer (of a stream,
+        its first event) has its full worth.
+      gap_ms: The longest pause between events of full worth, in milliseconds.
+      max_attempts: To how many servers it may be sent.
+      resume_after: The last event that the caller has, an int, or None.
+      payload: What the port needs to send it; opaque to the core.
+    """
+
+    __slots__ = (
+        'account',
+        'arrived_ms',
+        'deadline_ms',
+        'gap_ms',
+        'goal_ms',
+        'is_keyed',
+        'is_stream',
+        'max_attempts',
+        'payload',
+        'pool',
+        'priority',
+        'repeat',
+        'request_id',
+        'resume_after',
+        'size',
+    )
+
+    def __init__(self, **fields):
+        """Create a job.
+
+        Args:
+          fields: A value for each attribute.
+        """
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
+
+    @property
+    def may_repeat(self):
+        """Whether it may start again after it may have started, a bool."""
+        return self.repeat != Repeat.ONCE
+
+    def remaining_ms(self, now_ms):
+        """Return the milliseconds until the deadline.
+
+        Args:
+          now_ms: The time on this process's clock.
+        """
+        return self.deadline_ms - now_ms
+
+
+class AttemptOrder:
+    """What one attempt tells the backend server.
+
+    Attributes:
+      remaining_ms: Milliseconds left for the whole request.
+      resume_after: The last event that the caller has, an int, or None.
+    """
+
+    __slots__ = ('remaining_ms', 'resume_after')
+
+    def __init__(self, remaining_ms, resume_after):
+        """Create the order.
+
+        Args:
+          remaining_ms: Milliseconds.
+          resume_after: An int or None.
+        """
+        self.remaining_ms = remaining_ms
+        self.resume_after = resume_after
+
+
+class Helper:
+    """A server that reads a part of a prompt for another one.
+
+    Attributes:
+      backend: A Backend.
+      ticket: The id of memory reserved there, or None.
+    """
+
+    __slots__ = ('backend', 'ticket')
+
+    def __init__(self, backend, ticket=None):
+        """Create the record.
+
+        Args:
+          backend: A Backend.
+          ticket: A string or None.
+        """
+        self.backend = backend
+        self.ticket = ticket
+
+
+class Placement:
+    """Where an attempt runs, as a chooser decided.
+
+    Attributes:
+      backend: The Backend that gets the request.
+      helpers: A tuple of Helper.
+      first_ms: The predicted milliseconds to the first event, or None.
+      key: What the chooser knows this placement by; opaque to others.
+      priority: The rank at the engine, 0 (first) to 9.
+    """
+
+    __slots__ = ('backend', 'first_ms', 'helpers', 'key', 'priority')
+
+    def __init__(self, backend, *, first_ms=None, helpers=(), key=None):
+        """Create the placement.
+
+        Args:
+          backend: A Backend.
+          first_ms: Milliseconds or None.
+          helpers: A tuple of Helper.
+          key: See the class.
+        """
+        self.backend = backend
+        self.first_ms = first_ms
+        self.helpers = helpers
+        self.key = key
+        self.priority = _USUAL_PRIORITY
--- /dev/null
+++ b/crankchute/entry/forward_node.py
@@ -0,0 +1,239 @@
+"""One instance that forwards requests: the parts, wired on one loop.
+
+It knows nothing of how requests and backend servers are spoken to: a
+ForwardPort, and whoever hands it configurations and entries of backend
+servers, are given to it.
+"""
+
+import random
+import secrets
+
+from crankchute.adapters.forward_journal import ForwardJournal
+from crankchute.adapters.log import log_change
+from crankchute.adapters.metrics import PrometheusMetrics
+from crankchute.core.choosers import LEAST_BUSY, ChooserParts, choosers
+from crankchute.core.engine_board import EngineBoard
+from crankchute.core.engine_chooser import PREDICTED
+from crankchute.core.forward_config import ForwardConfigHolder
+from crankchute.core.forward_desk import ForwardDesk, ForwardPorts
+from crankchute.core.forward_fleet import ForwardFleet
+from crankchute.entry.forward_peers import ForwardPeers
+
+JOINING = 'joining'
+SERVING = 'serving'
+DRAINING = 'draining'
+#: Some callers keep an address answer for three times its time to live.
+_TTL_FACTOR = 3
+#: What is kept free of the time to stop, for the last answers to arrive.
+_STOP_MARGIN_MS = 800
+_STOP_CHECK_MS = 100
+_COUNT_MS = 1000
+
+
+class InstanceIdentity:
+    """Who an instance is, and where others find it.
+
+    Attributes:
+      instance: Its id.
+      boot: The random id of this process.
+      data_centre: Where it runs.
+      peer_address: Where other instances reach it, a pair of IP and port.
+      caller_address: Where callers reach it, a pair of IP and port.
+      seeds: Where other instances may be found, pairs of IP and port.
+    """
+
+    __slots__ = (
+        'boot',
+        'caller_address',
+        'data_centre',
+        'instance',
+        'peer_address',
+        'seeds',
+    )
+
+    def __init__(self, instance, data_centre, **addresses):
+        """Create the identity of a new process.
+
+        Args:
+          instance: See the class.
+          data_centre: See the class.
+          addresses: A value for each other attribute but `boot`.
+        """
+        self.instance = instance
+        self.boot = secrets.token_hex(4)
+        self.data_centre = data_centre
+        self.peer_address = addresses['peer_address']
+        self.caller_address = addresses['caller_address']
+        self.seeds = addresses['seeds']
+
+
+class ForwardLimits:
+    """What an instance is held to.
+
+    Attributes:
+      retries: RetryLimits of all instances together.
+      address_ttl_ms: How long callers may keep an address answer.
+      grace_ms: How long stopping may take.
+    """
+
+    __slots__ = ('address_ttl_ms', 'grace_ms', 'retries')
+
+    def __init__(self, *, retries, address_ttl_ms, grace_ms):
+        """Create the limits.
+
+        Args:
+          retries: RetryLimits.
+          address_ttl_ms: Milliseconds.
+          grace_ms: Milliseconds.
+        """
+        self.retries = retries
+        self.address_ttl_ms = address_ttl_ms
+        self.grace_ms = grace_ms
+
+
+class ForwardNode:
+    """One instance that forwards requests.
+
+    Attributes:
+      identity: The InstanceIdentity.
+      phase: "joining", "serving", or "draining" (out of address answers,
+        still serving callers that hold old ones).
+      on_draining: Called when stopping begins.
+      on_stopped: Called when nothing is left to do.
+    """
+
+    def __init__(self, loop, identity, limits, wiring):
+        """Wire the parts and begin to look for other instances.
+
+        Args:
+          loop: The Loop.
+          identity: An InstanceIdentity.
+          limits: ForwardLimits.
+          wiring: A ForwardWiring.
+        Raises:
+          OSError: If an address cannot be listened on.
+        """
+        self.timers = loop.timers
+        self.identity = identity
+        self.metrics = PrometheusMetrics()
+        self.random = random.Random(identity.boot)
+        self.phase = JOINING
+        self.on_draining = None
+        self.on_stopped = None
+        self.holder = ForwardConfigHolder()
+        self.fleet = ForwardFleet(loop.timers, wiring.pool_label)
+        self.board = EngineBoard(self.now_ms)
+        self._limits = limits
+        self._choosers = {}
+        self._stop_ms = None
+        ports = ForwardPorts(
+            forward=wiring.port,
+            timers=self.timers,
+            metrics=self.metrics,
+            journal=ForwardJournal(),
+            chooser_of=self._chooser_of,
+        )
+        self.desk = ForwardDesk(ports, limits.retries)
+        self.peers = ForwardPeers(loop, self, wiring.take_config)
+        self.holder.subscribe(self._on_config)
+        self.timers.every(_COUNT_MS, self._count_instances)
+
+    @property
+    def is_accepting(self):
+        """Whether callers may be sent here, a bool."""
+        return self.phase == SERVING
+
+    def now_ms(self):
+        """Return the time on this process's clock."""
+        return self.timers.clock.now_ms()
+
+    def stop(self):
+        """Stop as planned: nothing in progress is cut off."""
+        if self.phase == DRAINING:
+            return
+        self._enter(DRAINING)
+        self.peers.announce(is_serving=False)
+        self._stop_ms = self.now_ms()
+        self.timers.every(_STOP_CHECK_MS, self._check_stopped)
+        if self.on_draining is not None:
+            self.on_draining()
+
+    def choose_addresses(self, data_centre):
+        """Return the addresses that a caller should use.
+
+        Args:
+          data_centre: Where the caller is.
+        Returns:
+          A list of "IP:port".
+        """
+        members = self.peers.sharing.choose_addresses(data_centre)
+        return [member.http_address for member in members]
+
+    def _chooser_of(self, pool):
+        return self._choosers.get(pool)
+
+    def _on_config(self, config):
+        self._choosers = {
+            name: self._make_chooser(pool)
+            for name, pool in config.pools.items()
+        }
+        log_change('config_in_force', version=config.version)
+        if self.phase == JOINING:
+            self._enter(SERVING)
+            self.peers.announce(is_serving=True)
+
+    def _make_chooser(self, pool):
+        name = LEAST_BUSY if pool.figures is None else PREDICTED
+        parts = ChooserParts(
+            pool=pool,
+            members=lambda: self.fleet.members_of(pool.name),
+            timers=self.timers,
+            random=self.random,
+            board=self.board,
+            news=self.peers.sharing.note,
+        )
+        return choosers[name](parts)
+
+    def _count_instances(self):
+        self.desk.note_instances(len(self.peers.membership))
+
+    def _check_stopped(self):
+        waited_ms = self.now_ms() - self._stop_ms
+        grace_ms = self._limits.grace_ms - _STOP_MARGIN_MS
+        old_answers_ms = self._limits.address_ttl_ms * _TTL_FACTOR
+        if waited_ms < min(old_answers_ms, grace_ms):
+            return
+        if waited_ms < grace_ms and self.desk.in_progress:
+            return
+        log_change('stopped', in_progress=self.desk.in_progress)
+        self.peers.stop()
+        if self.on_stopped is not None:
+            self.on_stopped()
+
+    def _enter(self, phase):
+        self.phase = phase
+        log_change('phase', phase=phase)
+
+
+class ForwardWiring:
+    """What a host gives an instance that forwards requests.
+
+    Attributes:
+      port: A ForwardPort.
+      take_config: A function of the bytes of a configuration.
+      pool_label: The label of a backend server that names its pool.
+    """
+
+    __slots__ = ('pool_label', 'port', 'take_config')
+
+    def __init__(self, port, take_config, pool_label):
+        """Gather the parts.
+
+        Args:
+          port: See the class.
+          take_config: See the class.
+          pool_label: See the class.
+        """
+        self.port = port
+        self.take_config = take_config
+        self.pool_label = pool_label
--- /dev/null
+++ b/crankchute/entry/forward_peers.py
@@ -0,0 +1,262 @@
+"""An instance's part in the sharing among instances that forward requests."""
+
+import time
+
+from crankchute.adapters.peer_records import read_briefing, write_briefing
+from crankchute.adapters.peers_grpc import PeerClient, PeerServer
+from crankchute.core.engine_board import Change
+from crankchute.core.membership import Member
+from crankchute.core.replica import ChangeSet, Entry
+from crankchute.core.sharing import Briefing, Sharing, SharingParts
+from crankchute.entry.peering import Peering
+
+_MS_PER_SECOND = 1000
+#: How often seeds are asked until another instance is known.
+_SEED_MS = 500
+_CONFIG = 'config'
+
+
+class ConfigExchange:
+    """The configuration, in the form in which peers fetch it.
+
+    Attributes:
+      take: A function of the bytes of a configuration.
+    """
+
+    def __init__(self, holder, take):
+        """Create the exchange.
+
+        Args:
+          holder: A ForwardConfigHolder.
+          take: A function of the bytes of a configuration.
+        """
+        self._holder = holder
+        self.take = take
+
+    @property
+    def revision(self):
+        """The version in force, 0 before the first."""
+        return self._holder.version
+
+    @property
+    def seen_revision(self):
+        """The version in force; refused ones are not kept."""
+        return self._holder.version
+
+    def changes_for(self, in_force, _seen):
+        """Return the configuration if another instance lacks it, or None."""
+        version = self._holder.version
+        if version <= in_force:
+            return None
+        entry = Entry(version, self._holder.source)
+        return ChangeSet(0, version, {_CONFIG: entry})
+
+    def offer(self, changes):
+        """Take a configuration that a peer handed over.
+
+        Args:
+          changes: A ChangeSet.
+        Returns:
+          True if the version rose.
+        """
+        before = self._holder.version
+        for entry in changes.entries.values():
+            self.take(entry.payload)
+        return self._holder.version > before
+
+
+class Revisions:
+    """What another instance has of a published store."""
+
+    __slots__ = ('in_force', 'seen')
+
+    def __init__(self, revision):
+        """Create the record.
+
+        Args:
+          revision: The revision in force there, which is the newest seen.
+        """
+        self.in_force = revision
+        self.seen = revision
+
+
+class _NoInventory:
+    """Stands in for the instance list, which is not published here."""
+
+    revision = 0
+    seen_revision = 0
+
+    def changes_for(self, _in_force, _seen):
+        """Return None: there is nothing to hand over."""
+
+    def offer(self, _changes):
+        """Take nothing."""
+        return False
+
+
+class ForwardPeers:
+    """Gossip, shared knowledge and fetched configurations.
+
+    Attributes:
+      sharing: The Sharing.
+      membership: The Membership.
+    """
+
+    def __init__(self, loop, node, take_config):
+        """Start to talk to other instances.
+
+        Args:
+          loop: The Loop.
+          node: The ForwardNode that this is a part of.
+          take_config: A function of the bytes of a configuration.
+        """
+        self._node = node
+        self._timers = loop.timers
+        self._client = PeerClient(loop)
+        identity = node.identity
+        self._server = PeerServer(loop, identity.peer_address, self)
+        exchange = ConfigExchange(node.holder, take_config)
+        # Peering finds the parts that it works with on one object.
+        self.timers = loop.timers
+        self.peer_client = self._client
+        self.random = node.random
+        self.metrics = node.metrics
+        own = Member(
+            identity.instance,
+            identity.boot,
+            int(time.time() * _MS_PER_SECOND),
+            peer_address=_write_address(identity.peer_address),
+            http_address=_write_address(identity.caller_address),
+            data_centre=identity.data_centre,
+            draining=True,
+        )
+        self._peering = Peering(
+            self,
+            own,
+            {_CONFIG: exchange, 'instances': _NoInventory()},
+        )
+        self.membership = self._peering.membership
+        self.sharing = Sharing(self._make_parts(node), identity.instance)
+        self._seeds = [_write_address(one) for one in identity.seeds]
+        self._peering.start()
+        self.sharing.start()
+        self._ask_seeds()
+        self._timers.every(_SEED_MS, self._ask_seeds)
+
+    def on_probe(self, request, on_reply):
+        """See PeerServicer."""
+        self._peering.on_probe(request, on_reply)
+
+    def on_pull(self, request, on_reply):
+        """See PeerServicer."""
+        self._peering.on_pull(request, on_reply)
+
+    def on_share(self, request, on_reply):
+        """See PeerServicer."""
+        now_ms = self._now_ms()
+        self.sharing.hear(read_briefing(request, now_ms))
+        on_reply(write_briefing(self._make_briefing([]), now_ms))
+
+    def announce(self, *, is_serving):
+        """Tell the others whether callers may be sent here.
+
+        Args:
+          is_serving: A bool.
+        """
+        self.membership.announce(draining=not is_serving)
+        self._peering.notify()
+        self.sharing.tell_now()
+
+    def stop(self):
+        """Stop to listen."""
+        self._server.stop()
+        self._client.close()
+
+    def _now_ms(self):
+        return self._timers.clock.now_ms()
+
+    def _make_parts(self, node):
+        return SharingParts(
+            timers=self._timers,
+            random=node.random,
+            members=self.membership.believed_alive,
+            is_serving=lambda: node.is_accepting,
+            make_briefing=self._make_briefing,
+            take=self._take,
+            send=self._send,
+        )
+
+    def _send(self, member, briefing, on_reply, timeout_ms):
+        request = write_briefing(briefing, self._now_ms())
+
+        def take(reply):
+            if reply is None:
+                on_reply(None)
+            else:
+                on_reply(read_briefing(reply, self._now_ms()))
+
+        self._peering.call(
+            member.peer_address,
+            'Share',
+            request,
+            take,
+            timeout_ms,
+        )
+
+    def _make_briefing(self, news):
+        node = self._node
+        return Briefing(
+            instance=node.identity.instance,
+            boot=node.identity.boot,
+            is_serving=node.is_accepting,
+            version=node.holder.version,
+            proof_age_ms=node.holder.proof_age_ms(self._now_ms()),
+            left=node.fleet.left(),
+            news=news,
+        )
+
+    def _take(self, briefing, asked_ms):
+        node = self._node
+        for identity in briefing.left:
+            node.fleet.note_left(identity)
+        if briefing.version > node.holder.version:
+            self._fetch_config(briefing)
+        elif asked_ms is not None and briefing.proof_age_ms is not None:
+            # What was asked for at a moment proves no more than that.
+            proved_ms = asked_ms - briefing.proof_age_ms
+            node.holder.prove(briefing.version, proved_ms)
+        board = node.board
+        for one in briefing.news:
+            if one.change == Change.SENT:
+                board.add(one.work)
+            elif one.change == Change.STARTED:
+                board.start(one.work.engine, one.work.key)
+            else:
+                board.end(one.work.engine, one.work.key)
+
+    def _fetch_config(self, briefing):
+        teller = self.membership.get(briefing.instance)
+        if teller is not None:
+            self._peering.pull_if_behind(
+                teller.peer_address,
+                _CONFIG,
+                Revisions(briefing.version),
+            )
+
+    def _ask_seeds(self):
+        """Ask the seeds while nobody else is known to be alive."""
+        if len(self.membership.believed_alive()) > 1:
+            return
+        own = self.membership.own.peer_address
+        for address in self._seeds:
+            if address != own:
+                self._peering.probe(address, _ignore)
+
+
+def _write_address(address):
+    host, port = address
+    return f'{host}:{port}'
+
+
+def _ignore(_answered):
+    """Take the end of a probe that only looks for others."""
--- a/crankchute/entry/peering.py
+++ b/crankchute/entry/peering.py
@@ -176,6 +176,30 @@
             changes = holder.changes_for(have.in_force, have.seen)
         on_reply(write_changes(changes))
 
+    def pull_if_behind(self, address, name, theirs):
+        """Fetch what a peer has and this instance lacks.
+
+        Args:
+          address: The peer's "IP:port".
+          name: The store's name.
+          theirs: The peer's revisions, with `in_force` and `seen`.
+        """
+        mine = self._revisions(name)
+        is_behind = theirs.in_force > mine.in_force or theirs.seen > mine.seen
+        if not is_behind or name in self._pulling or not address:
+            return
+        self._pulling.add(name)
+        request = peer_pb2.PullRequest(store=name, have=mine)
+
+        def take(reply):
+            self._pulling.discard(name)
+            if reply is None or not reply.revision:
+                return
+            if self._stores[name].offer(read_changes(reply)):
+                self.pull_if_behind(address, name, theirs)
+
+        self.call(address, 'Pull', request, take, _PULL_MS)
+
     def _gossip(self):
         own = self.membership.own
         own.in_force = self._stores[_CONFIG].revision
@@ -197,25 +221,8 @@
         self.membership.merge([read_member(one) for one in gossip.members])
         if address is None and gossip.members:
             address = gossip.members[0].peer_address
-        self._pull_if_behind(address, _CONFIG, gossip.config)
-        self._pull_if_behind(address, _INSTANCES, gossip.instances)
-
-    def _pull_if_behind(self, address, name, theirs):
-        mine = self._revisions(name)
-        is_behind = theirs.in_force > mine.in_force or theirs.seen > mine.seen
-        if not is_behind or name in self._pulling or not address:
-            return
-        self._pulling.add(name)
-        request = peer_pb2.PullRequest(store=name, have=mine)
-
-        def take(reply):
-            self._pulling.discard(name)
-            if reply is None or not reply.revision:
-                return
-            if self._stores[name].offer(read_changes(reply)):
-                self._pull_if_behind(address, name, theirs)
-
-        self.call(address, 'Pull', request, take, _PULL_MS)
+        self.pull_if_behind(address, _CONFIG, gossip.config)
+        self.pull_if_behind(address, _INSTANCES, gossip.instances)
 
 
 def _ignore(_answered):
--- /dev/null
+++ b/crankchute/platform/documents.py
@@ -0,0 +1,166 @@
+"""The documents of the platform's store, decoded into the core's types."""
+
+import orjson
+
+from crankchute.core.engine_model import EngineFigures
+from crankchute.core.fleet import LEAVING, LIVE, Listed
+from crankchute.core.forward_config import (
+    ForwardConfig,
+    IntakeConfig,
+    KeyOwner,
+    PoolConfig,
+)
+from crankchute.core.forward_job import Repeat
+from crankchute.core.route_table import PoolShare, Route
+from crankchute.errors import ConfigError, Finding
+
+_PLACE = 'op/config'
+_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_STREAMING = 'streaming'
+_DRAINING = 'draining'
+_MS_PER_SECOND = 1000
+_LOWEST_PRIORITY = 9
+_DEFAULT_CONNECTIONS = 64
+_DEFAULT_STALL_MS = 1500
+#: The label of a backend server that names its pool.
+POOL_LABEL = 'pool'
+BACKEND_KIND = 'backend'
+
+
+def read_config(payload, stall_ms=_DEFAULT_STALL_MS):
+    """Return the configuration that the operator wrote.
+
+    Args:
+      payload: The bytes of the document.
+      stall_ms: How long work that depends on a lost engine stands still.
+    Returns:
+      A ForwardConfig.
+    Raises:
+      ConfigError: If it cannot be read.
+    """
+    try:
+        document = orjson.loads(payload)
+        return _read_document(document, stall_ms)
+    except _DECODE_ERRORS as exc:
+        finding = Finding(_PLACE, f'{type(exc).__name__}: {exc}')
+        raise ConfigError([finding]) from exc
+
+
+def read_server(identity, payload):
+    """Return a backend server's entry.
+
+    Args:
+      identity: The id of its incarnation, the last part of the entry's key.
+      payload: The bytes of the entry.
+    Returns:
+      A Listed.
+    Raises:
+      ConfigError: If it cannot be read.
+    """
+    try:
+        document = orjson.loads(payload)
+        state = LEAVING if document.get('state') == _DRAINING else LIVE
+        return Listed(
+            {
+                'id': identity,
+                'kind': BACKEND_KIND,
+                'address': document['address'],
+                'data_centre': document.get('zone', ''),
+                'labels': {POOL_LABEL: document['service']},
+                'state': state,
+            }
+        )
+    except _DECODE_ERRORS as exc:
+        finding = Finding(identity, f'{type(exc).__name__}: {exc}')
+        raise ConfigError([finding]) from exc
+
+
+def _read_document(document, stall_ms):
+    routes = [_read_route(one) for one in document.get('routes', ())]
+    pools = [_read_pool(one, stall_ms) for one in document.get('services', ())]
+    return ForwardConfig(
+        int(document['version']),
+        routes,
+        pools,
+        keys=_read_keys(document.get('tenants')),
+        intake=_read_intake(document.get('limits')),
+    )
+
+
+def _read_route(document):
+    timeout_ms = document['timeout-ms']
+    return Route(
+        name=document.get('name', ''),
+        host=document['host'].lower(),
+        prefix=document['path-prefix'],
+        shares=_read_shares(document),
+        repeat=_read_repeat(document),
+        is_stream=document['kind'] == _STREAMING,
+        is_open=bool(document.get('allow-anonymous')),
+        timeout_ms=timeout_ms,
+        goal_ms=document.get('target-latency-ms') or timeout_ms,
+        gap_ms=document.get('gap_aim_ms'),
+        priority=document.get('priority', _LOWEST_PRIORITY),
+        max_attempts=max(int(document.get('max-attempts', 1)), 1),
+    )
+
+
+def _read_shares(document):
+    split = document.get('traffic-split')
+    if split:
+        return tuple(PoolShare(one['service'], one['weight']) for one in split)
+    return (PoolShare(document['service'], 1),)
+
+
+def _read_repeat(document):
+    kind = document['kind']
+    if kind == _STREAMING:
+        may_resume = document.get('stream-resume')
+        return Repeat.RESUME if may_resume else Repeat.ONCE
+    return Repeat.AGAIN if kind == 'idempotent' else Repeat.ONCE
+
+
+def _read_pool(document, stall_ms):
+    engine = document.get('engine')
+    return PoolConfig(
+        document['name'],
+        document.get('max-connections') or _DEFAULT_CONNECTIONS,
+        None if engine is None else _read_figures(engine, stall_ms),
+    )
+
+
+def _read_figures(engine, stall_ms):
+    return EngineFigures(
+        slots=engine['slots'],
+        memory_tokens=engine['kv-capacity-tokens'],
+        stride=engine.get('stride', 1),
+        step_ms=engine['step_ms'],
+        writer_ms=engine.get('per_seq_ms', 0),
+        context_ms=engine.get('context_per_k', 0),
+        read_per_ms=engine['read_per_s'] / _MS_PER_SECOND,
+        pairs_ms=engine.get('pairs_per_m', 0),
+        chunk=engine.get('chunk', 1),
+        hop_ms=engine.get('hop_ms', 0),
+        stall_ms=stall_ms,
+    )
+
+
+def _read_keys(accounts):
+    if not accounts:
+        return None
+    return {
+        key: KeyOwner(account['name'], account.get('priority'))
+        for account in accounts
+        for key in account.get('api-keys', ())
+    }
+
+
+def _read_intake(limits):
+    if not limits:
+        return None
+    return IntakeConfig(
+        head_bytes=limits['max-header-bytes'],
+        body_bytes=limits['max-body-bytes'],
+        head_ms=limits['header-timeout-ms'],
+        idle_ms=limits['idle-timeout-ms'],
+    )
--- /dev/null
+++ b/crankchute/platform/node.py
@@ -0,0 +1,154 @@
+"""One instance on the platform: the product's node between its adapters."""
+
+from crankchute.adapters.forward_server import ForwardServer
+from crankchute.adapters.http_client import HttpClient
+from crankchute.adapters.http_intake import IntakeLimits
+from crankchute.core.forward_desk import RetryLimits
+from crankchute.entry.forward_node import (
+    ForwardLimits,
+    ForwardNode,
+    ForwardWiring,
+    InstanceIdentity,
+)
+from crankchute.platform.answers import ExchangeAnswer
+from crankchute.platform.backend_calls import BackendCalls
+from crankchute.platform.directory import Directory, Readiness
+from crankchute.platform.documents import POOL_LABEL
+from crankchute.platform.published import PublishedConfig, PublishedServers
+from crankchute.platform.requests import RequestReader
+from crankchute.platform.store import StoreWatch
+from crankchute.platform.wire import CONFIG_KEY, SERVERS_PREFIX
+
+#: How long callers may keep an address answer, in milliseconds: short, so
+#: that they leave a lost instance soon; each question costs about 1 ms.
+ADDRESS_TTL_MS = 1000
+#: How long a watch of the store waits; each answer proves the configuration.
+_CONFIG_WAIT_MS = 1500
+_SERVERS_WAIT_MS = 1500
+#: What is left of the time to refuse a revoked key, for requests on the way.
+_KEY_MARGIN_MS = 700
+_IDLE_MS = 15_000
+_BYTES_PER_MS = 4
+
+
+class PlatformNode:
+    """One entry instance on the platform.
+
+    Attributes:
+      node: The ForwardNode.
+      settings: InstanceSettings.
+      timers: The TimerService.
+      http_client: The HttpClient of all outgoing calls.
+    """
+
+    def __init__(self, loop, settings):
+        """Wire the adapters and begin to read the store.
+
+        Args:
+          loop: The Loop.
+          settings: InstanceSettings.
+        Raises:
+          OSError: If an address cannot be listened on.
+        """
+        self.timers = loop.timers
+        self.settings = settings
+        self.http_client = HttpClient(timers=loop.timers).register(loop)
+        wiring = ForwardWiring(
+            BackendCalls(self.http_client),
+            self._take_config,
+            POOL_LABEL,
+        )
+        self.node = ForwardNode(
+            loop,
+            _read_identity(settings),
+            _read_limits(settings.bounds),
+            wiring,
+        )
+        self._published = PublishedConfig(self.node.holder)
+        self._reader = RequestReader(
+            self.node.holder,
+            loop.timers.clock,
+            settings.bounds.revoke_ms - _KEY_MARGIN_MS,
+        )
+        self._listen_all(loop)
+        self.node.holder.subscribe(self._on_config)
+        self.node.on_draining = self._on_draining
+        self._watch_store()
+
+    def _listen_all(self, loop):
+        listeners = self.settings.listeners
+        self._server = self._listen(loop, listeners.callers, self._on_request)
+        readiness = Readiness(lambda: self.node.is_accepting)
+        self._listen(loop, listeners.readiness, readiness.answer)
+        if listeners.directory is not None:
+            choose = self.node.choose_addresses
+            directory = Directory(choose, ADDRESS_TTL_MS)
+            self._listen(loop, listeners.directory, directory.answer)
+
+    def _watch_store(self):
+        servers = PublishedServers(self.node.fleet, self.timers.clock)
+        servers.watch = StoreWatch(
+            self,
+            SERVERS_PREFIX,
+            servers,
+            _SERVERS_WAIT_MS,
+        )
+        servers.watch.start()
+        StoreWatch(self, CONFIG_KEY, self._published, _CONFIG_WAIT_MS).start()
+
+    def _listen(self, loop, bind, on_request):
+        _host, port = bind
+        server = ForwardServer(
+            bind,
+            on_request,
+            self.timers,
+            channel=f'server-{port}',
+            idle_ms=_IDLE_MS,
+        )
+        return server.register(loop)
+
+    def _on_request(self, exchange):
+        job = self._reader.read(exchange)
+        flow = self.node.desk.submit(job, ExchangeAnswer(exchange))
+        if not flow.ended:
+            exchange.on_gone = flow.cancel
+
+    def _take_config(self, payload):
+        self._published.take(payload)
+
+    def _on_config(self, config):
+        intake = config.intake
+        if intake is not None:
+            self._server.idle_ms = intake.idle_ms
+            self._server.limits = IntakeLimits(
+                head_bytes=intake.head_bytes,
+                body_bytes=intake.body_bytes,
+                head_ms=intake.head_ms,
+                body_rate=_BYTES_PER_MS,
+            )
+
+    def _on_draining(self):
+        self._server.is_closing = True
+
+
+def _read_identity(settings):
+    return InstanceIdentity(
+        settings.instance,
+        settings.data_centre,
+        peer_address=settings.listeners.peers,
+        caller_address=settings.listeners.callers,
+        seeds=settings.seeds,
+    )
+
+
+def _read_limits(bounds):
+    retries = RetryLimits(
+        ratio=bounds.retry_ratio,
+        slack=bounds.retry_slack,
+        window_ms=bounds.retry_window_ms,
+    )
+    return ForwardLimits(
+        retries=retries,
+        address_ttl_ms=ADDRESS_TTL_MS,
+        grace_ms=bounds.grace_ms,
+    )
--- /dev/null
+++ b/crankchute/platform/requests.py
@@ -0,0 +1,200 @@
+"""A caller's request, decoded and checked, as a job for the core."""
+
+from http import HTTPStatus
+
+from crankchute.core.forward_job import ForwardJob, PromptSize
+from crankchute.errors import RequestRefused
+from crankchute.platform.wire import (
+    AUTHORIZATION,
+    DEADLINE_MS,
+    LAST_EVENT,
+    OWN_HEADERS,
+    REQUEST_ID,
+    TOKEN_USAGE,
+    drop_connection_headers,
+)
+
+_BEARER = 'bearer '
+_NO_CONFIG_MS = 500
+_STALE_MS = 1000
+_NO_POOL_MS = 500
+_LARGEST_ID = 200
+
+
+class RequestPayload:
+    """What is sent to a backend server, and never looked at by the core.
+
+    Attributes:
+      method: The method.
+      target: Path and query as the caller sent them.
+      headers: The caller's headers that are passed on, pairs of strings.
+      body: Bytes.
+    """
+
+    __slots__ = ('body', 'headers', 'method', 'target')
+
+    def __init__(self, method, target, headers, body):
+        """Create the payload.
+
+        Args:
+          method: A string.
+          target: A string.
+          headers: Pairs of name and text.
+          body: Bytes.
+        """
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+
+class RequestReader:
+    """Checks requests against the configuration in force."""
+
+    def __init__(self, holder, clock, key_proof_ms):
+        """Create a reader.
+
+        Args:
+          holder: A ForwardConfigHolder.
+          clock: A Clock.
+          key_proof_ms: How old the proof of the configuration may be for a
+            request that is let in by a key, in milliseconds.
+        """
+        self._holder = holder
+        self._clock = clock
+        self._key_proof_ms = key_proof_ms
+
+    def read(self, exchange):
+        """Return the job of a request.
+
+        Args:
+          exchange: A ForwardExchange.
+        Returns:
+          A ForwardJob.
+        Raises:
+          RequestRefused: If it is refused; it has not run.
+        """
+        config = self._holder.config
+        if config is None:
+            raise _unavailable('no_config', _NO_CONFIG_MS)
+        request_id = exchange.header(REQUEST_ID)
+        if not request_id or len(request_id) > _LARGEST_ID:
+            raise _bad_request('the request id is missing or too long')
+        route = self._find_route(config, exchange)
+        owner = self._check_key(config, route, exchange)
+        pool = route.choose_pool(request_id)
+        if pool is None:
+            raise _unavailable('no_pool', _NO_POOL_MS)
+        return self._make_job(exchange, request_id, route, owner, pool)
+
+    def _find_route(self, config, exchange):
+        path = exchange.target.partition('?')[0]
+        route = config.routes.find(exchange.header('host') or '', path)
+        if route is None:
+            raise RequestRefused(
+                HTTPStatus.NOT_FOUND,
+                'no_route',
+                'there is no route for this host and path',
+            )
+        return route
+
+    def _check_key(self, config, route, exchange):
+        """Return the KeyOwner of a request, or None if it needs none."""
+        if config.keys is None:
+            return None
+        owner = config.keys.get(_read_key(exchange))
+        if route.is_open:
+            return owner
+        age_ms = self._holder.proof_age_ms(self._clock.now_ms())
+        if age_ms is None or age_ms > self._key_proof_ms:
+            raise _unavailable('config_not_proved', _STALE_MS)
+        if owner is None:
+            raise RequestRefused(
+                HTTPStatus.UNAUTHORIZED,
+                'unknown_key',
+                'the key is not known',
+            )
+        return owner
+
+    def _make_job(self, exchange, request_id, route, owner, pool):
+        allowed_ms = min(_read_deadline_ms(exchange), route.timeout_ms)
+        priority = route.priority
+        if owner is not None and owner.priority is not None:
+            priority = owner.priority
+        return ForwardJob(
+            request_id=request_id,
+            pool=pool,
+            repeat=route.repeat,
+            is_stream=route.is_stream,
+            is_keyed=owner is not None,
+            account=None if owner is None else owner.account,
+            size=_read_size(exchange),
+            priority=priority,
+            arrived_ms=exchange.arrived_ms,
+            deadline_ms=exchange.arrived_ms + allowed_ms,
+            goal_ms=route.goal_ms,
+            gap_ms=route.gap_ms,
+            max_attempts=route.max_attempts,
+            resume_after=_read_last_event(exchange),
+            payload=_read_payload(exchange),
+        )
+
+
+def _read_key(exchange):
+    text = exchange.header(AUTHORIZATION) or ''
+    if text[: len(_BEARER)].lower() != _BEARER:
+        return None
+    return text[len(_BEARER) :].strip()
+
+
+def _read_deadline_ms(exchange):
+    text = exchange.header(DEADLINE_MS)
+    if text is None:
+        return float('inf')
+    try:
+        return float(text)
+    except ValueError as exc:
+        raise _bad_request('the deadline is no number') from exc
+
+
+def _read_last_event(exchange):
+    text = exchange.header(LAST_EVENT)
+    return int(text) if text and text.isdecimal() else None
+
+
+def _read_size(exchange):
+    """Return the PromptSize that a request names, or None."""
+    text = exchange.header(TOKEN_USAGE)
+    if text is None:
+        return None
+    prompt, _comma, answer = text.partition(',')
+    if not (prompt.strip().isdecimal() and answer.strip().isdecimal()):
+        raise _bad_request('the token usage is no pair of numbers')
+    return PromptSize(int(prompt), int(answer))
+
+
+def _read_payload(exchange):
+    headers = [
+        (name, text)
+        for name, text in drop_connection_headers(exchange.headers)
+        if name.lower() not in OWN_HEADERS
+    ]
+    return RequestPayload(
+        exchange.method,
+        exchange.target,
+        headers,
+        exchange.body,
+    )
+
+
+def _unavailable(code, retry_after_ms):
+    return RequestRefused(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        code,
+        'this cannot be served now',
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def _bad_request(text):
+    return RequestRefused(HTTPStatus.BAD_REQUEST, 'bad_request', text)
--- /dev/null
+++ b/crankchute/platform/settings.py
@@ -0,0 +1,223 @@
+"""The settings file of the platform, decoded into the project's own words."""
+
+import os
+import tomllib
+
+from crankchute.errors import Finding, SettingsError
+from crankchute.settings import read_address
+
+_PATH_VARIABLE = 'CRANKCHUTE_CONFIG'
+_DEFAULT_PATH = '/etc/crankchute/settings.toml'
+_MS_PER_SECOND = 1000
+_MISSING = object()
+
+
+class Listeners:
+    """The addresses that this instance listens on, pairs of IP and port.
+
+    Attributes:
+      callers: For requests.
+      readiness: For the platform's checks.
+      directory: For callers that ask where to go.
+      peers: For the other instances, through the seeds.
+    """
+
+    __slots__ = ('callers', 'directory', 'peers', 'readiness')
+
+    def __init__(self, **fields):
+        """Create the record.
+
+        Args:
+          fields: A value for each attribute, None where it is not served.
+        """
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
+
+
+class Bounds:
+    """The times and limits that the platform holds the system to.
+
+    Attributes:
+      drain_ms: How long a leaving backend server still takes requests.
+      grace_ms: How long a process may take to stop.
+      revoke_ms: Within what time a revoked key must be refused everywhere.
+      address_ttl_ms: The longest time an address answer counts.
+      contact_ms: How long a cut must have ended for bounds to hold again.
+      retry_ratio: Retries for each request, all instances together.
+      retry_slack: Retries beyond that in any window.
+      retry_window_ms: That window.
+      hold_ms: The longest time that an engine sets memory aside.
+    """
+
+    __slots__ = (
+        'address_ttl_ms',
+        'contact_ms',
+        'drain_ms',
+        'grace_ms',
+        'hold_ms',
+        'retry_ratio',
+        'retry_slack',
+        'retry_window_ms',
+        'revoke_ms',
+    )
+
+    def __init__(self, **fields):
+        """Create the bounds.
+
+        Args:
+          fields: A value for each attribute.
+        """
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
+
+
+class InstanceSettings:
+    """What one instance is told at its start.
+
+    Attributes:
+      instance: The id of this instance.
+      data_centre: Where it runs.
+      region: The region of its data centre.
+      regions: A map from data centre to region.
+      listeners: Listeners.
+      seeds: Addresses of other instances for peers, pairs of IP and port.
+      peer_ports: The first and last port for messages between instances.
+      store: The address of the platform's store, a pair of IP and port.
+      bounds: Bounds.
+    """
+
+    __slots__ = (
+        'bounds',
+        'data_centre',
+        'instance',
+        'listeners',
+        'peer_ports',
+        'region',
+        'regions',
+        'seeds',
+        'store',
+    )
+
+    def __init__(self, **fields):
+        """Create the settings.
+
+        Args:
+          fields: A value for each attribute.
+        """
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
+
+
+class _Reader:
+    """Reads values of a document and gathers findings."""
+
+    def __init__(self, document):
+        self._document = document
+        self.findings = []
+
+    def take(self, path, convert, default=_MISSING):
+        """Return a converted value, or None after a finding."""
+        found = self._document
+        for name in path.split('.'):
+            found = found.get(name) if isinstance(found, dict) else None
+        if found is None:
+            if default is _MISSING:
+                self.findings.append(Finding(path, 'is required'))
+                return None
+            return default
+        try:
+            return convert(found)
+        except (TypeError, ValueError) as exc:
+            self.findings.append(Finding(path, f'{found!r}: {exc}'))
+            return None
+
+
+def load_settings(environ=os.environ):
+    """Read the settings file that the environment names.
+
+    Args:
+      environ: A map of environment variables.
+    Returns:
+      InstanceSettings.
+    Raises:
+      SettingsError: With every finding.
+    """
+    path = environ.get(_PATH_VARIABLE, _DEFAULT_PATH)
+    try:
+        with open(path, 'rb') as settings_file:
+            document = tomllib.load(settings_file)
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise SettingsError([Finding(path, str(exc))]) from exc
+    return read_settings(document)
+
+
+def read_settings(document):
+    """Return the settings of a document.
+
+    Args:
+      document: A map, as TOML gives it.
+    Returns:
+      InstanceSettings.
+    Raises:
+      SettingsError: With every finding.
+    """
+    reader = _Reader(document)
+    settings = InstanceSettings(
+        instance=reader.take('node-name', str),
+        data_centre=reader.take('zone', str),
+        region=reader.take('region', str, ''),
+        regions=reader.take('zones', dict, {}),
+        listeners=_read_listeners(reader),
+        seeds=reader.take('seeds', _read_addresses, ()),
+        peer_ports=reader.take('internal-port-range', _read_range),
+        store=reader.take('platform.address', read_address),
+        bounds=_read_bounds(reader),
+    )
+    if reader.findings:
+        raise SettingsError(reader.findings)
+    return settings
+
+
+def _read_listeners(reader):
+    return Listeners(
+        callers=reader.take('listen.frontend', read_address),
+        readiness=reader.take('listen.readiness', read_address),
+        directory=reader.take('listen.directory', read_address, None),
+        peers=reader.take('listen.control', read_address, None),
+    )
+
+
+def _read_bounds(reader):
+    chosen = {
+        name: reader.take(f'bounds.{path}', convert, default)
+        for name, path, convert, default in _BOUNDS
+    }
+    return Bounds(**chosen)
+
+
+def _read_addresses(texts):
+    return tuple(read_address(text) for text in texts)
+
+
+def _read_range(pair):
+    first, last = pair
+    return int(first), int(last)
+
+
+def _read_seconds(number):
+    return float(number) * _MS_PER_SECOND
+
+
+#: Attributes of Bounds: the wire's name, its reader, and what holds where a
+#: deployment does not tell it.
+_BOUNDS = (
+    ('drain_ms', 'drain-ms', float, 2000),
+    ('grace_ms', 'grace-s', _read_seconds, 8000),
+    ('revoke_ms', 'revoke-ms', float, 5000),
+    ('address_ttl_ms', 'ttl_max_s', _read_seconds, 5000),
+    ('contact_ms', 'contact-ms', float, 3000),
+    ('retry_ratio', 'retry-budget-ratio', float, 0.1),
+    ('retry_slack', 'retry-slack', float, 10),
+    ('retry_window_ms', 'retry-window-s', _read_seconds, 10_000),
+    ('hold_ms', 'max-hold-ms', float, 0),
+)
--- /dev/null
+++ b/crankchute/platform/store.py
@@ -0,0 +1,223 @@
+"""Reading and watching one prefix of the platform's store.
+
+A watch answers as soon as something changed, or when its wait is over.  Each
+answer proves what was current when it was asked for; a watch that hangs
+proves nothing, so waits are short and guarded.
+"""
+
+import base64
+from http import HTTPStatus
+from urllib.parse import quote
+
+import orjson
+
+from crankchute.adapters.http_client import CallOptions, build_request
+from crankchute.adapters.log import log_change
+from crankchute.platform.wire import RANGE_PATH, WATCH_PATH
+from crankchute.ports.http import WholeResponse
+
+#: How long an answer may be late before the call is given up.
+_SLACK_MS = 900
+_CONNECT_MS = 500
+_FIRST_RETRY_MS = 200
+_LONGEST_RETRY_MS = 800
+
+
+class StoreEntry:
+    """A key of the store and what stands there.
+
+    Attributes:
+      key: The key, a string.
+      payload: Bytes, or None if the key is gone.
+    """
+
+    __slots__ = ('key', 'payload')
+
+    def __init__(self, key, payload):
+        """Create the item.
+
+        Args:
+          key: A string.
+          payload: Bytes or None.
+        """
+        self.key = key
+        self.payload = payload
+
+
+class StorePage:
+    """What one call of the store answers.
+
+    Attributes:
+      entries: A list of StoreEntry, those there or those that changed.
+      at: The store's revision, an int.
+      has_more: Whether there are more entries than these, a bool.
+    """
+
+    __slots__ = ('at', 'has_more', 'entries')
+
+    def __init__(self, entries, at, *, has_more):
+        """Create the page.
+
+        Args:
+          entries: A list of StoreEntry.
+          at: An int.
+          has_more: A bool.
+        """
+        self.entries = entries
+        self.at = at
+        self.has_more = has_more
+
+
+class StoreWatch:
+    """Follows one prefix and tells a listener what stands there.
+
+    Attributes:
+      failed_ms: When a call last failed, on this process's clock, or None.
+      calls: How many calls were made, an int.
+    """
+
+    def __init__(self, parts, prefix, listener, wait_ms):
+        """Create a watch; start() begins it.
+
+        Args:
+          parts: An object with `http_client`, `timers` and `settings`.
+          prefix: The prefix of the keys.
+          listener: An object with on_entries(entries, asked_ms) for all that
+            stands there, and on_changes(entries, asked_ms).
+          wait_ms: How long a watch waits for a change.
+        """
+        self._client = parts.http_client
+        self._timers = parts.timers
+        self._address = parts.settings.store
+        self._prefix = prefix
+        self._listener = listener
+        self._wait_ms = wait_ms
+        self._at = None
+        self._entries = []
+        self._retry_ms = _FIRST_RETRY_MS
+        self._guard = None
+        self._call = None
+        self._is_failing = False
+        self.failed_ms = None
+        self.calls = 0
+
+    def start(self):
+        """Read all that stands there, then watch it."""
+        self._entries = []
+        self._read_page(None, self._now_ms(), None)
+
+    def _now_ms(self):
+        return self._timers.clock.now_ms()
+
+    def _read_page(self, after, asked_ms, first_at):
+        path = f'{RANGE_PATH}?path-prefix={quote(self._prefix, safe="")}'
+        if after is not None:
+            path = f'{path}&after={quote(after, safe="")}'
+
+        def take(page):
+            self._entries.extend(page.entries)
+            at = page.at if first_at is None else first_at
+            if page.has_more:
+                self._read_page(page.entries[-1].key, asked_ms, at)
+                return
+            self._at = at
+            self._watch()
+            self._listener.on_entries(self._entries, asked_ms)
+
+        self._ask(path, 0, take)
+
+    def _watch(self):
+        asked_ms = self._now_ms()
+        path = (
+            f'{WATCH_PATH}?path-prefix={quote(self._prefix, safe="")}'
+            f'&after={self._at}&wait-ms={self._wait_ms}'
+        )
+
+        def take(page):
+            self._at = max(self._at, page.at)
+            self._watch()
+            self._listener.on_changes(page.entries, asked_ms)
+
+        self._ask(path, self._wait_ms, take)
+
+    def _ask(self, path, wait_ms, take):
+        self.calls += 1
+
+        def on_response(status, body):
+            self._guard.cancel()
+            if status == HTTPStatus.GONE:
+                self._at = None
+                self.start()
+            elif status == HTTPStatus.OK:
+                self._take(take, body)
+            else:
+                self._retry(f'status {status}')
+
+        def on_error(exc):
+            self._guard.cancel()
+            self._retry(str(exc))
+
+        self._guard = self._timers.after(
+            wait_ms + _SLACK_MS,
+            self._on_silence,
+        )
+        payload = build_request('GET', self._address, path)
+        self._call = self._client.send(
+            self._address,
+            payload,
+            WholeResponse(on_response, on_error),
+            CallOptions(connect_ms=_CONNECT_MS),
+        )
+
+    def _take(self, take, body):
+        try:
+            page = read_page(body)
+        except (KeyError, TypeError, ValueError) as exc:
+            self._retry(f'{type(exc).__name__}: {exc}')
+            return
+        self._note_sound()
+        take(page)
+
+    def _on_silence(self):
+        self._call.cancel()
+        self._retry('no answer in time')
+
+    def _note_sound(self):
+        self._retry_ms = _FIRST_RETRY_MS
+        if self._is_failing:
+            self._is_failing = False
+            log_change('store_regained', prefix=self._prefix)
+
+    def _retry(self, reason):
+        self.failed_ms = self._now_ms()
+        if not self._is_failing:
+            self._is_failing = True
+            log_change('store_lost', prefix=self._prefix, reason=reason)
+        resume = self.start if self._at is None else self._watch
+        self._timers.after(self._retry_ms, resume)
+        self._retry_ms = min(self._retry_ms * 2, _LONGEST_RETRY_MS)
+
+
+def read_page(body):
+    """Return what an answer of the store holds.
+
+    Args:
+      body: The bytes of the answer.
+    Returns:
+      A StorePage.
+    Raises:
+      KeyError, TypeError, ValueError: If it is no such answer.
+    """
+    document = orjson.loads(body)
+    found = document['items'] if 'items' in document else document['events']
+    entries = [_read_entry(one) for one in found]
+    has_more = bool(document.get('more')) and bool(entries)
+    return StorePage(entries, document['at'], has_more=has_more)
+
+
+def _read_entry(document):
+    # The store calls the key of an item by a name that has to do with TLS.
+    key = document['tls-key']
+    if document.get('gone'):
+        return StoreEntry(key, None)
+    return StoreEntry(key, base64.b64decode(document['value']))
