--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -28,10 +28,20 @@
       timers: A TimerService.
       random: A random.Random.
       board: The EngineBoard.
-      news: A function of a BoardNews, told of what this instance sends.
+      news: A function of a Change and a Work, told of what this instance
+        sends.
+      new_ticket: A function that returns the id of a new ticket.
     """
 
-    __slots__ = ('board', 'members', 'news', 'pool', 'random', 'timers')
+    __slots__ = (
+        'board',
+        'members',
+        'new_ticket',
+        'news',
+        'pool',
+        'random',
+        'timers',
+    )
 
     def __init__(self, **fields):
         """Gather the parts.
@@ -95,17 +105,14 @@
           attempt: The Attempt.
         """
 
-    def note_sent(self, job, attempt):
-        """Note that an attempt was sent."""
+    def note_sent(self, job, placement):
+        """Note that a job is about to be sent where it was placed."""
 
-    def note_first(self, job, attempt):
-        """Note that an attempt led to its first event."""
+    def note_first(self, job, placement):
+        """Note that a job led to its first event there."""
 
-    def note_end(self, job, attempt):
-        """Note that an attempt ended."""
-
-    def note_rejection(self, job, attempt, rejection):
-        """Note that a server did not take a request."""
+    def note_end(self, job, placement):
+        """Note that a job ended there."""
 
     def refuse(self):
         """Return the Refusal given when no server may be asked."""
--- /dev/null
+++ b/crankchute/core/forward_attempt.py
@@ -0,0 +1,171 @@
+"""One submission of a forwarded request to one backend server."""
+
+from crankchute.core.forward_job import AttemptOrder
+from crankchute.errors import BackendError
+from crankchute.ports.forwarding import AttemptListener
+
+FIRST_SERVER_ERROR = 500
+
+
+class Attempt(AttemptListener):
+    """One submission: its reserved memory, then the call; ends once.
+
+    Attributes:
+      placement: The Placement.
+      sent_ms: When it was sent, or None before.
+      started: Whether the server sent an event, a bool.
+    """
+
+    __slots__ = (
+        '_body',
+        '_call',
+        '_desk',
+        '_flow',
+        '_head',
+        '_is_over',
+        '_reservation',
+        '_silence',
+        'placement',
+        'sent_ms',
+        'started',
+    )
+
+    def __init__(self, flow, desk, placement):
+        """Create an attempt; start() begins it.
+
+        Args:
+          flow: The ForwardFlow.
+          desk: The ForwardDesk.
+          placement: A Placement.
+        """
+        self._flow = flow
+        self._desk = desk
+        self._body = []
+        self._call = None
+        self._head = None
+        self._is_over = False
+        self._reservation = None
+        self._silence = None
+        self.placement = placement
+        self.sent_ms = None
+        self.started = False
+
+    @property
+    def backend(self):
+        """The Backend that is asked."""
+        return self.placement.backend
+
+    def start(self):
+        """Set aside the memory that the placement needs, and send."""
+        if self.placement.tickets:
+            self._reservation = self._desk.reserve(
+                self.placement,
+                self._on_reserved,
+            )
+        else:
+            self._send()
+
+    def cancel(self):
+        """Give the attempt up; the flow hears nothing more of it.
+
+        Returns:
+          True if it may have reached its server and had not ended.
+        """
+        if not self._close():
+            return False
+        if self._call is None:
+            return False
+        self.backend.breaker.note_abandoned()
+        self._call.cancel()
+        return self._call.sent
+
+    def on_head(self, head):
+        """See AttemptListener."""
+        if not self._is_over:
+            self._head = head
+
+    def on_body(self, chunk):
+        """See AttemptListener."""
+        self._body.append(chunk)
+
+    def on_event(self, event):
+        """See AttemptListener."""
+        if self._is_over:
+            return
+        if not self.started:
+            self.started = True
+            self._desk.note_first(self._flow, self)
+        self._watch(self._desk.stall_ms(self._flow, self))
+        self._flow.on_event(self, self._head, event)
+
+    def on_end(self):
+        """See AttemptListener."""
+        if not self._close():
+            return
+        if self._head.status >= FIRST_SERVER_ERROR:
+            self.backend.breaker.note_failure(self._desk.now_ms())
+        else:
+            self.backend.breaker.note_success()
+        self._flow.on_attempt_end(self, self._head, b''.join(self._body))
+
+    def on_not_run(self, rejection):
+        """See AttemptListener."""
+        if self._close():
+            self.backend.breaker.note_abandoned()
+            self._flow.on_attempt_not_run(self, rejection)
+
+    def on_failed(self, exc):
+        """See AttemptListener."""
+        if self._close():
+            self.backend.breaker.note_failure(self._desk.now_ms())
+            self._flow.on_attempt_failed(self, exc)
+
+    def _on_reserved(self, refused):
+        if self._is_over:
+            return
+        if refused:
+            self._close()
+            self._flow.on_attempt_unreserved(self, refused)
+        else:
+            self._send()
+
+    def _send(self):
+        self.sent_ms = self._desk.now_ms()
+        self.backend.in_flight += 1
+        self.backend.breaker.note_start()
+        self._flow.on_attempt_sent(self)
+        self._watch(self._desk.stall_ms(self._flow, self))
+        job = self._flow.job
+        order = AttemptOrder(
+            job.remaining_ms(self.sent_ms),
+            self._flow.delivered,
+        )
+        self._call = self._desk.port.send(job, self.placement, order, self)
+
+    def _watch(self, allowed_ms):
+        if self._silence is not None:
+            self._silence.cancel()
+            self._silence = None
+        if allowed_ms is not None:
+            self._silence = self._desk.after(allowed_ms, self._on_silence)
+
+    def _on_silence(self):
+        self._silence = None
+        if self._is_over:
+            return
+        if self._call is not None:
+            self._call.cancel()
+        text = 'the backend server fell silent'
+        self.on_failed(BackendError(text, sent=True))
+
+    def _close(self):
+        if self._is_over:
+            return False
+        self._is_over = True
+        self._watch(None)
+        if self.sent_ms is not None:
+            self.backend.in_flight -= 1
+        if self._reservation is not None:
+            self._reservation.release()
+        self._desk.note_freed(self._flow, self.placement)
+        return True
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -6,6 +6,7 @@
 """
 
 from crankchute.core.forward_flow import ForwardFlow
+from crankchute.core.forward_job import Placement
 from crankchute.core.outcomes import Outcome, refuse_not_run
 from crankchute.core.sliding_budget import SlidingBudget
 
@@ -52,6 +53,7 @@
         self._budgets = {}
         self._instances = 1
         self._flows = set()
+        self._reservations = ports.reservations
         self.port = ports.forward
         self.metrics = ports.metrics
         self.journal = ports.journal
@@ -110,7 +112,10 @@
                 f'there is no pool {flow.job.pool!r}',
                 _NO_BACKEND_MS,
             )
-        return chooser.choose(flow.job, avoided)
+        choice = chooser.choose(flow.job, avoided)
+        if isinstance(choice, Placement):
+            chooser.note_sent(flow.job, choice)
+        return choice
 
     def stall_ms(self, flow, attempt):
         """Return how long an attempt's server may be silent, or None."""
@@ -123,24 +128,36 @@
         self.metrics.count('retries' if taken else 'retries_denied')
         return taken
 
+    def reserve(self, placement, on_done):
+        """Set aside the memory that a placement needs; see ReservationDesk.
+
+        Args:
+          placement: A Placement with tickets.
+          on_done: A function of the Helpers that set nothing aside.
+        Returns:
+          A Reservation.
+        """
+        return self._reservations.reserve(placement.tickets, on_done)
+
+    def note_freed(self, flow, placement):
+        """Note that a job is no longer where it was placed."""
+        self._tell(flow, 'note_end', placement)
+
     def note_attempt(self, flow, attempt, cause):
         """Note that a request is sent to a server."""
-        self._tell(flow, 'note_sent', attempt)
         self.journal.log_attempt(flow, attempt, cause)
 
     def note_first(self, flow, attempt):
         """Note that a server began to answer with an event."""
-        self._tell(flow, 'note_first', attempt)
+        self._tell(flow, 'note_first', attempt.placement)
 
     def note_attempt_end(self, flow, attempt, cause):
         """Note that an attempt ended."""
-        self._tell(flow, 'note_end', attempt)
         self.journal.log_attempt_end(flow, attempt, cause)
 
     def note_rejection(self, flow, attempt, rejection):
         """Note that a server did not take a request."""
         self.metrics.count('engine_refusals', rejection.code)
-        self._tell(flow, 'note_rejection', attempt, rejection)
 
     def note_dropped(self, flow, attempt):
         """Count an event that the caller had already."""
@@ -154,10 +171,10 @@
             self.metrics.count('refusals', code)
         self.journal.log_end(flow, outcome, code)
 
-    def _tell(self, flow, method, attempt, *details):
+    def _tell(self, flow, method, placement):
         chooser = self._chooser_of(flow.job.pool)
         if chooser is not None:
-            getattr(chooser, method)(flow.job, attempt, *details)
+            getattr(chooser, method)(flow.job, placement)
 
     def _budget(self, pool):
         budget = self._budgets.get(pool)
@@ -176,20 +193,23 @@
 class ForwardPorts:
     """What a desk works with."""
 
-    __slots__ = ('chooser_of', 'forward', 'journal', 'metrics', 'timers')
+    __slots__ = (
+        'chooser_of',
+        'forward',
+        'journal',
+        'metrics',
+        'reservations',
+        'timers',
+    )
 
-    def __init__(self, *, forward, timers, metrics, journal, chooser_of):
+    def __init__(self, **fields):
         """Gather the ports.
 
         Args:
-          forward: A ForwardPort.
-          timers: A TimerService.
-          metrics: A Metrics port.
-          journal: A ForwardJournal.
-          chooser_of: A function from a pool's name to a Chooser or None.
+          fields: `forward`, a ForwardPort; `timers`, a TimerService;
+            `metrics`, a Metrics port; `journal`, a ForwardJournal;
+            `reservations`, a ReservationDesk; `chooser_of`, a function from
+            a pool's name to a Chooser or None.
         """
-        self.forward = forward
-        self.timers = timers
-        self.metrics = metrics
-        self.journal = journal
-        self.chooser_of = chooser_of
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
--- /dev/null
+++ b/crankchute/core/forward_fakes.py
@@ -0,0 +1,355 @@
+"""Small fakes of the ports of forwarding, for tests and embedders."""
+
+from crankchute.core.choosers import Chooser, ChooserParts
+from crankchute.core.engine_board import EngineBoard
+from crankchute.core.engine_model import EngineFigures
+from crankchute.core.fakes import ManualTimers
+from crankchute.core.fleet import Backend, Listed
+from crankchute.core.forward_config import PoolConfig
+from crankchute.core.forward_desk import (
+    ForwardDesk,
+    ForwardPorts,
+    RetryLimits,
+)
+from crankchute.core.forward_job import (
+    ForwardJob,
+    Placement,
+    PromptSize,
+    Repeat,
+)
+from crankchute.core.reservations import ReservationDesk, ReservationPort
+from crankchute.ports.forwarding import AnswerSink, ForwardPort
+from crankchute.ports.metrics import Metrics
+
+POOL = 'pool-a'
+_DEADLINE_MS = 10_000
+_GOAL_MS = 300
+_WINDOW_MS = 10_000
+_FIRST_PORT = 7000
+_CONNECTIONS = 64
+_USUAL_SIZE = PromptSize(prompt=5000, answer=1000)  # noqa: WPS432
+
+
+class FakeCall:
+    """An attempt that waits for a test to answer it.
+
+    Attributes:
+      placement: The Placement.
+      order: The AttemptOrder.
+      listener: The AttemptListener.
+      sent: Whether bytes may have left, a bool.
+      cancelled: Whether it was given up, a bool.
+    """
+
+    def __init__(self, placement, order, listener):
+        """Create the call."""
+        self.placement = placement
+        self.order = order
+        self.listener = listener
+        self.sent = True
+        self.cancelled = False
+
+    def cancel(self):
+        """Note that the attempt was given up."""
+        self.cancelled = True
+
+
+class FakePort(ForwardPort):
+    """Keeps what is sent.
+
+    Attributes:
+      calls: The FakeCalls, a list.
+    """
+
+    def __init__(self):
+        """Create without calls."""
+        self.calls = []
+
+    def send(self, job, placement, attempt, listener):
+        """See ForwardPort."""
+        call = FakeCall(placement, attempt, listener)
+        self.calls.append(call)
+        return call
+
+
+class FakeReservations(ReservationPort):
+    """Keeps orders until a test answers them.
+
+    Attributes:
+      asked: Pairs of Helper and answer function, of reserve orders.
+      released: The tickets of release orders, a list.
+      answers_release: Whether release orders are answered, a bool.
+    """
+
+    def __init__(self):
+        """Create without orders."""
+        self.asked = []
+        self.released = []
+        self.answers_release = True
+
+    def reserve(self, helper, hold_ms, on_done):
+        """See ReservationPort."""
+        self.asked.append((helper, on_done))
+
+    def release(self, helper, on_done):
+        """See ReservationPort."""
+        self.released.append(helper.ticket)
+        on_done(self.answers_release)
+
+    def answer(self, is_done):
+        """Answer every order that waits.
+
+        Args:
+          is_done: True, False or None; see ReservationPort.reserve.
+        """
+        waiting = self.asked
+        self.asked = []
+        for _helper, on_done in waiting:
+            on_done(is_done)
+
+
+class FakeSink(AnswerSink):
+    """Keeps what a caller would see.
+
+    Attributes:
+      seen: A list of pairs of a word and what came with it.
+    """
+
+    def __init__(self):
+        """Create without an answer."""
+        self.seen = []
+
+    def on_answer(self, head, body):
+        """See AnswerSink."""
+        self.seen.append(('answer', head.status))
+
+    def on_head(self, head):
+        """See AnswerSink."""
+        self.seen.append(('head', head.status))
+
+    def on_event(self, event):
+        """See AnswerSink."""
+        self.seen.append(('event', event.number))
+
+    def on_end(self):
+        """See AnswerSink."""
+        self.seen.append(('end', None))
+
+    def on_refused(self, refusal):
+        """See AnswerSink."""
+        self.seen.append(('refused', refusal.outcome))
+
+
+class FakeJournal:
+    """Keeps the ends that were logged.
+
+    Attributes:
+      ends: Codes, a list.
+    """
+
+    def __init__(self):
+        """Create without lines."""
+        self.ends = []
+
+    def log_attempt(self, flow, attempt, cause):
+        """See ForwardJournal."""
+
+    def log_attempt_end(self, flow, attempt, cause):
+        """See ForwardJournal."""
+
+    def log_end(self, flow, outcome, code):
+        """See ForwardJournal."""
+        self.ends.append(code)
+
+
+class FirstChooser(Chooser):
+    """Chooses the first server that may be asked.
+
+    Attributes:
+      helpers: Helpers of the next placements, a tuple.
+      freed: Placements that ended, a list.
+    """
+
+    def __init__(self, parts):
+        """See Chooser."""
+        super().__init__(parts)
+        self.helpers = ()
+        self.freed = []
+
+    def choose(self, job, avoided):
+        """See Chooser."""
+        members = self.usable(avoided)
+        if not members:
+            return self.refuse()
+        return Placement(members[0], helpers=self.helpers)
+
+    def stall_ms(self, job, attempt):
+        """See Chooser; nothing is timed here."""
+
+    def note_end(self, job, placement):
+        """See Chooser."""
+        self.freed.append(placement)
+
+
+class ForwardWorld:
+    """A desk with fakes around it.
+
+    Attributes:
+      timers: ManualTimers.
+      port: A FakePort.
+      reservations: A FakeReservations.
+      chooser: A FirstChooser.
+      desk: The ForwardDesk.
+      journal: A FakeJournal.
+    """
+
+    def __init__(self, servers=3, slack=100):
+        """Create the world.
+
+        Args:
+          servers: How many backend servers there are.
+          slack: The slack of the retry budget.
+        """
+        self.timers = ManualTimers()
+        self.port = FakePort()
+        self.reservations = FakeReservations()
+        self.journal = FakeJournal()
+        self.backends = make_backends(servers)
+        metrics = Metrics()
+        self.chooser = FirstChooser(
+            make_parts(self.timers, lambda: self.backends)
+        )
+        ports = ForwardPorts(
+            forward=self.port,
+            timers=self.timers,
+            metrics=metrics,
+            journal=self.journal,
+            reservations=ReservationDesk(
+                self.reservations,
+                self.timers,
+                metrics,
+                'instance-boot',
+            ),
+            chooser_of={POOL: self.chooser}.get,
+        )
+        limits = RetryLimits(ratio=0, slack=slack, window_ms=_WINDOW_MS)
+        self.desk = ForwardDesk(ports, limits)
+
+    def submit(self, **fields):
+        """Submit a job.
+
+        Args:
+          fields: See make_job.
+        Returns:
+          A pair of the flow and its FakeSink.
+        """
+        sink = FakeSink()
+        flow = self.desk.submit(make_job(**fields), sink)
+        return flow, sink
+
+
+def make_backends(count):
+    """Return backends with ids in order, a list.
+
+    Args:
+      count: How many.
+    """
+    return [
+        Backend(
+            Listed(
+                {
+                    'id': f'server-{number:02}',
+                    'kind': 'backend',
+                    'address': f'127.0.0.1:{_FIRST_PORT + number}',
+                    'data_centre': 'one',
+                    'labels': {'pool': POOL},
+                }
+            )
+        )
+        for number in range(count)
+    ]
+
+
+def make_figures(**changes):
+    """Return the EngineFigures of a usual engine.
+
+    Args:
+      changes: Attributes that differ.
+    """
+    fields = {
+        'slots': 8,
+        'memory_tokens': 232_000,
+        'stride': 43,
+        'step_ms': 1.02,
+        'writer_ms': 0.0045,
+        'context_ms': 0.0043,
+        'read_per_ms': 206,
+        'pairs_ms': 0.138,
+        'chunk': 2048,
+        'hop_ms': 0.075,
+        'stall_ms': 1500,
+    }
+    fields.update(changes)
+    return EngineFigures(**fields)
+
+
+def make_parts(timers, members, news=None):
+    """Return ChooserParts.
+
+    Args:
+      timers: ManualTimers.
+      members: A function that returns Backends.
+      news: What is told of sent work, or None.
+    """
+    tickets = iter(range(1000))
+    return ChooserParts(
+        pool=PoolConfig(POOL, _CONNECTIONS, make_figures()),
+        members=members,
+        timers=timers,
+        random=_NoChance(),
+        board=EngineBoard(timers.clock.now_ms),
+        news=news or _ignore,
+        new_ticket=lambda: f'ticket-{next(tickets)}',
+    )
+
+
+def make_job(**changes):
+    """Return a ForwardJob.
+
+    Args:
+      changes: Attributes that differ.
+    """
+    fields = {
+        'account': None,
+        'arrived_ms': 0,
+        'deadline_ms': _DEADLINE_MS,
+        'gap_ms': 250,
+        'goal_ms': _GOAL_MS,
+        'is_keyed': False,
+        'is_stream': False,
+        'max_attempts': 2,
+        'payload': None,
+        'pool': POOL,
+        'priority': 1,
+        'repeat': Repeat.AGAIN,
+        'request_id': 'r1',
+        'resume_after': None,
+        'size': _USUAL_SIZE,
+    }
+    fields.update(changes)
+    return ForwardJob(**fields)
+
+
+class _NoChance:
+    """Stands in for chance: nothing is shuffled, the first is chosen."""
+
+    def shuffle(self, _choices):
+        """Leave the order as it is."""
+
+    def choice(self, choices):
+        """Return the first."""
+        return choices[0]
+
+
+def _ignore(*_args):
+    """Take news that nobody waits for."""
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -7,141 +7,10 @@
 has; a part of an event is never passed on.
 """
 
-from crankchute.core.forward_job import AttemptOrder
+from crankchute.core.forward_attempt import FIRST_SERVER_ERROR, Attempt
 from crankchute.core.outcomes import Outcome, Refusal, refuse_not_run
-from crankchute.errors import BackendError
-from crankchute.ports.forwarding import AttemptListener
 
 _HINT_MS = 300
-_FIRST_SERVER_ERROR = 500
-
-
-class Attempt(AttemptListener):
-    """One submission to one server; tells its flow one end."""
-
-    __slots__ = (
-        '_body',
-        '_call',
-        '_flow',
-        '_head',
-        '_is_over',
-        '_silence',
-        'placement',
-        'sent_ms',
-        'started',
-    )
-
-    def __init__(self, flow, placement):
-        """Create an attempt; start() sends it.
-
-        Args:
-          flow: The ForwardFlow.
-          placement: A Placement.
-        """
-        self._flow = flow
-        self._body = []
-        self._call = None
-        self._head = None
-        self._is_over = False
-        self._silence = None
-        self.placement = placement
-        self.sent_ms = flow.now_ms()
-        self.started = False
-
-    @property
-    def backend(self):
-        """The Backend that was asked."""
-        return self.placement.backend
-
-    def start(self, port, order, allowed_ms):
-        """Send the request.
-
-        Args:
-          port: A ForwardPort.
-          order: An AttemptOrder.
-          allowed_ms: How long the server may be silent at first, or None.
-        """
-        self.backend.in_flight += 1
-        self.backend.breaker.note_start()
-        self._watch(allowed_ms)
-        job = self._flow.job
-        self._call = port.send(job, self.placement, order, self)
-        if self._is_over:
-            self._call.cancel()
-
-    def cancel(self):
-        """Give the attempt up; the flow hears nothing more of it."""
-        if self._close():
-            self.backend.breaker.note_abandoned()
-            if self._call is not None:
-                self._call.cancel()
-
-    def on_head(self, head):
-        """See AttemptListener."""
-        if not self._is_over:
-            self._head = head
-
-    def on_body(self, chunk):
-        """See AttemptListener."""
-        self._body.append(chunk)
-
-    def on_event(self, event):
-        """See AttemptListener."""
-        if self._is_over:
-            return
-        if not self.started:
-            self.started = True
-            self._flow.on_first_event(self)
-        self._watch(self._flow.stall_ms(self))
-        self._flow.on_event(self, self._head, event)
-
-    def on_end(self):
-        """See AttemptListener."""
-        if not self._close():
-            return
-        head = self._head
-        is_fault = head.status >= _FIRST_SERVER_ERROR
-        if is_fault:
-            self.backend.breaker.note_failure(self._flow.now_ms())
-        else:
-            self.backend.breaker.note_success()
-        self._flow.on_attempt_end(self, head, b''.join(self._body))
-
-    def on_not_run(self, rejection):
-        """See AttemptListener."""
-        if self._close():
-            self.backend.breaker.note_abandoned()
-            self._flow.on_attempt_not_run(self, rejection)
-
-    def on_failed(self, exc):
-        """See AttemptListener."""
-        if self._close():
-            self.backend.breaker.note_failure(self._flow.now_ms())
-            self._flow.on_attempt_failed(self, exc)
-
-    def _watch(self, allowed_ms):
-        if self._silence is not None:
-            self._silence.cancel()
-            self._silence = None
-        if allowed_ms is not None:
-            self._silence = self._flow.after(allowed_ms, self._on_silence)
-
-    def _on_silence(self):
-        self._silence = None
-        if self._is_over:
-            return
-        if self._call is not None:
-            self._call.cancel()
-        text = 'the backend server fell silent'
-        self.on_failed(BackendError(text, sent=True))
-
-    def _close(self):
-        if self._is_over:
-            return False
-        self._is_over = True
-        self._watch(None)
-        self.backend.in_flight -= 1
-        return True
 
 
 class ForwardFlow:
@@ -157,7 +26,9 @@
     __slots__ = (
         '_attempt',
         '_avoided',
+        '_cause',
         '_desk',
+        '_last_answer',
         '_maybe_ran',
         '_sink',
         '_streaming',
@@ -181,6 +52,8 @@
         self._sink = sink
         self._attempt = None
         self._avoided = set()
+        self._cause = None
+        self._last_answer = None
         self._maybe_ran = False
         self._streaming = False
         self._timer = None
@@ -193,7 +66,7 @@
     def start(self):
         """Send the request and watch its deadline."""
         remaining_ms = self.job.remaining_ms(self.now_ms())
-        self._timer = self.after(remaining_ms, self._on_deadline)
+        self._timer = self._desk.after(remaining_ms, self._on_deadline)
         self._try_next(None)
 
     def cancel(self):
@@ -207,18 +80,6 @@
         """Return the time on this process's clock."""
         return self._desk.now_ms()
 
-    def after(self, delay_ms, callback):
-        """Run a callback later; see TimerService."""
-        return self._desk.after(delay_ms, callback)
-
-    def stall_ms(self, attempt):
-        """Return how long a server may be silent now, or None."""
-        return self._desk.stall_ms(self, attempt)
-
-    def on_first_event(self, attempt):
-        """Note that a server began to answer."""
-        self._desk.note_first(self, attempt)
-
     def on_event(self, attempt, head, event):
         """Pass an event on, unless the caller has it already."""
         if self._expire_if_late():
@@ -234,15 +95,28 @@
         self.passed += 1
         self._sink.on_event(event)
 
+    def on_attempt_sent(self, attempt):
+        """Count an attempt that is sent now."""
+        self.attempts += 1
+        self._desk.note_attempt(self, attempt, self._cause)
+
+    def on_attempt_unreserved(self, attempt, refused):
+        """Choose anew when engines set no memory aside."""
+        self._attempt = None
+        self._avoided.update(one.backend.identity for one in refused)
+        self._try_next('no_memory')
+
     def on_attempt_end(self, attempt, head, body):
         """End with the server's answer, or try again after its failure."""
+        self._attempt = None
         self._desk.note_attempt_end(self, attempt, 'answered')
         if self.job.is_stream and head.is_success and not body:
             self._finish_stream(head)
             return
-        is_fault = head.status >= _FIRST_SERVER_ERROR
+        is_fault = head.status >= FIRST_SERVER_ERROR
         if is_fault and self._may_go_on(attempt):
             self._maybe_ran = True
+            self._last_answer = (head, body)
             self._try_next(head.status)
         elif self._streaming:
             self._break_off('the stream could not be taken up')
@@ -284,13 +158,9 @@
         if isinstance(choice, Refusal):
             self._give_up(choice.code, choice.text, choice.retry_after_ms)
             return
-        self.attempts += 1
-        self._attempt = Attempt(self, choice)
-        self._desk.note_attempt(self, self._attempt, cause)
-        remaining_ms = self.job.remaining_ms(self.now_ms())
-        order = AttemptOrder(remaining_ms, self.delivered)
-        allowed_ms = self._desk.stall_ms(self, self._attempt)
-        self._attempt.start(self._desk.port, order, allowed_ms)
+        self._cause = cause
+        self._attempt = Attempt(self, self._desk, choice)
+        self._attempt.start()
 
     def _finish_stream(self, head):
         if not self._streaming:
@@ -320,21 +190,29 @@
     def _on_deadline(self):
         if self.ended:
             return
-        self._maybe_ran = self._maybe_ran or self._attempt is not None
-        self._cancel_attempt()
+        if self._cancel_attempt():
+            self._maybe_ran = True
+        self._last_answer = None
         self._give_up('deadline_exceeded', 'the deadline has passed')
 
     def _cancel_attempt(self):
+        """Give up the attempt, and tell whether it had been sent."""
         attempt = self._attempt
         self._attempt = None
-        if attempt is not None:
-            attempt.cancel()
-            self._desk.note_attempt_end(self, attempt, 'cancelled')
+        if attempt is None or not attempt.cancel():
+            return False
+        self._desk.note_attempt_end(self, attempt, 'cancelled')
+        return True
 
     def _give_up(self, code, text, retry_after_ms=None):
         if self._streaming:
             self._break_off(text)
             return
+        if self._last_answer is not None:
+            # A failure that a server gave says more than one of ours.
+            self._sink.on_answer(*self._last_answer)
+            self._end(Outcome.FAILED, code)
+            return
         if retry_after_ms is None:
             retry_after_ms = _HINT_MS
         if self._maybe_ran:
--- /dev/null
+++ b/crankchute/core/forward_flow_test.py
@@ -0,0 +1,210 @@
+"""Tests of forwarded requests: what a caller sees of every kind of end."""
+
+from types import MappingProxyType
+
+import pytest
+
+from crankchute.core.forward_fakes import ForwardWorld
+from crankchute.core.forward_job import Helper, Repeat
+from crankchute.core.outcomes import Outcome
+from crankchute.errors import BackendError
+from crankchute.ports.forwarding import AnswerHead, Rejection, StreamEvent
+
+ONCE = Repeat.ONCE
+AGAIN = Repeat.AGAIN
+RESUME = Repeat.RESUME
+FULL = Rejection('full')
+NOT_RUN = ('refused', Outcome.NOT_RUN)
+UNKNOWN = ('refused', Outcome.UNKNOWN)
+FAILED = ('refused', Outcome.FAILED)
+
+
+def answer(call, status):
+    call.listener.on_head(AnswerHead(status))
+    call.listener.on_body(b'body')
+    call.listener.on_end()
+
+
+def send_events(call, *numbers):
+    call.listener.on_head(AnswerHead(200))
+    for number in numbers:
+        call.listener.on_event(StreamEvent(number, b'id: 1\n\n'))
+
+
+def break_off(call, *, sent=True):
+    call.listener.on_failed(BackendError('lost', sent=sent))
+
+
+ACTS = MappingProxyType(
+    {
+        'ok': lambda call: answer(call, 200),
+        'fault': lambda call: answer(call, 500),
+        'full': lambda call: call.listener.on_not_run(FULL),
+        'lost': break_off,
+        'unsent': lambda call: break_off(call, sent=False),
+    }
+)
+
+
+@pytest.mark.parametrize(
+    ('repeat', 'acts', 'seen'),
+    [
+        (ONCE, ['ok'], ('answer', 200)),
+        (ONCE, ['fault'], ('answer', 500)),
+        (ONCE, ['lost'], UNKNOWN),
+        (ONCE, ['full', 'ok'], ('answer', 200)),
+        (ONCE, ['full', 'full'], NOT_RUN),
+        (ONCE, ['full', 'lost'], UNKNOWN),
+        (ONCE, ['unsent', 'ok'], ('answer', 200)),
+        (ONCE, ['unsent', 'unsent', 'unsent'], NOT_RUN),
+        (AGAIN, ['lost', 'ok'], ('answer', 200)),
+        (AGAIN, ['lost', 'lost'], FAILED),
+        (AGAIN, ['lost', 'full'], FAILED),
+        (AGAIN, ['fault', 'ok'], ('answer', 200)),
+        (AGAIN, ['fault', 'fault'], ('answer', 500)),
+        (AGAIN, ['fault', 'lost'], ('answer', 500)),
+        (AGAIN, ['unsent', 'unsent', 'lost'], FAILED),
+    ],
+)
+def test_ends_of_plain_requests(repeat, acts, seen):
+    world = ForwardWorld()
+    _flow, sink = world.submit(repeat=repeat)
+    for act in acts:
+        if not sink.seen:
+            ACTS[act](world.port.calls[-1])
+    assert sink.seen == [seen]
+    assert world.desk.in_progress == 0
+
+
+@pytest.mark.parametrize(
+    ('first', 'second', 'seen'),
+    [
+        ((1, 2), (3, 4), [1, 2, 3, 4]),
+        ((1, 2), (2, 3), [1, 2, 3]),
+        ((), (1, 2), [1, 2]),
+    ],
+)
+def test_stream_is_taken_up_after_the_last_event(first, second, seen):
+    world = ForwardWorld()
+    _flow, sink = world.submit(repeat=RESUME, is_stream=True)
+    send_events(world.port.calls[0], *first)
+    break_off(world.port.calls[0])
+    again = world.port.calls[1]
+    assert again.order.resume_after == max(first, default=None)
+    send_events(again, *second)
+    again.listener.on_end()
+    events = [('event', number) for number in seen]
+    assert sink.seen == [('head', 200), *events, ('end', None)]
+
+
+def test_stream_that_may_start_once_is_broken_off():
+    world = ForwardWorld()
+    _flow, sink = world.submit(repeat=ONCE, is_stream=True)
+    send_events(world.port.calls[0], 1)
+    break_off(world.port.calls[0])
+    assert sink.seen[-1] == FAILED
+    assert len(world.port.calls) == 1
+
+
+def test_budget_that_is_used_up_ends_the_request():
+    world = ForwardWorld(slack=0)
+    _flow, sink = world.submit(repeat=AGAIN)
+    break_off(world.port.calls[0])
+    assert sink.seen == [FAILED]
+    assert len(world.port.calls) == 1
+
+
+@pytest.mark.parametrize(
+    ('repeat', 'sent', 'seen'),
+    [
+        (ONCE, True, UNKNOWN),
+        (AGAIN, True, FAILED),
+        (ONCE, False, NOT_RUN),
+        (AGAIN, False, NOT_RUN),
+    ],
+)
+def test_deadline_ends_the_request_and_its_attempt(repeat, sent, seen):
+    world = ForwardWorld()
+    _flow, sink = world.submit(repeat=repeat, deadline_ms=500)
+    world.port.calls[0].sent = sent
+    world.timers.advance(499)
+    assert sink.seen == []
+    world.timers.advance(2)
+    assert sink.seen == [seen]
+    assert world.port.calls[0].cancelled
+
+
+def test_late_event_after_a_pause_is_not_passed_on():
+    world = ForwardWorld()
+    _flow, sink = world.submit(repeat=RESUME, is_stream=True, deadline_ms=500)
+    world.timers.jump(800)
+    send_events(world.port.calls[0], 1)
+    assert sink.seen == [FAILED]
+
+
+def test_caller_that_leaves_ends_the_attempt():
+    world = ForwardWorld()
+    flow, sink = world.submit()
+    flow.cancel()
+    assert world.port.calls[0].cancelled
+    assert sink.seen == []
+    assert world.desk.in_progress == 0
+
+
+def test_unknown_pool_is_refused():
+    world = ForwardWorld()
+    _flow, sink = world.submit(pool='elsewhere')
+    assert sink.seen == [NOT_RUN]
+
+
+@pytest.mark.parametrize('left_at', ['reserving', 'running', 'ended'])
+def test_tickets_are_released_at_every_end(left_at):
+    world = ForwardWorld()
+    world.chooser.helpers = (Helper(world.backends[1], 'ticket-1', 100),)
+    flow, _sink = world.submit(repeat=RESUME, is_stream=True)
+    assert not world.port.calls
+    if left_at != 'reserving':
+        world.reservations.answer(is_done=True)
+        send_events(world.port.calls[0], 1)
+    if left_at == 'ended':
+        world.port.calls[0].listener.on_end()
+    else:
+        flow.cancel()
+    assert world.reservations.released == ['ticket-1']
+    assert len(world.chooser.freed) == 1
+
+
+@pytest.mark.parametrize('is_done', [False, None])
+def test_refused_ticket_is_released_and_another_engine_chosen(is_done):
+    world = ForwardWorld()
+    world.chooser.helpers = (Helper(world.backends[0], 'ticket-1', 100),)
+    _flow, sink = world.submit(repeat=RESUME, is_stream=True)
+    world.chooser.helpers = ()
+    world.reservations.answer(is_done)
+    assert world.reservations.released == ['ticket-1']
+    chosen = world.port.calls[0].placement.backend
+    assert chosen is world.backends[1]
+    assert sink.seen == []
+
+
+def test_tickets_are_renewed_while_they_are_used():
+    world = ForwardWorld()
+    world.chooser.helpers = (Helper(world.backends[1], 'ticket-1', 100),)
+    flow, _sink = world.submit(repeat=RESUME, is_stream=True)
+    world.reservations.answer(is_done=True)
+    world.timers.advance(1300)
+    assert [one.ticket for one, _ in world.reservations.asked] == ['ticket-1']
+    world.reservations.answer(is_done=True)
+    flow.cancel()
+    world.timers.advance(3000)
+    assert world.reservations.asked == []
+
+
+def test_release_without_an_answer_is_asked_again():
+    world = ForwardWorld()
+    world.reservations.answers_release = False
+    world.chooser.helpers = (Helper(world.backends[1], 'ticket-1', 100),)
+    flow, _sink = world.submit(repeat=RESUME, is_stream=True)
+    flow.cancel()
+    world.timers.advance(5000)
+    assert world.reservations.released == ['ticket-1', 'ticket-1', 'ticket-1']
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -132,20 +132,23 @@
 
     Attributes:
       backend: A Backend.
-      ticket: The id of memory reserved there, or None.
+      ticket: The id of memory that is set aside there, or None.
+      tokens: How much of it, 0 without a ticket.
     """
 
-    __slots__ = ('backend', 'ticket')
+    __slots__ = ('backend', 'ticket', 'tokens')
 
-    def __init__(self, backend, ticket=None):
+    def __init__(self, backend, ticket=None, tokens=0):
         """Create the record.
 
         Args:
           backend: A Backend.
           ticket: A string or None.
+          tokens: An int.
         """
         self.backend = backend
         self.ticket = ticket
+        self.tokens = tokens
 
 
 class Placement:
@@ -175,3 +178,8 @@
         self.helpers = helpers
         self.key = key
         self.priority = _USUAL_PRIORITY
+
+    @property
+    def tickets(self):
+        """The helpers at which memory is set aside, a list of Helper."""
+        return [one for one in self.helpers if one.ticket is not None]
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -17,6 +17,7 @@
 from crankchute.core.forward_config import ForwardConfigHolder
 from crankchute.core.forward_desk import ForwardDesk, ForwardPorts
 from crankchute.core.forward_fleet import ForwardFleet
+from crankchute.core.reservations import ReservationDesk
 from crankchute.entry.forward_peers import ForwardPeers
 
 JOINING = 'joining'
@@ -126,11 +127,18 @@
         self._limits = limits
         self._choosers = {}
         self._stop_ms = None
+        self._reservations = ReservationDesk(
+            wiring.reservations,
+            self.timers,
+            self.metrics,
+            f'{identity.instance}-{identity.boot}',
+        )
         ports = ForwardPorts(
             forward=wiring.port,
             timers=self.timers,
             metrics=self.metrics,
             journal=ForwardJournal(),
+            reservations=self._reservations,
             chooser_of=self._chooser_of,
         )
         self.desk = ForwardDesk(ports, limits.retries)
@@ -191,6 +199,7 @@
             random=self.random,
             board=self.board,
             news=self.peers.sharing.note,
+            new_ticket=self._reservations.new_ticket,
         )
         return choosers[name](parts)
 
@@ -220,20 +229,23 @@
 
     Attributes:
       port: A ForwardPort.
+      reservations: A ReservationPort.
       take_config: A function of the bytes of a configuration.
       pool_label: The label of a backend server that names its pool.
     """
 
-    __slots__ = ('pool_label', 'port', 'take_config')
+    __slots__ = ('pool_label', 'port', 'reservations', 'take_config')
 
-    def __init__(self, port, take_config, pool_label):
+    def __init__(self, *, port, reservations, take_config, pool_label):
         """Gather the parts.
 
         Args:
           port: See the class.
+          reservations: See the class.
           take_config: See the class.
           pool_label: See the class.
         """
         self.port = port
+        self.reservations = reservations
         self.take_config = take_config
         self.pool_label = pool_label
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -81,19 +81,17 @@
 
     def on_body(self, chunk):
         """See ResponseSink."""
-        if self._over or self._rejection is not None:
+        if self._over or self._rejection:
             return
-        if self._is_stream:
-            self._pass_events(chunk)
-        else:
-            self._listener.on_body(chunk)
+        take = self._pass_events if self._is_stream else self._listener.on_body
+        take(chunk)
 
     def on_done(self):
         """See ResponseSink."""
         if self._over:
             return
         self._over = True
-        if self._rejection is not None:
+        if self._rejection:
             self._listener.on_not_run(self._rejection)
         elif self._cutter.has_rest:
             text = 'the stream ended within an event'
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -14,6 +14,7 @@
 from crankchute.platform.backend_calls import BackendCalls
 from crankchute.platform.directory import Directory, Readiness
 from crankchute.platform.documents import POOL_LABEL
+from crankchute.platform.engine_orders import EngineOrders
 from crankchute.platform.published import PublishedConfig, PublishedServers
 from crankchute.platform.requests import RequestReader
 from crankchute.platform.store import StoreWatch
@@ -54,9 +55,10 @@
         self.settings = settings
         self.http_client = HttpClient(timers=loop.timers).register(loop)
         wiring = ForwardWiring(
-            BackendCalls(self.http_client),
-            self._take_config,
-            POOL_LABEL,
+            port=BackendCalls(self.http_client),
+            reservations=EngineOrders(self.http_client, loop.timers),
+            take_config=self._take_config,
+            pool_label=POOL_LABEL,
         )
         self.node = ForwardNode(
             loop,
--- a/crankchute/ports/forwarding.py
+++ b/crankchute/ports/forwarding.py
@@ -123,7 +123,8 @@
           attempt: An AttemptOrder.
           listener: An AttemptListener.
         Returns:
-          An object whose cancel() gives the attempt up.
+          An object whose cancel() gives the attempt up, and whose `sent`
+          tells whether any byte of it may have left.
         """
 
 
