Weigh what a long prompt does to those that write

The choice counted only the new prompt's own wait. The prediction for short prompts was half of what was seen (median 2.07): a prompt at an engine with writers waits for half a pass and is read in the next one.

Ruled out: too few engines kept for long prompts; the delays came where a burst of short prompts ends and one of long prompts begins.

Change: every way to place a prompt has a cost in worth, that of its own lateness and that of the writers it would make late; for long prompts each number of engines is compared. The wait counts one and a half passes. The log tells predicted and seen first events and the longest pause. Tests for the parts of the forwarding engine.

--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -20,6 +20,7 @@
             request=flow.job.request_id,
             server=attempt.backend.identity,
             number=flow.attempts,
+            tokens=None if flow.job.size is None else flow.job.size.prompt,
             cause=cause,
             predicted_ms=_round(placement.first_ms),
             helpers=[one.backend.identity for one in placement.helpers],
@@ -34,6 +35,9 @@
             server=attempt.backend.identity,
             cause=cause,
             after_ms=_round(flow.now_ms() - attempt.sent_ms),
+            first_ms=_round(_since(attempt.first_ms, attempt.sent_ms)),
+            predicted_ms=_round(attempt.placement.first_ms),
+            longest_gap_ms=_round(attempt.longest_gap_ms),
             events=flow.passed,
         )
 
@@ -49,5 +53,9 @@
         )
 
 
+def _since(moment_ms, start_ms):
+    return None if moment_ms is None else moment_ms - start_ms
+
+
 def _round(number):
     return None if number is None else round(number, 1)
--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -103,7 +103,8 @@
         read_ms=work.read_ms,
         memory=work.memory,
         is_writer=work.is_writer,
-        is_long=work.is_long,
+        gap_ms=work.gap_ms,
+        weight=work.weight,
         remaining_ms=work.until_ms - now_ms,
     )
 
@@ -115,7 +116,8 @@
         read_ms=record.read_ms,
         memory=record.memory,
         is_writer=record.is_writer,
-        is_long=record.is_long,
+        gap_ms=record.gap_ms,
+        weight=record.weight,
         until_ms=now_ms + record.remaining_ms,
     )
     return WorkNews(Change(record.change), work)
--- a/crankchute/core/engine_board.py
+++ b/crankchute/core/engine_board.py
@@ -11,6 +11,11 @@
 import heapq
 
 
+#: How long a pass of an engine with writers usually takes, in milliseconds;
+#: only used to mark who is late already.
+_USUAL_PASS_MS = 50
+
+
 class Change(enum.IntEnum):
     """What happened to a piece of work."""
 
@@ -28,20 +33,24 @@
       read_ms: How long reading it takes there.
       memory: How many tokens of KV memory it needs there.
       is_writer: Whether the engine writes the answer too, a bool.
-      is_long: Whether the prompt counts as long, a bool.
+      gap_ms: The longest pause between its events of full worth.
+      weight: What its full worth is, of the order of one for a short prompt.
       until_ms: When it must have ended, on this process's clock.
       started: Whether its first event was seen, a bool.
+      is_delayed: Whether a pause beyond gap_ms is to be expected, a bool.
     """
 
     __slots__ = (
         'engine',
-        'is_long',
+        'gap_ms',
+        'is_delayed',
         'is_writer',
         'key',
         'memory',
         'read_ms',
         'started',
         'until_ms',
+        'weight',
     )
 
     def __init__(self, key, engine, **fields):
@@ -50,16 +59,18 @@
         Args:
           key: See the class.
           engine: See the class.
-          fields: A value for each other attribute but `started`.
+          fields: A value for each other attribute but the last two.
         """
         self.key = key
         self.engine = engine
         self.read_ms = fields['read_ms']
         self.memory = fields['memory']
         self.is_writer = fields['is_writer']
-        self.is_long = fields['is_long']
+        self.gap_ms = fields['gap_ms']
+        self.weight = fields['weight']
         self.until_ms = fields['until_ms']
         self.started = False
+        self.is_delayed = False
 
 
 class EngineState:
@@ -97,6 +108,24 @@
         self.writers += work.is_writer
         begin_ms = max(self.read_until_ms, now_ms)
         self.read_until_ms = begin_ms + work.read_ms * self.slowness
+        pause_ms = self.read_until_ms - now_ms + _USUAL_PASS_MS
+        for other in self.works.values():
+            if other.started and pause_ms > other.gap_ms:
+                other.is_delayed = True
+
+    def weigh_delay(self, pause_ms):
+        """Return the worth that a pause of all writers here would cost.
+
+        Args:
+          pause_ms: How long the pause is, in milliseconds.
+        Returns:
+          The weights of those that it would make late, summed up.
+        """
+        return sum(
+            work.weight
+            for work in self.works.values()
+            if work.is_writer and not work.is_delayed and pause_ms > work.gap_ms
+        )
 
     def start(self, key, now_ms):
         """Note that a prompt was read.
--- /dev/null
+++ b/crankchute/core/engine_board_test.py
@@ -0,0 +1,103 @@
+"""Tests of what engines are believed to be working on."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crankchute.core.engine_board import EngineBoard, Work
+
+ENGINE = 'engine-1'
+
+
+def make_work(key, **changes):
+    fields = {
+        'read_ms': 100,
+        'memory': 1000,
+        'is_writer': True,
+        'gap_ms': 250,
+        'weight': 1,
+        'until_ms': 10_000,
+    }
+    fields.update(changes)
+    return Work(key, ENGINE, **fields)
+
+
+class World:
+    """A board with a clock that a test moves."""
+
+    def __init__(self):
+        self.now_ms = 0
+        self.board = EngineBoard(lambda: self.now_ms)
+
+    @property
+    def state(self):
+        return self.board.state(ENGINE)
+
+
+def test_reads_wait_for_one_another():
+    world = World()
+    world.board.add(make_work('a'))
+    world.board.add(make_work('b', read_ms=50))
+    assert world.state.wait_ms(0) == 150
+    world.now_ms = 60
+    assert world.state.wait_ms(60) == 90
+
+
+def test_first_event_shows_that_a_read_is_done():
+    world = World()
+    world.board.add(make_work('a'))
+    world.board.add(make_work('b', read_ms=50))
+    world.now_ms = 20
+    world.board.start(ENGINE, 'a')
+    assert world.state.wait_ms(20) == 50
+
+
+@pytest.mark.parametrize(
+    ('read_ms', 'gap_ms', 'delayed'),
+    [(100, 250, False), (300, 250, True), (300, 600, False)],
+)
+def test_writers_that_a_read_delays_are_counted_once(read_ms, gap_ms, delayed):
+    world = World()
+    world.board.add(make_work('writer', gap_ms=gap_ms))
+    world.board.start(ENGINE, 'writer')
+    assert world.state.weigh_delay(read_ms) == int(delayed)
+    reader = make_work('reader', read_ms=read_ms, is_writer=False)
+    world.board.add(reader)
+    assert world.state.works['writer'].is_delayed == delayed
+    # Who is late already cannot be made late again.
+    assert world.state.weigh_delay(1000) == int(not delayed)
+
+
+def test_work_of_a_lost_instance_ends_with_its_deadline():
+    world = World()
+    world.board.add(make_work('a', until_ms=500))
+    world.now_ms = 501
+    world.board.add(make_work('b'))
+    assert set(world.state.works) == {'b'}
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(['add', 'start', 'end']),
+            st.integers(0, 5),
+        ),
+        max_size=40,
+    )
+)
+def test_news_in_any_order_leave_a_sound_board(steps):
+    world = World()
+    for step, number in steps:
+        world.now_ms += 7
+        key = f'work-{number}'
+        if step == 'add':
+            if key not in world.state.works:
+                world.board.add(make_work(key))
+        elif step == 'start':
+            world.board.start(ENGINE, key)
+        else:
+            world.board.end(ENGINE, key)
+    works = world.state.works.values()
+    assert world.state.memory == sum(work.memory for work in works)
+    assert world.state.writers == sum(work.is_writer for work in works)
+    assert world.state.wait_ms(world.now_ms) <= 100 * len(works) + 1
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -1,19 +1,16 @@
 """Choosing the engines of a prompt by what they are believed to be doing.
 
-The cost of an engine is the predicted time to the first event there, plus
-what the prompt would do to those that run there.  Long prompts are read by
-several engines at once and are kept to a part of the engines, so that short
-prompts find others free.  The memory of the longest is set aside at several
-engines too.
+Every way to place a prompt has a cost in worth: that of the prompt itself if
+its first event comes late, and that of the others at its engines whose next
+event would come late because of it.  Long prompts may be read by several
+engines at once, so the cost of each number of engines is compared.  Short
+prompts are kept off a part of the engines, where long ones find no one to
+delay.  The memory of the longest prompts is set aside at several engines.
 """
 
 from crankchute.core.choosers import Chooser, choosers
 from crankchute.core.engine_board import Change, Work
-from crankchute.core.engine_model import (
-    count_parts,
-    estimate_pass_ms,
-    estimate_read_ms,
-)
+from crankchute.core.engine_model import estimate_pass_ms, estimate_read_ms
 from crankchute.core.forward_job import Helper, Placement
 
 #: The name of the chooser in the registry.
@@ -21,18 +18,28 @@
 #: Reading longer than this counts as long, in milliseconds: about five usual
 #: short prompts (trial, docs/PLATFORM.md).
 LONG_READ_MS = 120
-#: How long one engine should read for one prompt at most.
-_PART_MS = 120
-_MOST_PARTS = 7
-#: The part of a pool's engines that long prompts are kept to.
-_LONG_SHARE = 0.55
-#: What an engine of the other part must save to be chosen all the same.
-_OTHER_PART_MS = 60
+#: The most engines that read one prompt, the published bound of helpers + 1.
+_MOST_PARTS = 17
+#: The part of a pool's engines that short prompts are kept off.
+_LONG_SHARE = 0.5
+#: What sending a short prompt to such an engine counts, in worth: about the
+#: chance that a long one comes while it is written.
+_LONG_PART_COST = 0.12
+#: How many tokens of a prompt make up the worth of one short prompt.
+_TOKENS_PER_WEIGHT = 9000
+#: The part of the time to the goal from which on a first event may be late.
+_SURE_PART = 0.6
+#: Where all else is equal, a second of delay counts this much.
+_SECOND_COST = 0.15
+#: Every further engine that reads a prompt costs a little.
+_PART_COST = 0.01
+#: How many passes a prompt waits at an engine with writers: half of the one
+#: that runs, and the one in which it is read (MEASUREMENTS.md).
+_PASSES = 1.5
 _NO_SLOT_MS = 400
-_NO_MEMORY_MS = 2000
+#: What a lack of memory costs: somebody is put back and read anew.
+_NO_MEMORY_COST = 2
 _USABLE_MEMORY = 0.97
-#: What one more writer costs, in milliseconds of a prompt's own wait.
-_WRITER_MS = 4
 #: A prompt that needs more than this part of an engine's memory has it set
 #: aside at several engines: beside it there would be room for little else.
 _SHARED_MEMORY = 0.5
@@ -43,6 +50,7 @@
 _FIRST_SILENCE_FACTOR = 3
 _GAP_SILENCE_FACTOR = 3
 _LEAST_GAP_SILENCE_MS = 1300
+_MS_PER_SECOND = 1000
 
 
 class PlacementKey:
@@ -60,27 +68,69 @@
 
 
 class Candidate:
-    """An engine and what sending a job there would cost.
+    """An engine that a job may be sent to.
 
     Attributes:
       backend: The Backend.
-      cost_ms: The cost, in milliseconds of a first event's delay.
-      free: How much of its memory is believed to be free, in tokens.
+      state: Its EngineState.
+      delay_ms: How long a read that is sent now waits there.
+      pass_ms: How long a pass takes there without new reads.
+      is_kept: Whether short prompts are kept off it, a bool.
     """
 
-    __slots__ = ('backend', 'cost_ms', 'free')
+    __slots__ = ('backend', 'delay_ms', 'is_kept', 'pass_ms', 'state')
 
-    def __init__(self, backend, cost_ms, free):
+    def __init__(self, backend, state, **fields):
         """Create the candidate.
 
         Args:
           backend: A Backend.
-          cost_ms: Milliseconds.
-          free: Tokens.
+          state: Its EngineState.
+          fields: A value for each other attribute.
         """
         self.backend = backend
-        self.cost_ms = cost_ms
-        self.free = free
+        self.state = state
+        self.delay_ms = fields['delay_ms']
+        self.pass_ms = fields['pass_ms']
+        self.is_kept = fields['is_kept']
+
+    def first_ms(self, read_ms):
+        """Predict when a read that is sent now is done.
+
+        Args:
+          read_ms: How long it takes by the published figures.
+        """
+        return self.delay_ms + read_ms * self.state.slowness
+
+    def harm(self, read_ms):
+        """Return the worth that a read would cost those that write here.
+
+        Args:
+          read_ms: How long it takes by the published figures.
+        """
+        wait_ms = self.delay_ms - self.pass_ms * _PASSES
+        pause_ms = wait_ms + self.pass_ms + read_ms * self.state.slowness
+        return self.state.weigh_delay(pause_ms)
+
+
+class Plan:
+    """A way to place a job, and its cost in worth."""
+
+    __slots__ = ('chosen', 'cost', 'first_ms', 'read_ms')
+
+    def __init__(self, chosen, read_ms, first_ms, cost):
+        """Create the plan.
+
+        Args:
+          chosen: Candidates, the writer first.
+          read_ms: How long each of them reads.
+          first_ms: When the last part is predicted to be read.
+          cost: A float.
+        """
+        self.chosen = chosen
+        self.read_ms = read_ms
+        self.first_ms = first_ms
+        self.cost = cost
 
 
 @choosers.register(PREDICTED)
@@ -99,13 +149,16 @@
         members = self.usable(avoided)
         if not members:
             return self.refuse()
+        candidates = self._make_candidates(members)
         read_ms = estimate_read_ms(self._figures, job.size.prompt)
-        is_long = read_ms > LONG_READ_MS
-        candidates = self._rank(job, read_ms, members, is_long=is_long)
-        if is_long:
-            return self._place_jointly(job, candidates)
-        best = candidates[0]
-        return self._place(job, best, (), read_ms)
+        if read_ms <= LONG_READ_MS:
+            plans = [
+                self._plan(job, (one,), read_ms, self._cost_alone(job, one))
+                for one in candidates
+            ]
+        else:
+            plans = self._plan_jointly(job, candidates)
+        return self._place(job, min(plans, key=_cost_of))
 
     def stall_ms(self, job, attempt):
         """See Chooser."""
@@ -136,127 +189,142 @@
             self._board.end(work.engine, work.key)
             self._parts.news(Change.ENDED, work)
 
-    def _rank(self, job, read_ms, members, *, is_long):
-        """Return the Candidates, the cheapest first, ties in any order."""
-        lane = self._long_lane(members)
-        candidates = []
-        for one in members:
-            cost_ms = self._cost_ms(job, read_ms, one)
-            if is_long != (one.identity in lane):
-                cost_ms += _OTHER_PART_MS
-            state = self._board.state(one.identity)
-            free = self._figures.memory_tokens * _USABLE_MEMORY - state.memory
-            candidates.append(Candidate(one, cost_ms, free))
-        self._parts.random.shuffle(candidates)
-        candidates.sort(key=_cost_of)
-        return candidates
-
-    def _long_lane(self, members):
-        """Return the ids of the engines that long prompts are kept to.
+    def _make_candidates(self, members):
+        """Return a Candidate for each engine, in a random order.
 
-        The order of ids is the same at every instance.
+        Which engines short prompts are kept off follows from their ids, so
+        that every instance keeps them off the same ones.
         """
         ordered = sorted(one.identity for one in members)
-        return set(ordered[: max(1, round(len(ordered) * _LONG_SHARE))])
+        count = max(1, round(len(ordered) * _LONG_SHARE))
+        kept = set(ordered[:count])
+        candidates = [
+            self._make_candidate(one, one.identity in kept) for one in members
+        ]
+        self._parts.random.shuffle(candidates)
+        return candidates
 
-    def _cost_ms(self, job, read_ms, backend):
+    def _make_candidate(self, backend, is_kept):
         state = self._board.state(backend.identity)
-        figures = self._figures
-        pass_ms = estimate_pass_ms(figures, state.writers, state.memory)
-        cost_ms = state.wait_ms(self.now_ms()) + read_ms * state.slowness
-        cost_ms += pass_ms / 2 + state.writers * _WRITER_MS
-        if state.writers >= figures.slots:
-            cost_ms += _NO_SLOT_MS * (state.writers + 1 - figures.slots)
-        needed = state.memory + job.size.memory
-        if needed > figures.memory_tokens * _USABLE_MEMORY:
-            cost_ms += _NO_MEMORY_MS
-        return cost_ms
-
-    def _place_jointly(self, job, candidates):
-        tokens = job.size.prompt
-        shared = figures_share(self._figures, job.size.memory)
-        most = min(_MOST_PARTS, len(candidates))
-        parts = count_parts(self._figures, tokens, _PART_MS, most)
-        parts = min(max(parts, shared), len(candidates))
-        chosen = candidates[:parts]
-        part_ms = estimate_read_ms(self._figures, tokens, parts)
-        if shared > 1:
-            helpers = self._share_memory(job, chosen)
-            return self._place(job, chosen[0], helpers, part_ms)
-        helpers = tuple(Helper(one.backend) for one in chosen[1:])
-        return self._place(job, chosen[0], helpers, part_ms)
-
-    def _share_memory(self, job, chosen):
-        """Return helpers that each hold an even part of the memory."""
-        even = int(job.size.memory / len(chosen) * _TICKET_MARGIN) + 1
-        return tuple(
-            Helper(one.backend, self._parts.new_ticket(), even)
-            for one in chosen[1:]
+        pass_ms = estimate_pass_ms(self._figures, state.writers, state.memory)
+        delay_ms = state.wait_ms(self.now_ms()) + pass_ms * _PASSES
+        lacking = state.writers + 1 - self._figures.slots
+        if lacking > 0:
+            delay_ms += lacking * _NO_SLOT_MS
+        return Candidate(
+            backend,
+            state,
+            delay_ms=delay_ms,
+            pass_ms=pass_ms * state.slowness,
+            is_kept=is_kept,
         )
 
-    def _place(self, job, best, helpers, read_ms):
+    def _cost_alone(self, job, candidate):
+        cost = _LONG_PART_COST if candidate.is_kept else 0
+        return cost + self._cost_of_memory(job.size.memory, candidate)
+
+    def _cost_of_memory(self, memory, candidate):
+        needed = candidate.state.memory + memory
+        lacks = needed > self._figures.memory_tokens * _USABLE_MEMORY
+        return _NO_MEMORY_COST if lacks else 0
+
+    def _plan_jointly(self, job, candidates):
+        """Return the best plan for each number of engines."""
+        least = min(self._least_parts(job), len(candidates))
+        most = min(_MOST_PARTS, len(candidates))
+        return [
+            self._plan_parts(job, candidates, parts)
+            for parts in range(least, most + 1)
+        ]
+
+    def _plan_parts(self, job, candidates, parts):
+        read_ms = estimate_read_ms(self._figures, job.size.prompt, parts)
+        memory = job.size.memory / parts
+        if parts == 1 or self._least_parts(job) == 1:
+            memory = job.size.memory
+        left_ms = max(self._left_ms(job), 1)
+
+        def rank(one):
+            delay = one.first_ms(read_ms) / left_ms
+            return one.harm(read_ms) + self._weigh(job) * delay
+
+        ranked = sorted(candidates, key=rank)[:parts]
+        writer = min(
+            ranked,
+            key=lambda one: self._cost_of_memory(memory, one),
+        )
+        others = [one for one in ranked if one is not writer]
+        cost = self._cost_of_memory(memory, writer) + parts * _PART_COST
+        return self._plan(job, (writer, *others), read_ms, cost)
+
+    def _plan(self, job, chosen, read_ms, cost):
+        first_ms = max(one.first_ms(read_ms) for one in chosen)
+        cost += sum(one.harm(read_ms) for one in chosen)
+        cost += self._weigh(job) * self._lateness(job, first_ms)
+        cost += first_ms / _MS_PER_SECOND * _SECOND_COST
+        return Plan(chosen, read_ms, first_ms, cost)
+
+    def _left_ms(self, job):
+        return job.goal_ms - (self.now_ms() - job.arrived_ms)
+
+    def _lateness(self, job, first_ms):
+        """Return how likely a first event is to be late, from 0 to 1."""
+        left_ms = max(self._left_ms(job), 1)
+        part = (first_ms / left_ms - _SURE_PART) / (1 - _SURE_PART)
+        return min(max(part, 0), 1)
+
+    def _weigh(self, job):
+        return max(job.size.prompt / _TOKENS_PER_WEIGHT, 1)
+
+    def _least_parts(self, job):
+        """Return among how many engines a job's memory must be shared."""
+        usable = self._figures.memory_tokens * _SHARED_MEMORY
+        needed = job.size.memory
+        return 1 if needed <= usable else -int(-needed // usable)
+
+    def _place(self, job, plan):
         self._sent += 1
         key = f'{job.request_id}-{self._sent}'
+        helpers = self._make_helpers(job, plan)
         reserved = sum(helper.tokens for helper in helpers)
-        fields = {
-            'read_ms': read_ms,
-            'is_long': bool(helpers),
-            'until_ms': job.deadline_ms,
-        }
-        own = Work(
-            key,
-            best.backend.identity,
-            memory=max(job.size.memory - reserved, 0),
-            is_writer=True,
-            **fields,
-        )
-        others = [
-            Work(
-                key,
-                helper.backend.identity,
-                memory=helper.tokens,
-                is_writer=False,
-                **fields,
-            )
-            for helper in helpers
-        ]
-        first_ms = self._predict_first_ms(own, others)
+        writer = plan.chosen[0].backend
+        own = self._make_work(job, key, writer, plan.read_ms)
+        own.memory = max(job.size.memory - reserved, 0)
+        own.is_writer = True
+        works = [own]
+        for helper in helpers:
+            work = self._make_work(job, key, helper.backend, plan.read_ms)
+            work.memory = helper.tokens
+            works.append(work)
         return Placement(
-            best.backend,
-            first_ms=first_ms,
+            writer,
+            first_ms=plan.first_ms,
             helpers=helpers,
-            key=PlacementKey((own, *others)),
+            key=PlacementKey(tuple(works)),
         )
 
-    def _predict_first_ms(self, own, others):
-        """Predict the first event: the last part decides, then one stride."""
-        now_ms = self.now_ms()
-        parts = [
-            self._board.state(work.engine).wait_ms(now_ms)
-            + work.read_ms * self._board.state(work.engine).slowness
-            for work in (own, *others)
-        ]
-        state = self._board.state(own.engine)
-        pass_ms = estimate_pass_ms(
-            self._figures,
-            state.writers,
-            state.memory,
+    def _make_helpers(self, job, plan):
+        others = [one.backend for one in plan.chosen[1:]]
+        if self._least_parts(job) == 1:
+            return tuple(Helper(backend) for backend in others)
+        even = int(job.size.memory / len(plan.chosen) * _TICKET_MARGIN) + 1
+        return tuple(
+            Helper(backend, self._parts.new_ticket(), even)
+            for backend in others
         )
-        return max(parts) + pass_ms / 2
-
 
-def figures_share(figures, memory):
-    """Return among how many engines a prompt's memory must be shared.
-
-    Args:
-      figures: EngineFigures.
-      memory: The tokens that it needs.
-    Returns:
-      An int; 1 if one engine holds it and others beside it.
-    """
-    usable = figures.memory_tokens * _SHARED_MEMORY
-    return 1 if memory <= usable else -int(-memory // usable)
+    def _make_work(self, job, key, backend, read_ms):
+        return Work(
+            key,
+            backend.identity,
+            read_ms=read_ms,
+            memory=0,
+            is_writer=False,
+            gap_ms=job.gap_ms or job.goal_ms,
+            weight=self._weigh(job),
+            until_ms=job.deadline_ms,
+        )
 
 
-def _cost_of(candidate):
-    return candidate.cost_ms
+def _cost_of(plan):
+    return plan.cost
--- /dev/null
+++ b/crankchute/core/engine_chooser_test.py
@@ -0,0 +1,142 @@
+"""Tests of the choice of engines for short and long prompts."""
+
+import pytest
+
+from crankchute.core.engine_chooser import EngineChooser
+from crankchute.core.engine_board import Change, Work
+from crankchute.core.fakes import ManualTimers
+from crankchute.core.forward_fakes import make_backends, make_job, make_parts
+from crankchute.core.forward_job import PromptSize
+from crankchute.core.outcomes import Refusal
+
+SHORT = PromptSize(5_000, 1_000)
+LONG = PromptSize(100_000, 500)
+HUGE = PromptSize(500_000, 500)
+
+
+class World:
+    """A chooser over some engines, and what it told others."""
+
+    def __init__(self, engines=4):
+        self.timers = ManualTimers()
+        self.backends = make_backends(engines)
+        self.told = []
+        parts = make_parts(
+            self.timers,
+            lambda: self.backends,
+            lambda change, work: self.told.append((change, work.engine)),
+        )
+        self.board = parts.board
+        self.chooser = EngineChooser(parts)
+
+    def place(self, size, goal_ms=300, gap_ms=250):
+        job = make_job(size=size, goal_ms=goal_ms, gap_ms=gap_ms)
+        placement = self.chooser.choose(job, set())
+        self.chooser.note_sent(job, placement)
+        return job, placement
+
+    def add_writer(self, engine, gap_ms=250):
+        work = Work(
+            f'writer-{engine}',
+            engine,
+            read_ms=1,
+            memory=2000,
+            is_writer=True,
+            gap_ms=gap_ms,
+            weight=1,
+            until_ms=60_000,
+        )
+        self.board.add(work)
+        self.board.start(engine, work.key)
+
+
+def engines_of(placement):
+    helpers = [one.backend.identity for one in placement.helpers]
+    return {placement.backend.identity, *helpers}
+
+
+def test_short_prompts_go_where_nobody_reads():
+    world = World()
+    chosen = [world.place(SHORT)[1].backend.identity for _ in range(2)]
+    # The first half of the engines is kept for long prompts.
+    assert set(chosen) == {'server-02', 'server-03'}
+
+
+def test_long_prompt_spares_the_engines_that_write():
+    world = World()
+    for engine in ('server-00', 'server-01', 'server-02'):
+        world.add_writer(engine)
+    _job, placement = world.place(LONG, goal_ms=2500)
+    assert engines_of(placement) == {'server-03'}
+
+
+def test_long_prompt_is_shared_when_one_engine_would_be_late():
+    world = World()
+    _job, placement = world.place(LONG, goal_ms=700)
+    assert len(placement.helpers) >= 1
+    assert not placement.tickets
+
+
+@pytest.mark.parametrize(
+    ('size', 'has_tickets'),
+    [(SHORT, False), (LONG, False), (HUGE, True)],
+)
+def test_memory_is_set_aside_only_for_the_longest(size, has_tickets):
+    world = World(engines=8)
+    _job, placement = world.place(size, goal_ms=2500)
+    assert bool(placement.tickets) == has_tickets
+    reserved = sum(helper.tokens for helper in placement.helpers)
+    if has_tickets:
+        largest = max(helper.tokens for helper in placement.helpers)
+        assert size.memory - reserved <= largest
+        assert largest < 232_000 / 2 * 1.1
+
+
+def test_tickets_are_new_each_time():
+    world = World(engines=8)
+    tickets = [
+        helper.ticket
+        for _ in range(3)
+        for helper in world.place(HUGE, goal_ms=2500)[1].helpers
+    ]
+    assert len(tickets) == len(set(tickets))
+
+
+def test_board_and_peers_hear_of_begin_and_end():
+    world = World()
+    job, placement = world.place(SHORT)
+    engine = placement.backend.identity
+    world.chooser.note_first(job, placement)
+    world.chooser.note_end(job, placement)
+    changes = [change for change, where in world.told if where == engine]
+    assert changes == [Change.SENT, Change.STARTED, Change.ENDED]
+    assert not world.board.state(engine).works
+    assert world.board.state(engine).memory == 0
+
+
+def test_servers_to_avoid_are_never_chosen():
+    world = World(engines=2)
+    avoided = {'server-00', 'server-01'}
+    refusal = world.chooser.choose(make_job(), avoided)
+    assert isinstance(refusal, Refusal)
+    assert refusal.retry_after_ms > 0
+
+
+def test_engine_with_all_slots_taken_is_left_alone():
+    world = World(engines=2)
+    state = world.board.state('server-01')
+    state.writers = 8
+    _job, placement = world.place(SHORT)
+    assert placement.backend.identity == 'server-00'
+
+
+def test_server_that_failed_is_left_alone_while_another_is_left():
+    world = World(engines=2)
+    for _ in range(3):
+        world.backends[1].breaker.note_failure(0)
+    chosen = [world.place(SHORT)[1].backend.identity]
+    for _ in range(3):
+        world.backends[0].breaker.note_failure(0)
+    chosen.append(world.place(SHORT)[1].backend.identity)
+    assert chosen[0] == 'server-00'
+    assert chosen[1] in {'server-00', 'server-01'}
--- /dev/null
+++ b/crankchute/core/event_stream_test.py
@@ -0,0 +1,46 @@
+"""Tests of cutting streams into events, wherever the bytes are cut."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crankchute.core.event_stream import EventCutter, read_number
+
+STREAM = (
+    b'id: 1\ndata: a\n\n'
+    b'versions: 2\nid: 2\ndata: b\ndata: c\n\n'
+    b'data: no id\n\n'
+    b'id: 3\r\ndata: d\r\n\r\n'
+)
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_events_are_whole_wherever_the_stream_is_cut(cuts):
+    cutter = EventCutter()
+    places = sorted({0, len(STREAM), *cuts})
+    events = []
+    for start, end in zip(places, places[1:]):
+        events.extend(cutter.feed(STREAM[start:end]))
+    assert [event.number for event in events] == [1, 2, None, 3]
+    assert b''.join(event.payload for event in events) == STREAM
+    assert not cutter.has_rest
+
+
+def test_part_of_an_event_is_kept_back():
+    cutter = EventCutter()
+    assert cutter.feed(b'id: 1\ndata: half') == []
+    assert cutter.has_rest
+
+
+@pytest.mark.parametrize(
+    ('payload', 'number'),
+    [
+        (b'id: 12\ndata: x\n\n', 12),
+        (b'id:7\ndata: x\n\n', 7),
+        (b'data: id: 5\n\n', None),
+        (b'id: x\n\n', None),
+        (b'data: x\nid: 9\n\n', 9),
+    ],
+)
+def test_numbers(payload, number):
+    assert read_number(payload) == number
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -13,7 +13,8 @@
     Attributes:
       placement: The Placement.
       sent_ms: When it was sent, or None before.
-      started: Whether the server sent an event, a bool.
+      first_ms: When the server sent its first event, or None before.
+      longest_gap_ms: The longest pause between two events, in milliseconds.
     """
 
     __slots__ = (
@@ -23,11 +24,13 @@
         '_flow',
         '_head',
         '_is_over',
+        '_latest_ms',
         '_reservation',
         '_silence',
+        'first_ms',
+        'longest_gap_ms',
         'placement',
         'sent_ms',
-        'started',
     )
 
     def __init__(self, flow, desk, placement):
@@ -46,9 +49,16 @@
         self._is_over = False
         self._reservation = None
         self._silence = None
+        self._latest_ms = None
+        self.first_ms = None
+        self.longest_gap_ms = 0
         self.placement = placement
         self.sent_ms = None
-        self.started = False
+
+    @property
+    def started(self):
+        """Whether the server sent an event, a bool."""
+        return self.first_ms is not None
 
     @property
     def backend(self):
@@ -92,9 +102,7 @@
         """See AttemptListener."""
         if self._is_over:
             return
-        if not self.started:
-            self.started = True
-            self._desk.note_first(self._flow, self)
+        self._note_event()
         self._watch(self._desk.stall_ms(self._flow, self))
         self._flow.on_event(self, self._head, event)
 
@@ -120,6 +128,16 @@
             self.backend.breaker.note_failure(self._desk.now_ms())
             self._flow.on_attempt_failed(self, exc)
 
+    def _note_event(self):
+        now_ms = self._desk.now_ms()
+        if self.first_ms is None:
+            self.first_ms = now_ms
+            self._desk.note_first(self._flow, self)
+        else:
+            gap_ms = now_ms - self._latest_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self._latest_ms = now_ms
+
     def _on_reserved(self, refused):
         if self._is_over:
             return
--- /dev/null
+++ b/crankchute/core/forward_fleet_test.py
@@ -0,0 +1,86 @@
+"""Tests of the backend servers that may get new requests."""
+
+import pytest
+
+from crankchute.core.fakes import ManualTimers
+from crankchute.core.fleet import LEAVING, LIVE, Listed
+from crankchute.core.forward_fleet import ForwardFleet
+
+POOL = 'pool'
+
+
+def make_listed(identity, state=LIVE, port=7001):
+    return Listed(
+        {
+            'id': identity,
+            'kind': 'backend',
+            'address': f'127.0.0.1:{port}',
+            'data_centre': 'one',
+            'labels': {'pool': POOL},
+            'state': state,
+        }
+    )
+
+
+class World:
+    """A fleet with two servers."""
+
+    def __init__(self):
+        self.timers = ManualTimers()
+        self.fleet = ForwardFleet(self.timers, 'pool')
+        self.fleet.replace(
+            [make_listed('a'), make_listed('b')],
+            may_lapse=False,
+        )
+
+    def members(self):
+        return {one.identity for one in self.fleet.members_of(POOL)}
+
+
+@pytest.mark.parametrize(
+    'leave',
+    [
+        lambda fleet: fleet.put(make_listed('a', LEAVING)),
+        lambda fleet: fleet.note_left('a'),
+        lambda fleet: fleet.remove('a', may_lapse=False),
+        lambda fleet: fleet.replace([make_listed('b')], may_lapse=False),
+    ],
+)
+def test_server_that_left_gets_nothing_more(leave):
+    world = World()
+    leave(world.fleet)
+    assert world.members() == {'b'}
+    # An older entry that comes late changes nothing.
+    world.fleet.put(make_listed('a'))
+    assert world.members() == {'b'}
+
+
+def test_lapsed_entry_is_kept_for_a_while():
+    world = World()
+    world.fleet.remove('a', may_lapse=True)
+    assert world.members() == {'a', 'b'}
+    world.timers.advance(3000)
+    assert world.members() == {'b'}
+
+
+def test_lapsed_entry_that_returns_stays():
+    world = World()
+    world.fleet.remove('a', may_lapse=True)
+    world.timers.advance(500)
+    world.fleet.put(make_listed('a'))
+    world.timers.advance(3000)
+    assert world.members() == {'a', 'b'}
+
+
+def test_draining_server_does_not_lapse():
+    world = World()
+    world.fleet.put(make_listed('a', LEAVING))
+    world.fleet.remove('a', may_lapse=True)
+    assert world.fleet.get('a') is None
+
+
+def test_new_address_is_a_new_server():
+    world = World()
+    before = world.fleet.get('a')
+    world.fleet.put(make_listed('a', port=7009))
+    assert world.fleet.get('a') is not before
--- /dev/null
+++ b/crankchute/core/sliding_budget_test.py
@@ -0,0 +1,70 @@
+"""Tests of the retry budget, also of many instances together."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crankchute.core.sliding_budget import SlidingBudget
+
+WINDOW_MS = 1000
+
+
+@pytest.mark.parametrize(
+    ('requests', 'slack', 'most'),
+    [(0, 0, 0), (100, 0, 16), (0, 100, 64), (100, 100, 80)],
+)
+def test_retries_in_one_window(requests, slack, most):
+    budget = SlidingBudget(0.2, slack, WINDOW_MS)
+    for _ in range(requests):
+        budget.note_request(0)
+    taken = sum(budget.take(500) for _ in range(200))
+    assert taken == most
+
+
+def test_budget_returns_when_the_window_has_passed():
+    budget = SlidingBudget(0, 2, WINDOW_MS)
+    assert budget.take(0)
+    assert not budget.take(WINDOW_MS)
+    assert budget.take(WINDOW_MS + 1)
+
+
+def test_a_shrinking_view_never_enlarges_the_share():
+    budget = SlidingBudget(0, 100, WINDOW_MS)
+    budget.note_instances(10)
+    budget.note_instances(2)
+    assert sum(budget.take(0) for _ in range(100)) == 6
+
+
+@given(
+    st.integers(1, 12),
+    st.lists(
+        st.tuples(st.integers(0, 11), st.booleans(), st.integers(0, 90)),
+        max_size=120,
+    ),
+)
+def test_all_instances_together_keep_the_bound(instances, steps):
+    """Whatever each instance does, no window has more than the bound."""
+    ratio, slack = 0.2, 20
+    budgets = [make_budget(ratio, slack, instances) for _ in range(instances)]
+    now_ms = 0
+    requests, retries = [], []
+    for which, is_request, pause_ms in steps:
+        now_ms += pause_ms
+        budget = budgets[which % instances]
+        if is_request:
+            budget.note_request(now_ms)
+            requests.append(now_ms)
+        elif budget.take(now_ms):
+            retries.append(now_ms)
+            allowed = ratio * _in_window(requests, now_ms) + slack
+            assert _in_window(retries, now_ms) <= allowed
+
+
+def make_budget(ratio, slack, instances):
+    budget = SlidingBudget(ratio, slack, WINDOW_MS)
+    budget.note_instances(instances)
+    return budget
+
+
+def _in_window(times, now_ms):
+    return sum(time_ms >= now_ms - WINDOW_MS for time_ms in times)
--- /dev/null
+++ b/crankchute/platform/documents_test.py
@@ -0,0 +1,140 @@
+"""Tests of decoding the store's documents."""
+
+from types import MappingProxyType
+
+import orjson
+import pytest
+
+from crankchute.core.fleet import LEAVING, LIVE
+from crankchute.core.forward_job import Repeat
+from crankchute.errors import ConfigError
+from crankchute.platform.documents import read_config, read_server
+
+ROUTE = MappingProxyType(
+    {
+        'name': 'r',
+        'host': 'A.example',
+        'path-prefix': '/p/',
+        'kind': 'streaming',
+        'timeout-ms': 10_000,
+        'target-latency-ms': 300,
+        'priority': 1,
+        'service': 'llm',
+        'max-attempts': 2,
+        'stream-resume': True,
+        'gap_aim_ms': 250,
+    }
+)
+ENGINE = MappingProxyType(
+    {
+        'slots': 8,
+        'kv-capacity-tokens': 232_000,
+        'stride': 43,
+        'step_ms': 1.02,
+        'per_seq_ms': 0.0045,
+        'context_per_k': 0.0043,
+        'read_per_s': 206_000,
+        'pairs_per_m': 0.138,
+        'chunk': 2048,
+    }
+)
+DOCUMENT = MappingProxyType(
+    {
+        'version': 7,
+        'routes': [dict(ROUTE)],
+        'services': [
+            {'name': 'llm', 'max-connections': 264, 'engine': dict(ENGINE)},
+            {'name': 'web', 'max-connections': 96},
+        ],
+        'limits': {
+            'max-header-bytes': 16_384,
+            'max-body-bytes': 4_194_304,
+            'header-timeout-ms': 3000,
+            'idle-timeout-ms': 15_000,
+        },
+        'tenants': [{'name': 't', 'api-keys': ['k1', 'k2'], 'priority': 2}],
+    }
+)
+
+
+def read_changed(**changes):
+    return read_config(orjson.dumps({**DOCUMENT, **changes}))
+
+
+def test_whole_configuration():
+    config = read_changed()
+    route = config.routes.find('a.example', '/p/x')
+    assert config.version == 7
+    assert route.repeat == Repeat.RESUME
+    assert route.is_stream
+    assert (route.goal_ms, route.gap_ms, route.timeout_ms) == (300, 250, 10_000)
+    assert config.pools['llm'].figures.read_per_ms == 206
+    assert config.pools['web'].figures is None
+    assert config.keys['k2'].account == 't'
+    assert config.keys['k2'].priority == 2
+    assert config.intake.idle_ms == 15_000
+
+
+@pytest.mark.parametrize(
+    ('change', 'repeat', 'is_stream'),
+    [
+        ({'kind': 'streaming', 'stream-resume': True}, Repeat.RESUME, True),
+        ({'kind': 'streaming', 'stream-resume': False}, Repeat.ONCE, True),
+        ({'kind': 'idempotent'}, Repeat.AGAIN, False),
+        ({'kind': 'non_idempotent'}, Repeat.ONCE, False),
+        ({'kind': 'never heard of'}, Repeat.ONCE, False),
+    ],
+)
+def test_what_may_be_repeated(change, repeat, is_stream):
+    config = read_changed(routes=[{**ROUTE, **change}])
+    route = config.routes.find('a.example', '/p/')
+    assert (route.repeat, route.is_stream) == (repeat, is_stream)
+
+
+def test_split_goes_before_a_single_pool():
+    split = [{'service': 'x', 'weight': 90}, {'service': 'y', 'weight': 10}]
+    config = read_changed(routes=[{**ROUTE, 'traffic-split': split}])
+    route = config.routes.find('a.example', '/p/')
+    assert [share.pool for share in route.shares] == ['x', 'y']
+
+
+@pytest.mark.parametrize('accounts', [None, []])
+def test_without_accounts_no_request_needs_a_key(accounts):
+    assert read_changed(tenants=accounts).keys is None
+
+
+@pytest.mark.parametrize(
+    'payload',
+    [
+        b'',
+        b'not json',
+        b'[]',
+        b'{}',
+        b'{"version": "x"}',
+        orjson.dumps({'version': 1, 'routes': [{'host': 'a'}]}),
+        orjson.dumps({'version': 1, 'services': [{}]}),
+    ],
+)
+def test_bad_configuration_is_a_finding(payload):
+    with pytest.raises(ConfigError) as caught:
+        read_config(payload)
+    assert caught.value.findings[0].place == 'op/config'
+
+
+@pytest.mark.parametrize(
+    ('state', 'expected'),
+    [('ready', LIVE), ('draining', LEAVING), (None, LIVE)],
+)
+def test_server(state, expected):
+    document = {'service': 'llm', 'address': '10.0.0.1:80', 'zone': 'z'}
+    listed = read_server('i-1', orjson.dumps({**document, 'state': state}))
+    assert listed.identity == 'i-1'
+    assert listed.address == ('10.0.0.1', 80)
+    assert listed.state == expected
+
+
+@pytest.mark.parametrize('payload', [b'', b'{}', b'{"service": "x"}', b'7'])
+def test_bad_server_is_a_finding(payload):
+    with pytest.raises(ConfigError) as caught:
+        read_server('i-1', payload)
+    assert caught.value.findings[0].place == 'i-1'
