--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -1,10 +1,57 @@
 """The log lines of forwarding: a line for each decision about a request."""
 
 from crankchute.adapters.log import log_change
+from crankchute.core.outcomes import Outcome
 
 
 class ForwardJournal:
-    """Logs attempts and ends with what decided them."""
+    """Logs requests with what decided them, and how old that was."""
+
+    def __init__(self, holder, clock):
+        """Create the journal.
+
+        Args:
+          holder: The ForwardConfigHolder whose version decides.
+          clock: A Clock.
+        """
+        self._holder = holder
+        self._clock = clock
+
+    def log_request(self, job):
+        """Log that a request is taken.
+
+        Args:
+          job: A ForwardJob.
+        """
+        size = job.size
+        log_change(
+            'request',
+            request=job.request_id,
+            pool=job.pool,
+            account=job.account,
+            repeat=job.repeat.value,
+            tokens=None if size is None else size.prompt,
+            deadline_in_ms=_round(job.remaining_ms(self._clock.now_ms())),
+            resume_after=job.resume_after,
+            **self._describe_config(),
+        )
+
+    def log_refused(self, request_id, refusal):
+        """Log that a request is refused before it is a job.
+
+        Args:
+          request_id: The caller's id, or None.
+          refusal: A RequestRefused.
+        """
+        log_change(
+            'request_refused',
+            failed=True,
+            request=request_id,
+            status=int(refusal.status),
+            code=refusal.code,
+            retry_after_ms=refusal.retry_after_ms,
+            **self._describe_config(),
+        )
 
     def log_attempt(self, flow, attempt, cause):
         """Log that a request is sent to a server.
@@ -15,43 +62,70 @@
           cause: Why it is sent again, or None for the first time.
         """
         placement = attempt.placement
+        beliefs = placement.beliefs
         log_change(
             'attempt',
             request=flow.job.request_id,
             server=attempt.backend.identity,
             number=flow.attempts,
-            tokens=None if flow.job.size is None else flow.job.size.prompt,
             cause=cause,
-            predicted_ms=_round(placement.first_ms),
             helpers=[one.backend.identity for one in placement.helpers],
+            tickets=[one.ticket for one in placement.tickets],
+            predicted_ms=_round(placement.first_ms),
+            believed=None if beliefs is None else beliefs.describe(),
+            resume_after=flow.delivered,
             age_ms=_round(flow.now_ms() - flow.job.arrived_ms),
         )
 
     def log_attempt_end(self, flow, attempt, cause):
-        """Log how an attempt ended."""
+        """Log how an attempt ended.
+
+        Args:
+          flow: The ForwardFlow.
+          attempt: The Attempt.
+          cause: The status of the answer, "cancelled", or what failed.
+        """
+        placement = attempt.placement
         log_change(
             'attempt_end',
+            failed=not (cause.startswith('2') or cause == 'cancelled'),
             request=flow.job.request_id,
             server=attempt.backend.identity,
+            number=flow.attempts,
             cause=cause,
             after_ms=_round(flow.now_ms() - attempt.sent_ms),
             first_ms=_round(_since(attempt.first_ms, attempt.sent_ms)),
-            predicted_ms=_round(attempt.placement.first_ms),
+            predicted_ms=_round(placement.first_ms),
             longest_gap_ms=_round(attempt.longest_gap_ms),
             events=flow.passed,
         )
 
     def log_end(self, flow, outcome, code):
-        """Log the end of a request."""
+        """Log the end of a request.
+
+        Args:
+          flow: The ForwardFlow.
+          outcome: An Outcome.
+          code: A short identifier of how it ended.
+        """
         log_change(
             'request_end',
+            failed=outcome != Outcome.OK,
             request=flow.job.request_id,
             outcome=outcome.value,
             code=code,
             attempts=flow.attempts,
+            events=flow.passed,
             after_ms=_round(flow.now_ms() - flow.job.arrived_ms),
         )
 
+    def _describe_config(self):
+        age_ms = self._holder.proof_age_ms(self._clock.now_ms())
+        return {
+            'config_version': self._holder.version,
+            'config_proof_age_ms': _round(age_ms),
+        }
+
 
 def _since(moment_ms, start_ms):
     return None if moment_ms is None else moment_ms - start_ms
--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -31,10 +31,13 @@
       news: A function of a Change and a Work, told of what this instance
         sends.
       new_ticket: A function that returns the id of a new ticket.
+      heard_ms_ago: A function that returns how long ago another instance was
+        last heard from, in milliseconds or None.
     """
 
     __slots__ = (
         'board',
+        'heard_ms_ago',
         'members',
         'new_ticket',
         'news',
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -11,7 +11,7 @@
 from crankchute.core.choosers import Chooser, choosers
 from crankchute.core.engine_board import Change, Work
 from crankchute.core.engine_model import estimate_pass_ms, estimate_read_ms
-from crankchute.core.forward_job import Helper, Placement
+from crankchute.core.forward_job import Beliefs, Helper, Placement
 
 #: The name of the chooser in the registry.
 PREDICTED = 'predicted'
@@ -296,12 +296,24 @@
             work = self._make_work(job, key, helper.backend, plan.read_ms)
             work.memory = helper.tokens
             works.append(work)
-        return Placement(
+        placement = Placement(
             writer,
             first_ms=plan.first_ms,
             helpers=helpers,
             key=PlacementKey(tuple(works)),
         )
+        placement.beliefs = self._note_beliefs(plan)
+        return placement
+
+    def _note_beliefs(self, plan):
+        state = plan.chosen[0].state
+        return Beliefs(
+            wait_ms=state.wait_ms(self.now_ms()),
+            writers=state.writers,
+            memory=state.memory,
+            cost=plan.cost,
+            heard_ms_ago=self._parts.heard_ms_ago(),
+        )
 
     def _make_helpers(self, job, plan):
         others = [one.backend for one in plan.chosen[1:]]
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -13,24 +13,6 @@
 _NO_BACKEND_MS = 500
 
 
-class RetryLimits:
-    """How much of the requests may be repeated, by all instances together."""
-
-    __slots__ = ('ratio', 'slack', 'window_ms')
-
-    def __init__(self, *, ratio, slack, window_ms):
-        """Create the limits.
-
-        Args:
-          ratio: Retries for each request.
-          slack: Retries beyond that in any window.
-          window_ms: The window in milliseconds.
-        """
-        self.ratio = ratio
-        self.slack = slack
-        self.window_ms = window_ms
-
-
 class ForwardDesk:
     """Serves forwarded requests and knows those in progress.
 
@@ -72,6 +54,7 @@
         Returns:
           A ForwardFlow, whose cancel() gives the request up.
         """
+        self.journal.log_request(job)
         self._budget(job.pool).note_request(self.now_ms())
         flow = ForwardFlow(job, self, sink)
         self._flows.add(flow)
@@ -88,6 +71,16 @@
         for budget in self._budgets.values():
             budget.note_instances(known)
 
+    def change_limits(self, limits):
+        """Take other retry limits; what was used stays used.
+
+        Args:
+          limits: RetryLimits.
+        """
+        self._limits = limits
+        for budget in self._budgets.values():
+            budget.change_limits(limits)
+
     def now_ms(self):
         """Return the time on this process's clock."""
         return self._timers.clock.now_ms()
@@ -179,12 +172,7 @@
     def _budget(self, pool):
         budget = self._budgets.get(pool)
         if budget is None:
-            limits = self._limits
-            budget = SlidingBudget(
-                limits.ratio,
-                limits.slack,
-                limits.window_ms,
-            )
+            budget = SlidingBudget(self._limits)
             budget.note_instances(self._instances)
             self._budgets[pool] = budget
         return budget
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -6,11 +6,7 @@
 from crankchute.core.fakes import ManualTimers
 from crankchute.core.fleet import Backend, Listed
 from crankchute.core.forward_config import PoolConfig
-from crankchute.core.forward_desk import (
-    ForwardDesk,
-    ForwardPorts,
-    RetryLimits,
-)
+from crankchute.core.forward_desk import ForwardDesk, ForwardPorts
 from crankchute.core.forward_job import (
     ForwardJob,
     Placement,
@@ -18,6 +14,7 @@
     Repeat,
 )
 from crankchute.core.reservations import ReservationDesk, ReservationPort
+from crankchute.core.sliding_budget import RetryLimits
 from crankchute.ports.forwarding import AnswerSink, ForwardPort
 from crankchute.ports.metrics import Metrics
 
@@ -151,6 +148,9 @@
         """Create without lines."""
         self.ends = []
 
+    def log_request(self, job):
+        """See ForwardJournal."""
+
     def log_attempt(self, flow, attempt, cause):
         """See ForwardJournal."""
 
@@ -309,6 +309,7 @@
         random=_NoChance(),
         board=EngineBoard(timers.clock.now_ms),
         news=news or _ignore,
+        heard_ms_ago=_ignore,
         new_ticket=lambda: f'ticket-{next(tickets)}',
     )
 
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -109,7 +109,7 @@
     def on_attempt_end(self, attempt, head, body):
         """End with the server's answer, or try again after its failure."""
         self._attempt = None
-        self._desk.note_attempt_end(self, attempt, 'answered')
+        self._desk.note_attempt_end(self, attempt, str(head.status))
         if self.job.is_stream and head.is_success and not body:
             self._finish_stream(head)
             return
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -151,6 +151,45 @@
         self.tokens = tokens
 
 
+class Beliefs:
+    """What was believed of a chosen server when it was chosen.
+
+    Attributes:
+      wait_ms: How long prompts before this one would still be read there.
+      writers: How many requests write there.
+      memory: How many tokens of its memory are taken.
+      cost: What the placement was thought to cost, in worth.
+      heard_ms_ago: How long ago another instance was last heard from, which
+        is how old the beliefs about its requests may be, or None.
+    """
+
+    __slots__ = ('cost', 'heard_ms_ago', 'memory', 'wait_ms', 'writers')
+
+    def __init__(self, *, wait_ms, writers, memory, cost, heard_ms_ago):
+        """Create the record.
+
+        Args:
+          wait_ms: Milliseconds.
+          writers: An int.
+          memory: Tokens.
+          cost: A float.
+          heard_ms_ago: Milliseconds or None.
+        """
+        self.wait_ms = wait_ms
+        self.writers = writers
+        self.memory = memory
+        self.cost = cost
+        self.heard_ms_ago = heard_ms_ago
+
+    def describe(self):
+        """Return the beliefs as a map of numbers, rounded for people."""
+        described = {}
+        for name in self.__slots__:
+            found = getattr(self, name)
+            described[name] = None if found is None else round(found, 1)
+        return described
+
+
 class Placement:
     """Where an attempt runs, as a chooser decided.
 
@@ -160,9 +199,17 @@
       first_ms: The predicted milliseconds to the first event, or None.
       key: What the chooser knows this placement by; opaque to others.
       priority: The rank at the engine, 0 (first) to 9.
+      beliefs: The Beliefs that decided it, or None.
     """
 
-    __slots__ = ('backend', 'first_ms', 'helpers', 'key', 'priority')
+    __slots__ = (
+        'backend',
+        'beliefs',
+        'first_ms',
+        'helpers',
+        'key',
+        'priority',
+    )
 
     def __init__(self, backend, *, first_ms=None, helpers=(), key=None):
         """Create the placement.
@@ -178,6 +225,7 @@
         self.helpers = helpers
         self.key = key
         self.priority = _USUAL_PRIORITY
+        self.beliefs = None
 
     @property
     def tickets(self):
--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -173,6 +173,12 @@
         view.proof_age_ms = briefing.proof_age_ms
         self._parts.take(briefing, asked_ms)
 
+    def heard_ms_ago(self):
+        """Return how long ago the active ones were heard from, or None."""
+        heard = [self._view(one.identity).heard_ms for one in self._others()]
+        known = [moment_ms for moment_ms in heard if moment_ms is not None]
+        return self._now_ms() - min(known) if known else None
+
     def choose_addresses(self, data_centre):
         """Return the members that a caller should use.
 
--- a/crankchute/core/sliding_budget.py
+++ b/crankchute/core/sliding_budget.py
@@ -16,33 +16,48 @@
 _USED_PART = 0.8
 
 
+class RetryLimits:
+    """How much of the requests may be repeated, by all instances together."""
+
+    __slots__ = ('ratio', 'slack', 'window_ms')
+
+    def __init__(self, *, ratio, slack, window_ms):
+        """Create the limits.
+
+        Args:
+          ratio: Retries for each request.
+          slack: Retries beyond that in any window.
+          window_ms: The window in milliseconds.
+        """
+        self.ratio = ratio
+        self.slack = slack
+        self.window_ms = window_ms
+
+
 class SlidingBudget:
     """The retries of one pool at one instance."""
 
-    __slots__ = (
-        '_most_known',
-        '_ratio',
-        '_requests',
-        '_retries',
-        '_slack',
-        '_window_ms',
-    )
+    __slots__ = ('_limits', '_most_known', '_requests', '_retries')
 
-    def __init__(self, ratio, slack, window_ms):
+    def __init__(self, limits):
         """Create an unused budget.
 
         Args:
-          ratio: Retries for each request.
-          slack: Retries of all instances beyond that, in any window.
-          window_ms: The window, in milliseconds.
+          limits: RetryLimits.
         """
-        self._ratio = ratio
-        self._slack = slack
-        self._window_ms = window_ms
+        self._limits = limits
         self._requests = deque()
         self._retries = deque()
         self._most_known = 1
 
+    def change_limits(self, limits):
+        """Take other limits; what was used stays used.
+
+        Args:
+          limits: RetryLimits.
+        """
+        self._limits = limits
+
     def note_instances(self, known):
         """Note how many instances are known.
 
@@ -69,8 +84,8 @@
           True if the retry may be made.
         """
         self._drop_old(now_ms)
-        share = self._slack / (self._most_known * _UNKNOWN_FACTOR)
-        allowed = self._ratio * len(self._requests) + share
+        share = self._limits.slack / (self._most_known * _UNKNOWN_FACTOR)
+        allowed = self._limits.ratio * len(self._requests) + share
         if len(self._retries) + 1 > allowed * _USED_PART:
             return False
         self._retries.append(now_ms)
@@ -78,5 +93,5 @@
 
     def _drop_old(self, now_ms):
         for times in (self._requests, self._retries):
-            while times and times[0] < now_ms - self._window_ms:
+            while times and times[0] < now_ms - self._limits.window_ms:
                 times.popleft()
--- a/crankchute/core/sliding_budget_test.py
+++ b/crankchute/core/sliding_budget_test.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crankchute.core.sliding_budget import SlidingBudget
+from crankchute.core.sliding_budget import RetryLimits, SlidingBudget
 
 WINDOW_MS = 1000
 
@@ -14,7 +14,7 @@
     [(0, 0, 0), (100, 0, 16), (0, 100, 64), (100, 100, 80)],
 )
 def test_retries_in_one_window(requests, slack, most):
-    budget = SlidingBudget(0.2, slack, WINDOW_MS)
+    budget = make_budget(0.2, slack)
     for _ in range(requests):
         budget.note_request(0)
     taken = sum(budget.take(500) for _ in range(200))
@@ -22,14 +22,14 @@
 
 
 def test_budget_returns_when_the_window_has_passed():
-    budget = SlidingBudget(0, 2, WINDOW_MS)
+    budget = make_budget(0, 2)
     assert budget.take(0)
     assert not budget.take(WINDOW_MS)
     assert budget.take(WINDOW_MS + 1)
 
 
 def test_a_shrinking_view_never_enlarges_the_share():
-    budget = SlidingBudget(0, 100, WINDOW_MS)
+    budget = make_budget(0, 100)
     budget.note_instances(10)
     budget.note_instances(2)
     assert sum(budget.take(0) for _ in range(100)) == 6
@@ -60,8 +60,9 @@
             assert _in_window(retries, now_ms) <= allowed
 
 
-def make_budget(ratio, slack, instances):
-    budget = SlidingBudget(ratio, slack, WINDOW_MS)
+def make_budget(ratio, slack, instances=1):
+    limits = RetryLimits(ratio=ratio, slack=slack, window_ms=WINDOW_MS)
+    budget = SlidingBudget(limits)
     budget.note_instances(instances)
     return budget
 
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -99,6 +99,7 @@
       identity: The InstanceIdentity.
       phase: "joining", "serving", or "draining" (out of address answers,
         still serving callers that hold old ones).
+      journal: The ForwardJournal.
       on_draining: Called when stopping begins.
       on_stopped: Called when nothing is left to do.
     """
@@ -133,11 +134,12 @@
             self.metrics,
             f'{identity.instance}-{identity.boot}',
         )
+        self.journal = ForwardJournal(self.holder, self.timers.clock)
         ports = ForwardPorts(
             forward=wiring.port,
             timers=self.timers,
             metrics=self.metrics,
-            journal=ForwardJournal(),
+            journal=self.journal,
             reservations=self._reservations,
             chooser_of=self._chooser_of,
         )
@@ -155,6 +157,17 @@
         """Return the time on this process's clock."""
         return self.timers.clock.now_ms()
 
+    def reload(self, limits, seeds):
+        """Take changed limits and seeds.
+
+        Args:
+          limits: ForwardLimits.
+          seeds: Pairs of IP and port.
+        """
+        self._limits = limits
+        self.desk.change_limits(limits.retries)
+        self.peers.change_seeds(seeds)
+
     def stop(self):
         """Stop as planned: nothing in progress is cut off."""
         if self.phase == DRAINING:
@@ -166,6 +179,16 @@
         if self.on_draining is not None:
             self.on_draining()
 
+    def note_refused(self, request_id, refusal):
+        """Count and log a request that was refused before it was a job.
+
+        Args:
+          request_id: The caller's id of it, or None.
+          refusal: A RequestRefused.
+        """
+        self.metrics.count('bad_requests', refusal.code)
+        self.journal.log_refused(request_id, refusal)
+
     def choose_addresses(self, data_centre):
         """Return the addresses that a caller should use.
 
@@ -200,6 +223,7 @@
             board=self.board,
             news=self.peers.sharing.note,
             new_ticket=self._reservations.new_ticket,
+            heard_ms_ago=self.peers.sharing.heard_ms_ago,
         )
         return choosers[name](parts)
 
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -137,7 +137,8 @@
         )
         self.membership = self._peering.membership
         self.sharing = Sharing(self._make_parts(node), identity.instance)
-        self._seeds = [_write_address(one) for one in identity.seeds]
+        self._seeds = []
+        self.change_seeds(identity.seeds)
         self._peering.start()
         self.sharing.start()
         self._ask_seeds()
@@ -157,6 +158,14 @@
         self.sharing.hear(read_briefing(request, now_ms))
         on_reply(write_briefing(self._make_briefing([]), now_ms))
 
+    def change_seeds(self, seeds):
+        """Take other addresses at which instances may be found.
+
+        Args:
+          seeds: Pairs of IP and port.
+        """
+        self._seeds = [_write_address(one) for one in seeds]
+
     def announce(self, *, is_serving):
         """Tell the others whether callers may be sent here.
 
--- /dev/null
+++ b/crankchute/entry/forward_state.py
@@ -0,0 +1,65 @@
+"""The state of an instance that forwards requests, written out for people."""
+
+
+def dump_forward_node(node):
+    """Return the state of an instance.
+
+    Args:
+      node: A ForwardNode.
+    Returns:
+      A map of JSON values.
+    """
+    now_ms = node.now_ms()
+    return {
+        'instance': node.identity.instance,
+        'boot': node.identity.boot,
+        'data_centre': node.identity.data_centre,
+        'phase': node.phase,
+        'uptime_ms': round(now_ms),
+        'config': {
+            'version': node.holder.version,
+            'proof_age_ms': node.holder.proof_age_ms(now_ms),
+        },
+        'active': [one.identity for one in node.peers.sharing.active],
+        'peers_heard_ms_ago': node.peers.sharing.heard_ms_ago(),
+        'members': [
+            _dump_member(one) for one in node.peers.membership.all_members()
+        ],
+        'servers': [_dump_server(node, one) for one in node.fleet],
+        'servers_left': node.fleet.left(),
+        'requests_in_progress': node.desk.in_progress,
+        'counters': _dump_counters(node.metrics.counts),
+    }
+
+
+def _dump_member(member):
+    return {
+        'instance': member.identity,
+        'boot': member.boot,
+        'address': member.http_address,
+        'data_centre': member.data_centre,
+        'draining': member.draining,
+        'status': member.status.name.lower(),
+    }
+
+
+def _dump_server(node, backend):
+    state = node.board.state(backend.identity)
+    return {
+        'server': backend.identity,
+        'address': '{0}:{1}'.format(*backend.listed.address),
+        'labels': backend.listed.labels,
+        'state': backend.listed.state,
+        'in_flight': backend.in_flight,
+        'left_alone': backend.breaker.is_open,
+        'wait_ms': round(state.wait_ms(node.now_ms()), 1),
+        'writers': state.writers,
+        'memory': state.memory,
+    }
+
+
+def _dump_counters(counts):
+    return {
+        key if isinstance(key, str) else '/'.join(key): count
+        for key, count in sorted(counts.items(), key=str)
+    }
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -3,13 +3,16 @@
 from crankchute.adapters.forward_server import ForwardServer
 from crankchute.adapters.http_client import HttpClient
 from crankchute.adapters.http_intake import IntakeLimits
-from crankchute.core.forward_desk import RetryLimits
+from crankchute.adapters.operator_pages import OperatorPages
+from crankchute.core.sliding_budget import RetryLimits
 from crankchute.entry.forward_node import (
     ForwardLimits,
     ForwardNode,
     ForwardWiring,
     InstanceIdentity,
 )
+from crankchute.entry.forward_state import dump_forward_node
+from crankchute.errors import RequestRefused
 from crankchute.platform.answers import ExchangeAnswer
 from crankchute.platform.backend_calls import BackendCalls
 from crankchute.platform.directory import Directory, Readiness
@@ -18,7 +21,11 @@
 from crankchute.platform.published import PublishedConfig, PublishedServers
 from crankchute.platform.requests import RequestReader
 from crankchute.platform.store import StoreWatch
-from crankchute.platform.wire import CONFIG_KEY, SERVERS_PREFIX
+from crankchute.platform.wire import (
+    CONFIG_KEY,
+    REQUEST_ID,
+    SERVERS_PREFIX,
+)
 
 #: How long callers may keep an address answer, in milliseconds: short, so
 #: that they leave a lost instance soon; each question costs about 1 ms.
@@ -42,17 +49,19 @@
       http_client: The HttpClient of all outgoing calls.
     """
 
-    def __init__(self, loop, settings):
+    def __init__(self, loop, settings, metrics_port):
         """Wire the adapters and begin to read the store.
 
         Args:
           loop: The Loop.
           settings: InstanceSettings.
+          metrics_port: The port for metrics and the state.
         Raises:
           OSError: If an address cannot be listened on.
         """
         self.timers = loop.timers
         self.settings = settings
+        self._metrics_port = metrics_port
         self.http_client = HttpClient(timers=loop.timers).register(loop)
         wiring = ForwardWiring(
             port=BackendCalls(self.http_client),
@@ -77,11 +86,26 @@
         self.node.on_draining = self._on_draining
         self._watch_store()
 
+    def reload(self, settings):
+        """Take changed settings; addresses are those of the start.
+
+        Args:
+          settings: InstanceSettings.
+        """
+        self.settings = settings
+        self.node.reload(_read_limits(settings.bounds), settings.seeds)
+
     def _listen_all(self, loop):
         listeners = self.settings.listeners
         self._server = self._listen(loop, listeners.callers, self._on_request)
         readiness = Readiness(lambda: self.node.is_accepting)
         self._listen(loop, listeners.readiness, readiness.answer)
+        pages = OperatorPages(
+            self.node.metrics,
+            lambda: dump_forward_node(self.node),
+        )
+        host, _port = listeners.callers
+        self._listen(loop, (host, self._metrics_port), pages.answer)
         if listeners.directory is not None:
             choose = self.node.choose_addresses
             directory = Directory(choose, ADDRESS_TTL_MS)
@@ -110,7 +134,11 @@
         return server.register(loop)
 
     def _on_request(self, exchange):
-        job = self._reader.read(exchange)
+        try:
+            job = self._reader.read(exchange)
+        except RequestRefused as refusal:
+            self.node.note_refused(exchange.header(REQUEST_ID), refusal)
+            raise
         flow = self.node.desk.submit(job, ExchangeAnswer(exchange))
         if not flow.ended:
             exchange.on_gone = flow.cancel
