Print the history of one request from logs

`crankchute explain ID FILE...` orders the lines of one request from several instances, with what they learnt of its servers, the configuration and the store meanwhile, and says if lines were left out.

--- a/crankchute/commands/main.py
+++ b/crankchute/commands/main.py
@@ -9,13 +9,14 @@
     check,
     dump_state,
     entry,
+    explain,
     load_run,
     standin,
 )
 from crankchute.errors import FindingsError
 
 EXIT_BAD_INPUT = 2
-_COMMANDS = (entry, call, check, dump_state, load_run, standin)
+_COMMANDS = (entry, call, check, dump_state, explain, load_run, standin)
 
 
 def make_parser():
