Run plain service calls on the forwarding engine

Cause: calls of plain services had flows of their own, a second copy of attempts, retries, deadlines and the proof that a call did not start.

Change: ServiceRouter submits to the forwarding engine; its HTTP adapter is a ForwardPort. The state machine of the ledger and the two mutations that take out guards of these flows go by the engine now, as strict as before. A call that a server says it did not start is tried elsewhere, which was refused before; a repeatable call that a server answers with a fault is tried elsewhere too.

Not run: the mutations as a whole.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -76,9 +76,9 @@
     Mutation(
         'a lost answer is taken for a call that did not run',
         'not run is true',
-        'crankchute/core/service_flow.py',
-        "return Refusal(Outcome.UNKNOWN, 'unknown', _SENT_TEXT)",
-        "return refuse_not_run('unknown', _SENT_TEXT, _HINT_MS)",
+        'crankchute/core/forward_flow.py',
+        'refusal = Refusal(self._unfinished(), code, text)',
+        'refusal = refuse_not_run(code, text, retry_after_ms)',
     ),
     Mutation(
         'the ledger lets a key start again',
@@ -153,9 +153,9 @@
     Mutation(
         'a sent call is sent again',
         _CALLS,
-        'crankchute/core/service_flow.py',
-        'if exc.sent and not self.call.repeatable:',
-        'if exc.sent and self.call.repeatable:',
+        'crankchute/core/forward_flow.py',
+        'if self.job.may_repeat and self._may_go_on(attempt):',
+        'if self._may_go_on(attempt):',
     ),
     Mutation(
         'an expired key may start',
--- a/crankchute/adapters/service_http.py
+++ b/crankchute/adapters/service_http.py
@@ -1,17 +1,18 @@
-"""Plain services over HTTP: the adapter of ServicePort."""
+"""Plain services over HTTP: a ForwardPort whose jobs carry a ServiceCall."""
 
 from crankchute.adapters.http_client import CallOptions, build_request
-from crankchute.core.service_flow import ServiceAnswer
+from crankchute.core.forward_job import Repeat
+from crankchute.ports.forwarding import AnswerHead, ForwardPort, Rejection
 from crankchute.ports.http import WholeResponse
-from crankchute.ports.services import ServicePort
 
 KEY_HEADER = 'Crankchute-Key'
 #: A backend server sets this header when a call did not start there.
 NOT_RUN_HEADER = 'crankchute-not-run'
+_CONTENT_TYPE = 'content-type'
 _OCTETS = 'application/octet-stream'
 
 
-class HttpServices(ServicePort):
+class HttpServices(ForwardPort):
     """Calls plain services over HTTP."""
 
     def __init__(self, client):
@@ -22,14 +23,15 @@
         """
         self._client = client
 
-    def send(self, backend, call, listener):
-        """See ServicePort."""
+    def send(self, job, placement, attempt, listener):
+        """See ForwardPort."""
+        call = job.payload
         headers = []
         if call.content_type:
             headers.append(('Content-Type', call.content_type))
         if call.key:
             headers.append((KEY_HEADER, call.key))
-        address = backend.listed.address
+        address = placement.backend.listed.address
         payload = build_request(
             call.method,
             address,
@@ -40,12 +42,14 @@
 
         def take(status, body):
             if NOT_RUN_HEADER in sink.headers:
-                listener.on_not_run('the backend server did not start it')
+                listener.on_not_run(Rejection('backend_refused'))
                 return
-            content_type = sink.headers.get('content-type', _OCTETS)
-            listener.on_answer(ServiceAnswer(status, content_type, body))
+            content_type = sink.headers.get(_CONTENT_TYPE, _OCTETS)
+            headers = [(_CONTENT_TYPE, content_type)]
+            listener.on_head(AnswerHead(status, headers))
+            listener.on_body(body)
+            listener.on_end()
 
         sink = WholeResponse(take, listener.on_failed)
-        fresh = not call.repeatable
-        options = CallOptions(fresh=fresh)
+        options = CallOptions(fresh=job.repeat == Repeat.ONCE)
         return self._client.send(address, payload, sink, options)
--- a/crankchute/core/config_holder.py
+++ b/crankchute/core/config_holder.py
@@ -40,6 +40,14 @@
         """The revision in force, an int; 0 before the first."""
         return self._accepted.revision
 
+    @property
+    def version(self):
+        """The revision in force, as log lines name it."""
+        return self.revision
+
+    def proof_age_ms(self, _now_ms):
+        """Return None: the age of a revision is not proved here."""
+
     def subscribe(self, listener):
         """Be told of each configuration that comes into force.
 
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -22,13 +22,15 @@
       journal: A ForwardJournal, which logs decisions.
     """
 
-    def __init__(self, ports, limits):
+    def __init__(self, ports, limits, ended_counter='requests_ended'):
         """Create a desk without choosers.
 
         Args:
           ports: A ForwardPorts.
           limits: RetryLimits.
+          ended_counter: The counter of ended requests, by outcome.
         """
+        self._ended_counter = ended_counter
         self._timers = ports.timers
         self._limits = limits
         self._chooser_of = ports.chooser_of
@@ -55,7 +57,7 @@
           A ForwardFlow, whose cancel() gives the request up.
         """
         self.journal.log_request(job)
-        self._budget(job.pool).note_request(self.now_ms())
+        self._budget(job).note_request(self.now_ms())
         flow = ForwardFlow(job, self, sink)
         self._flows.add(flow)
         flow.start()
@@ -117,7 +119,7 @@
 
     def take_retry(self, job):
         """Take a retry of a job's pool from the budget, if there is one."""
-        taken = self._budget(job.pool).take(self.now_ms())
+        taken = self._budget(job).take(self.now_ms())
         self.metrics.count('retries' if taken else 'retries_denied')
         return taken
 
@@ -159,7 +161,7 @@
     def note_end(self, flow, outcome, code):
         """Note that a request ended."""
         self._flows.discard(flow)
-        self.metrics.count('requests_ended', outcome.value)
+        self.metrics.count(self._ended_counter, outcome.value)
         if outcome == Outcome.NOT_RUN:
             self.metrics.count('refusals', code)
         self.journal.log_end(flow, outcome, code)
@@ -169,12 +171,14 @@
         if chooser is not None:
             getattr(chooser, method)(flow.job, placement)
 
-    def _budget(self, pool):
-        budget = self._budgets.get(pool)
+    def _budget(self, job):
+        account = job.account if self._limits.per_account else None
+        key = (account, job.pool)
+        budget = self._budgets.get(key)
         if budget is None:
             budget = SlidingBudget(self._limits)
             budget.note_instances(self._instances)
-            self._budgets[pool] = budget
+            self._budgets[key] = budget
         return budget
 
 
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -114,7 +114,8 @@
             self._finish_stream(head)
             return
         is_fault = head.status >= FIRST_SERVER_ERROR
-        if is_fault and self._may_go_on(attempt):
+        may_repeat = is_fault and self.job.may_repeat
+        if may_repeat and self._may_go_on(attempt):
             self._maybe_ran = True
             self._last_answer = (head, body)
             self._try_next(head.status)
@@ -173,9 +174,7 @@
 
     def _may_go_on(self, attempt):
         self._avoided.add(attempt.backend.identity)
-        if not self.job.may_repeat or not self._has_attempts():
-            return False
-        return self._desk.take_retry(self.job)
+        return self._has_attempts() and self._desk.take_retry(self.job)
 
     def _is_new(self, event):
         if event.number is None or self.delivered is None:
--- a/crankchute/core/once_machine_test.py
+++ b/crankchute/core/once_machine_test.py
@@ -19,31 +19,29 @@
 from crankchute.core.dispatcher import Ports
 from crankchute.core.fakes import ManualTimers, make_documents, make_listed
 from crankchute.core.fleet import Fleet
+from crankchute.core.forward_fakes import FakeJournal
 from crankchute.core.keys import Binding, Claim, KeyLedger, RequestKey
 from crankchute.core.outcomes import Outcome
-from crankchute.core.service_flow import (
-    ServiceAnswer,
-    ServiceCall,
-    ServiceRouter,
-)
+from crankchute.core.service_flow import ServiceCall, ServiceRouter
 from crankchute.errors import BackendError
 from crankchute.ports.metrics import Metrics
-from crankchute.ports.services import ServicePort
+from crankchute.ports.forwarding import AnswerHead, ForwardPort, Rejection
 
 _LONGEST_MS = 10_000
 _EXPIRY_MS = 5000
 
 
-class FakeServices(ServicePort):
+class FakeServices(ForwardPort):
     """Keeps calls until the machine decides what becomes of them."""
 
     def __init__(self):
         """Create without calls."""
         self.waiting = []
+        self.sent = True
 
-    def send(self, backend, call, listener):
-        """See ServicePort."""
-        self.waiting.append((call, listener))
+    def send(self, job, placement, attempt, listener):
+        """See ForwardPort."""
+        self.waiting.append((job.payload, listener))
         return self
 
     def cancel(self):
@@ -77,7 +75,12 @@
             random=random.Random(1),
             metrics=Metrics(),
         )
-        self.router = ServiceRouter(ports, fleet, self.services)
+        self.router = ServiceRouter(
+            ports,
+            fleet,
+            self.services,
+            FakeJournal(),
+        )
         self.router.config = load_config(1, make_documents())
         binding = Binding('entry-1', f'boot-{self.boot}')
         self.ledger = KeyLedger(binding, _LONGEST_MS)
@@ -111,7 +114,9 @@
         call, listener = self.services.waiting.pop(0)
         self.runs += 1
         if heard:
-            listener.on_answer(ServiceAnswer(200, 'text/plain', b'done'))
+            listener.on_head(AnswerHead(200))
+            listener.on_body(b'done')
+            listener.on_end()
         else:
             listener.on_failed(BackendError('closed', sent=True))
 
@@ -127,7 +132,7 @@
     def refuse_call(self):
         """Let the service say that it did not start the call."""
         _, listener = self.services.waiting.pop(0)
-        listener.on_not_run('closed')
+        listener.on_not_run(Rejection('closed'))
 
     @rule(delay_ms=st.integers(min_value=1, max_value=9000))
     def pass_time(self, delay_ms):
--- a/crankchute/core/sliding_budget.py
+++ b/crankchute/core/sliding_budget.py
@@ -19,16 +19,19 @@
 class RetryLimits:
     """How much of the requests may be repeated, by all instances together."""
 
-    __slots__ = ('ratio', 'slack', 'window_ms')
+    __slots__ = ('per_account', 'ratio', 'slack', 'window_ms')
 
-    def __init__(self, *, ratio, slack, window_ms):
+    def __init__(self, *, ratio, slack, window_ms, per_account=False):
         """Create the limits.
 
         Args:
           ratio: Retries for each request.
           slack: Retries beyond that in any window.
           window_ms: The window in milliseconds.
+          per_account: Whether each client account has a budget of its own
+            for each pool, or all of them share one.
         """
+        self.per_account = per_account
         self.ratio = ratio
         self.slack = slack
         self.window_ms = window_ms
--- a/crankchute/entry/node.py
+++ b/crankchute/entry/node.py
@@ -5,6 +5,7 @@
 import time
 
 from crankchute.adapters.engine_http import HttpEngines
+from crankchute.adapters.forward_journal import ForwardJournal
 from crankchute.adapters.http_client import HttpClient
 from crankchute.adapters.http_server import HttpServer
 from crankchute.adapters.load_poller import LoadPoller
@@ -143,7 +144,12 @@
             settings.data_centre,
         )
         services = HttpServices(self.http_client)
-        self.service_router = ServiceRouter(ports, self.fleet, services)
+        self.service_router = ServiceRouter(
+            ports,
+            self.fleet,
+            services,
+            ForwardJournal(self.config, self.timers.clock),
+        )
         self.peering = Peering(
             self,
             self._describe_self(),
