Run completions on the forwarding engine, and name three active instances

Cause: completions had attempts, retries, resumption and deadlines of their own, the last second copy of these flows. With two active instances a kill of both left callers without an address until they asked again.

Change: the flows of completions and of groups are forwarding flows that wait in the queue; their frames become events in one adapter. One timer an attempt notices silence, for forwarded streams as well. Three active instances, one in each data centre where there are three.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -18,7 +18,7 @@
 _TEST_MODULE = ('pytest', '-x', '-c', '/dev/null', '--rootdir=.')
 _COMPLETIONS = 'crankchute/core/completion_machine_test.py'
 _CALLS = 'crankchute/core/once_machine_test.py'
-_SINGLE = 'crankchute/core/single_flow.py'
+_FORWARD = 'crankchute/core/forward_flow.py'
 _GROUP = 'crankchute/core/group_flow.py'
 
 
@@ -55,9 +55,9 @@
     Mutation(
         'frames are passed on after a sleep past the deadline',
         _COMPLETIONS,
-        _SINGLE,
-        'if self.job.remaining_ms(self.now_ms()) < 0:',
-        'if self.job.remaining_ms(self.now_ms()) < -99_999:',
+        _FORWARD,
+        'if not self.ended and self.job.remaining_ms(self.now_ms()) < 0:',
+        'if not self.ended and self.job.remaining_ms(self.now_ms()) < -99_999:',
     ),
     Mutation(
         'engines are not told that the caller is gone',
@@ -76,9 +76,9 @@
     Mutation(
         'a lost answer is taken for a call that did not run',
         'not run is true',
-        'crankchute/core/forward_flow.py',
-        'refusal = Refusal(self._unfinished(), code, text)',
-        'refusal = refuse_not_run(code, text, retry_after_ms)',
+        _FORWARD,
+        '        if self._maybe_ran:\n',
+        '        if self._maybe_ran and self.job.may_repeat:\n',
     ),
     Mutation(
         'the ledger lets a key start again',
@@ -118,9 +118,9 @@
     Mutation(
         'an ended attempt stays counted',
         _COMPLETIONS,
-        _SINGLE,
-        '        backend.in_flight -= 1\n',
-        '        backend.in_flight -= 0\n',
+        'crankchute/core/forward_attempt.py',
+        '            self.backend.in_flight -= 1\n',
+        '            self.backend.in_flight -= 0\n',
     ),
     Mutation(
         'a group keeps its holds',
@@ -146,14 +146,14 @@
     Mutation(
         'a sleeper is not ended when it wakes',
         _COMPLETIONS,
-        'crankchute/core/dispatcher.py',
-        'timers.after(remaining_ms, lambda: self.expire(flow))',
-        'timers.after(remaining_ms * 9, lambda: self.expire(flow))',
+        _FORWARD,
+        'self._desk.after(remaining_ms, self._on_deadline)',
+        'self._desk.after(remaining_ms * 9, self._on_deadline)',
     ),
     Mutation(
         'a sent call is sent again',
         _CALLS,
-        'crankchute/core/forward_flow.py',
+        _FORWARD,
         'if self.job.may_repeat and self._may_go_on(attempt):',
         'if self._may_go_on(attempt):',
     ),
--- a/crankchute/core/dispatcher.py
+++ b/crankchute/core/dispatcher.py
@@ -7,7 +7,7 @@
 from crankchute.core.fair_queue import LaneQueue
 from crankchute.core.flow_desk import SMALLEST_HINT_MS, FlowDesk
 from crankchute.core.group_flow import GroupFlow
-from crankchute.core.outcomes import Outcome, Refusal, refuse_not_run
+from crankchute.core.outcomes import Outcome, refuse_not_run
 from crankchute.core.policies import estimate_start_ms
 from crankchute.core.retry_budget import RetryBudget
 from crankchute.core.single_flow import SingleFlow
@@ -96,17 +96,12 @@
             return None
         flow = self._make_flow(job, sink)
         self._flows[job.request_id] = flow
-        remaining_ms = job.remaining_ms(self.now_ms())
-        timers = self._ports.timers
-        timers.after(remaining_ms, lambda: self.expire(flow))
-        self.enqueue(flow)
+        flow.start()
         return flow
 
     def cancel(self, flow):
         """Give up a request whose caller is gone."""
-        if not flow.ended:
-            flow.cancel()
-            self.note_end(flow, Outcome.FAILED)
+        flow.cancel()
 
     def enqueue(self, flow):
         """Start a flow, or let it wait for its turn."""
@@ -129,25 +124,6 @@
             self._queue.start_ready(self._start)
         self._pumping = False
 
-    def end(self, flow, refusal):
-        """End a request without an answer."""
-        if not flow.ended:
-            flow.end(refusal)
-            self.note_end(flow, refusal.outcome)
-
-    def expire(self, flow):
-        """End a request whose deadline has passed."""
-        if flow.ended:
-            return
-        outcome = Outcome.FAILED if flow.dispatched else Outcome.NOT_RUN
-        refusal = Refusal(
-            outcome,
-            'deadline_exceeded',
-            'the deadline has passed',
-            retry_after_ms=SMALLEST_HINT_MS,
-        )
-        self.end(flow, refusal)
-
     def note_end(self, flow, outcome):
         """Free what an ended request used."""
         job = flow.job
--- a/crankchute/core/flow_desk.py
+++ b/crankchute/core/flow_desk.py
@@ -1,32 +1,20 @@
 """What the flows of requests ask for: engines, retries, and their turn."""
 
 from crankchute.core.candidates import is_usable
-from crankchute.core.outcomes import Outcome, Refusal
+from crankchute.core.forward_job import Placement
 from crankchute.core.policies import (
     RoutingView,
     estimate_start_ms,
     routing_policies,
 )
+from crankchute.core.single_flow import CompletionPort
 
 SMALLEST_HINT_MS = 200
 _WINDOW_MS = 250
 _REQUEUE_MS = 40
-
-
-class Choice:
-    """An engine chosen for a job, with the predicted time to first token."""
-
-    __slots__ = ('backend', 'start_ms')
-
-    def __init__(self, backend, start_ms):
-        """Create the choice.
-
-        Args:
-          backend: A Backend.
-          start_ms: Milliseconds, a float.
-        """
-        self.backend = backend
-        self.start_ms = start_ms
+#: How long an engine may be silent, before the first token and between two.
+_STALL_MS = 2500
+_FIRST_STALL_FACTOR = 3
 
 
 class FlowDesk:
@@ -45,6 +33,7 @@
         self._data_centre = data_centre
         self._choices = 0
         self.engines = ports.engines
+        self.port = CompletionPort(ports.engines, ports.metrics)
         self.timers = ports.timers
         self.metrics = ports.metrics
 
@@ -67,7 +56,7 @@
           avoided: Ids of engines that failed it; used only if no other is
             left.
         Returns:
-          A Choice, or None if the job must wait.
+          A Placement, or None if the job must wait.
         """
         candidates = self._dispatcher.candidates(job)
         candidates = _prefer(candidates, avoided)
@@ -77,7 +66,8 @@
         view = self.view(job)
         policy = routing_policies[self._dispatcher.config.policy.routing]
         backend = policy(candidates, view)
-        return Choice(backend, estimate_start_ms(backend, view))
+        first_ms = estimate_start_ms(backend, view)
+        return Placement(backend, first_ms=first_ms)
 
     def choose_group(self, job, avoided):
         """Choose the engines for a prompt beyond one engine's memory.
@@ -124,63 +114,88 @@
         share = len(part) / max(len(job.prompt), 1)
         return int(job.tokens * share) + job.max_tokens + 1
 
-    def note_first(self, flow):
-        """Note a request's first token; an engine has room again."""
+    def now_ms(self):
+        """Return the time on this process's clock."""
+        return self.timers.clock.now_ms()
+
+    def after(self, delay_ms, callback):
+        """Run a callback later; see TimerService."""
+        return self.timers.after(delay_ms, callback)
+
+    def stall_ms(self, flow, attempt):
+        """Return how long an attempt's engine may be silent."""
+        if attempt.started:
+            return _STALL_MS
+        return _STALL_MS + attempt.placement.first_ms * _FIRST_STALL_FACTOR
+
+    def take_retry(self, job):
+        """Take a retry from the budget of a job's account, if there is one."""
+        taken = self._dispatcher.take_retry(job)
+        if taken:
+            self.metrics.count('retries')
+        return taken
+
+    def note_attempt(self, flow, attempt, cause):
+        """Note that a job is sent to an engine."""
+        job = flow.job
+        attempt.backend.note_sent(job.engine_priority, job.tokens)
+        attempt.backend.serving_long += job.is_long
+
+    def note_first(self, flow, attempt):
+        """Note an attempt's first token; an engine has room again."""
         job = flow.job
-        if flow.delivered == 0:
-            waited = self.timers.clock.now_ms() - job.arrived_ms
-            self.metrics.observe_first_token(job, waited)
+        now_ms = self.now_ms()
+        attempt.backend.note_answered(job.engine_priority, job.tokens)
+        if flow.first_ms is None:
+            flow.first_ms = now_ms
+            self.metrics.observe_first_token(job, now_ms - job.arrived_ms)
         self._dispatcher.pump()
 
-    def note_success(self, flow):
-        """Note a whole answer."""
-        self._dispatcher.note_end(flow, Outcome.OK)
+    def note_attempt_end(self, flow, attempt, cause):
+        """Note how an attempt ended; completions log no lines of it."""
+
+    def note_freed(self, flow, placement):
+        """Note that an attempt is over; see note_left."""
 
-    def note_refusal(self, backend, retry_after_ms):
+    def note_left(self, flow, attempt):
+        """Note that a job that was sent is no longer at its engine."""
+        job = flow.job
+        attempt.backend.serving_long -= job.is_long
+        if not attempt.started:
+            attempt.backend.note_answered(job.engine_priority, job.tokens)
+
+    def note_rejection(self, flow, attempt, rejection):
         """Leave an engine alone until the time it asked for."""
-        if retry_after_ms:
-            until_ms = self.timers.clock.now_ms() + retry_after_ms
-            backend.refused_until_ms = until_ms
+        self.metrics.count('engine_refusals', rejection.code)
+        self.leave_alone(attempt.backend, rejection.retry_after_ms)
+
+    def leave_alone(self, backend, pause_ms):
+        """Send nothing to an engine for a while.
+
+        Args:
+          backend: A Backend.
+          pause_ms: Milliseconds, or None.
+        """
+        if pause_ms:
+            backend.refused_until_ms = self.now_ms() + pause_ms
+
+    def note_dropped(self, flow, attempt):
+        """Count an event that the caller had already."""
+        self.metrics.count('frames_dropped')
 
-    def expire(self, flow):
-        """End a request whose deadline has passed."""
-        self._dispatcher.expire(flow)
+    def note_end(self, flow, outcome, code):
+        """Note the end of a request."""
+        self._dispatcher.note_end(flow, outcome)
+
+    def enqueue(self, flow):
+        """Let a flow wait for its turn."""
+        self._dispatcher.enqueue(flow)
 
     def requeue(self, flow):
         """Let a flow wait again, after a short random pause."""
         pause_ms = _REQUEUE_MS * (1 + self._random.random())
         self.timers.after(pause_ms, lambda: self._dispatcher.enqueue(flow))
 
-    def may_retry(self, flow, exc):
-        """Take a retry from the budget, or end the request.
-
-        Args:
-          flow: A flow whose attempt failed.
-          exc: The BackendError.
-        Returns:
-          True if the flow may try again.
-        """
-        remaining_ms = flow.job.remaining_ms(flow.now_ms())
-        if remaining_ms > 0 and self._dispatcher.take_retry(flow.job):
-            self.metrics.count('retries')
-            return True
-        self._dispatcher.end(flow, _failure_of(exc))
-        return False
-
-    def retry_or_end(self, flow, exc):
-        """Retry a failed attempt elsewhere if the budget allows it."""
-        if self.may_retry(flow, exc):
-            self._dispatcher.enqueue(flow)
-
-
-def _failure_of(exc):
-    return Refusal(
-        Outcome.FAILED,
-        'engine_failed',
-        str(exc),
-        retry_after_ms=SMALLEST_HINT_MS,
-    )
-
 
 def _has_room(backend, job):
     if not backend.pending_tokens:
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -27,6 +27,7 @@
         '_latest_ms',
         '_reservation',
         '_silence',
+        '_silent_ms',
         'first_ms',
         'longest_gap_ms',
         'placement',
@@ -49,6 +50,7 @@
         self._is_over = False
         self._reservation = None
         self._silence = None
+        self._silent_ms = None
         self._latest_ms = None
         self.first_ms = None
         self.longest_gap_ms = 0
@@ -155,22 +157,36 @@
         self._watch(self._desk.stall_ms(self._flow, self))
         job = self._flow.job
         order = AttemptOrder(
+            self._flow.attempts,
             job.remaining_ms(self.sent_ms),
             self._flow.delivered,
         )
         self._call = self._desk.port.send(job, self.placement, order, self)
 
     def _watch(self, allowed_ms):
-        if self._silence is not None:
-            self._silence.cancel()
-            self._silence = None
-        if allowed_ms is not None:
+        """Allow the server a time of silence from now, or any time if None.
+
+        A timer for each event would cost more than the event; one timer is
+        set again when it ends and finds that the server has spoken.
+        """
+        if allowed_ms is None:
+            self._silent_ms = None
+            return
+        self._silent_ms = self._desk.now_ms() + allowed_ms
+        if self._silence is None:
             self._silence = self._desk.after(allowed_ms, self._on_silence)
 
     def _on_silence(self):
         self._silence = None
-        if self._is_over:
+        if self._is_over or self._silent_ms is None:
             return
+        left_ms = self._silent_ms - self._desk.now_ms()
+        if left_ms > 0:
+            self._silence = self._desk.after(left_ms, self._on_silence)
+        else:
+            self._end_silence()
+
+    def _end_silence(self):
         if self._call is not None:
             self._call.cancel()
         text = 'the backend server fell silent'
@@ -180,9 +196,11 @@
         if self._is_over:
             return False
         self._is_over = True
-        self._watch(None)
+        if self._silence is not None:
+            self._silence.cancel()
         if self.sent_ms is not None:
             self.backend.in_flight -= 1
+            self._desk.note_left(self._flow, self)
         if self._reservation is not None:
             self._reservation.release()
         self._desk.note_freed(self._flow, self.placement)
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -146,6 +146,9 @@
         """Note that a server began to answer with an event."""
         self._tell(flow, 'note_first', attempt.placement)
 
+    def note_left(self, flow, attempt):
+        """Note that a job that was sent is no longer at its server."""
+
     def note_attempt_end(self, flow, attempt, cause):
         """Note that an attempt ended."""
         self.journal.log_attempt_end(flow, attempt, cause)
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -23,6 +23,9 @@
       passed: How many events were passed on, an int.
     """
 
+    #: When to come back after a request that started and did not finish.
+    unfinished_hint_ms = None
+
     __slots__ = (
         '_attempt',
         '_avoided',
@@ -69,6 +72,17 @@
         self._timer = self._desk.after(remaining_ms, self._on_deadline)
         self._try_next(None)
 
+    def end(self, refusal):
+        """End the request without an answer.
+
+        Args:
+          refusal: A Refusal.
+        """
+        if not self.ended:
+            self._cancel_attempt()
+            self._sink.on_refused(refusal)
+            self._end(refusal.outcome, refusal.code)
+
     def cancel(self):
         """Give the request up because its caller is gone."""
         if self.ended:
@@ -110,8 +124,9 @@
         """End with the server's answer, or try again after its failure."""
         self._attempt = None
         self._desk.note_attempt_end(self, attempt, str(head.status))
-        if self.job.is_stream and head.is_success and not body:
-            self._finish_stream(head)
+        if self.job.is_stream and head.is_success:
+            if not self._expire_if_late():
+                self._finish_stream(head)
             return
         is_fault = head.status >= FIRST_SERVER_ERROR
         may_repeat = is_fault and self.job.may_repeat
@@ -120,7 +135,7 @@
             self._last_answer = (head, body)
             self._try_next(head.status)
         elif self._streaming:
-            self._break_off('the stream could not be taken up')
+            self._break_off('not_resumed', 'the stream was not taken up')
         else:
             self._sink.on_answer(head, body)
             outcome = Outcome.FAILED if is_fault else Outcome.OK
@@ -139,19 +154,22 @@
 
     def on_attempt_failed(self, attempt, exc):
         """Try elsewhere if that is allowed, or end."""
-        self._attempt = None
-        self._desk.note_attempt_end(self, attempt, str(exc))
-        self._avoided.add(attempt.backend.identity)
+        self._note_failed(attempt, exc)
         if not exc.sent:
             self.attempts -= 1
             self._try_next('not_connected')
             return
-        self._maybe_ran = True
         if self.job.may_repeat and self._may_go_on(attempt):
             self._try_next('failed')
         else:
             self._give_up('backend_failed', str(exc))
 
+    def _note_failed(self, attempt, exc):
+        self._attempt = None
+        self._desk.note_attempt_end(self, attempt, str(exc))
+        self._avoided.add(attempt.backend.identity)
+        self._maybe_ran = self._maybe_ran or exc.sent
+
     def _try_next(self, cause):
         if self._expire_if_late():
             return
@@ -205,7 +223,7 @@
 
     def _give_up(self, code, text, retry_after_ms=None):
         if self._streaming:
-            self._break_off(text)
+            self._break_off(code, text)
             return
         if self._last_answer is not None:
             # A failure that a server gave says more than one of ours.
@@ -215,19 +233,27 @@
         if retry_after_ms is None:
             retry_after_ms = _HINT_MS
         if self._maybe_ran:
-            refusal = Refusal(self._unfinished(), code, text)
+            may_repeat = self.job.may_repeat
+            refusal = Refusal(
+                Outcome.FAILED if may_repeat else Outcome.UNKNOWN,
+                code,
+                text,
+                retry_after_ms=self.unfinished_hint_ms,
+            )
         else:
             refusal = refuse_not_run(code, text, retry_after_ms)
         self._sink.on_refused(refusal)
         self._end(refusal.outcome, code)
 
-    def _break_off(self, text):
-        refusal = Refusal(Outcome.FAILED, 'broken_off', text)
+    def _break_off(self, code, text):
+        refusal = Refusal(
+            Outcome.FAILED,
+            code,
+            text,
+            retry_after_ms=self.unfinished_hint_ms,
+        )
         self._sink.on_refused(refusal)
-        self._end(Outcome.FAILED, 'broken_off')
-
-    def _unfinished(self):
-        return Outcome.FAILED if self.job.may_repeat else Outcome.UNKNOWN
+        self._end(Outcome.FAILED, code)
 
     def _end(self, outcome, code):
         self.ended = True
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -110,19 +110,22 @@
     """What one attempt tells the backend server.
 
     Attributes:
+      number: Counts the attempts of the request from 1.
       remaining_ms: Milliseconds left for the whole request.
       resume_after: The last event that the caller has, an int, or None.
     """
 
-    __slots__ = ('remaining_ms', 'resume_after')
+    __slots__ = ('number', 'remaining_ms', 'resume_after')
 
-    def __init__(self, remaining_ms, resume_after):
+    def __init__(self, number, remaining_ms, resume_after):
         """Create the order.
 
         Args:
+          number: An int.
           remaining_ms: Milliseconds.
           resume_after: An int or None.
         """
+        self.number = number
         self.remaining_ms = remaining_ms
         self.resume_after = resume_after
 
--- a/crankchute/core/group_flow.py
+++ b/crankchute/core/group_flow.py
@@ -9,8 +9,9 @@
 
 import math
 
-from crankchute.core.single_flow import Attempt, SingleFlow
-from crankchute.ports.engines import GenerateOrder, HoldOrder, SegmentOrder
+from crankchute.core.forward_job import Placement
+from crankchute.core.single_flow import SingleFlow
+from crankchute.ports.engines import HoldOrder, SegmentOrder
 
 _BACKOFF_MS = 100
 _DEADLINE_SLACK_MS = 500
@@ -38,6 +39,34 @@
         self.export = None
 
 
+class GroupShare:
+    """What the last engine of a group is told beside the usual order."""
+
+    __slots__ = ('_exports', '_group', '_part')
+
+    def __init__(self, part, group, exports):
+        """Create the record.
+
+        Args:
+          part: The bytes of the last segment.
+          group: The group's id.
+          exports: The SegmentExports of the other members, in order.
+        """
+        self._part = part
+        self._group = group
+        self._exports = exports
+
+    def apply(self, order):
+        """Put it into an order.
+
+        Args:
+          order: A GenerateOrder.
+        """
+        order.prompt = self._part
+        order.group = self._group
+        order.imports = self._exports
+
+
 class GroupFlow(SingleFlow):
     """Serves one job on a group of engines."""
 
@@ -53,12 +82,6 @@
         self._round = 0
         self._members = []
         self._call = None
-        self._tried = False
-
-    @property
-    def dispatched(self):
-        """Whether any engine was asked for memory or work."""
-        return self._tried
 
     def run(self):
         """Choose the members and start to reserve them.
@@ -66,7 +89,7 @@
         Returns:
           False if there are not enough engines with room.
         """
-        chosen = self._desk.choose_group(self.job, self._failed_on)
+        chosen = self._desk.choose_group(self.job, self._avoided)
         if chosen is None:
             return False
         parts = cut_prompt(self.job.prompt, len(chosen))
@@ -79,23 +102,11 @@
         self._reserve_next()
         return True
 
-    def cancel(self):
-        """Give the request up and free every hold."""
-        super().cancel()
-        if self._call is not None:
-            self._call.cancel()
-            self._call = None
-        self._release_all()
-
-    def on_attempt_end(self, count):
-        """Free the group and end with a whole answer."""
-        self._release_all()
-        super().on_attempt_end(count)
-
-    def on_attempt_refused(self, attempt, code, retry_after_ms):
+    def on_attempt_not_run(self, attempt, rejection):
         """Replace what the last engine could not import, or start over."""
         self._attempt = None
-        self._desk.metrics.count('engine_refusals', code)
+        self._desk.note_attempt_end(self, attempt, rejection.code)
+        self._desk.metrics.count('engine_refusals', rejection.code)
         lost = [member for member in self._members if self._is_lost(member)]
         if lost:
             self._replace(lost[0])
@@ -104,9 +115,11 @@
 
     def on_attempt_failed(self, attempt, exc):
         """Replace the last engine and resume there."""
-        self._attempt = None
-        if self._desk.may_retry(self, exc):
+        self._note_failed(attempt, exc)
+        if self._desk.take_retry(self.job):
             self._replace(self._members[-1])
+        else:
+            self._give_up('engine_failed', str(exc))
 
     @property
     def _group(self):
@@ -128,7 +141,8 @@
         self._reserve(waiting[0], self._reserve_next)
 
     def _reserve(self, member, on_held):
-        self._tried = True
+        # Whoever holds memory may have begun to read.
+        self._maybe_ran = True
         current = self._round
         group = self._group
         remaining_ms = self.job.remaining_ms(self.now_ms())
@@ -139,7 +153,7 @@
         )
 
         def take(held):
-            if self._ended or current != self._round:
+            if self.ended or current != self._round:
                 self._desk.engines.release(member.backend, group)
             elif held:
                 member.held = True
@@ -169,7 +183,7 @@
         current = self._round
 
         def take(export):
-            if self._ended or current != self._round:
+            if self.ended or current != self._round:
                 return
             self._call = None
             if export is None:
@@ -182,27 +196,21 @@
 
     def _generate(self):
         last = self._members[-1]
-        self._attempts += 1
-        order = GenerateOrder(
-            self.job,
-            self._attempts,
-            self.delivered,
-            self.job.remaining_ms(self.now_ms()),
+        exports = [member.export for member in self._members[:-1]]
+        placement = Placement(
+            last.backend,
+            first_ms=self._desk.predict_ms(last.backend, self.job),
+            key=GroupShare(last.part, self._group, exports),
         )
-        order.prompt = last.part
-        order.group = self._group
-        order.imports = [member.export for member in self._members[:-1]]
-        self._attempt = Attempt(self, last.backend, order)
-        first_ms = self._desk.predict_ms(last.backend, self.job)
-        self._attempt.start(self._desk.engines, first_ms)
+        self._launch(placement)
 
     def _replace(self, member):
         """Put a spare in a lost member's place; only its segment is redone."""
-        self._failed_on.add(member.backend.identity)
+        self._avoided.add(member.backend.identity)
         self._desk.engines.release(member.backend, self._group)
         member.backend.serving_long -= 1
         used = {other.backend.identity for other in self._members}
-        spare = self._desk.choose_spare(self.job, used | self._failed_on)
+        spare = self._desk.choose_spare(self.job, used | self._avoided)
         if spare is None:
             member.backend.serving_long += 1
             self._start_over(member.backend)
@@ -216,12 +224,20 @@
 
     def _start_over(self, backend):
         """Free everything and queue again after a random pause."""
-        self._desk.note_refusal(backend, _BACKOFF_MS)
+        self._desk.leave_alone(backend, _BACKOFF_MS)
         self._release_all()
         self._round += 1
         self._desk.metrics.count('group_restarts')
         self._desk.requeue(self)
 
+    def _end(self, outcome, code):
+        """Free every hold at every end."""
+        if self._call is not None:
+            self._call.cancel()
+            self._call = None
+        self._release_all()
+        super()._end(outcome, code)
+
     def _release_all(self):
         members = self._members
         self._note_long(-1)
--- a/crankchute/core/job.py
+++ b/crankchute/core/job.py
@@ -50,6 +50,12 @@
         for name in self.__slots__:
             setattr(self, name, fields[name])
 
+    #: Every completion may be taken up elsewhere after the last token that
+    #: its caller has, as often as the retry budget allows.
+    is_stream = True
+    may_repeat = True
+    resume_after = 0
+
     @property
     def is_long(self):
         """Whether the prompt counts as long."""
--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -26,7 +26,7 @@
 _TIMEOUT_MS = 400
 #: How many active instances there are at least, and one more for each so many
 #: instances.
-_LEAST_ACTIVE = 2
+_LEAST_ACTIVE = 3
 _INSTANCES_PER_ACTIVE = 24
 #: How old the proof of the configuration may be in an active instance.
 _FRESH_PROOF_MS = 3200
--- a/crankchute/core/sharing_test.py
+++ b/crankchute/core/sharing_test.py
@@ -83,8 +83,8 @@
     answers = {tuple(world.active_at(name)) for name in NAMES}
     assert len(answers) == 1
     active = answers.pop()
-    assert len(active) == 2
-    assert len({name[0] for name in active}) == 2
+    assert len(active) == 3
+    assert len({name[0] for name in active}) == 3
 
 
 @pytest.mark.parametrize('trouble', ['cut', 'stopping', 'stale'])
@@ -126,7 +126,7 @@
 def test_news_reach_the_other_active_instances_together():
     world = World(NAMES)
     world.timers.advance(2000)
-    first, second = world.active_at('a1')
+    first, second, _third = world.active_at('a1')
     world.heard.clear()
     world.instances[first].note(Change.SENT, 'work-1')
     world.instances[first].note(Change.STARTED, 'work-1')
@@ -151,7 +151,7 @@
 
 @pytest.mark.parametrize(
     ('known', 'active'),
-    [(1, 1), (2, 2), (6, 2), (48, 2), (49, 3), (300, 13), (780, 33)],
+    [(1, 1), (2, 2), (6, 3), (72, 3), (73, 4), (300, 13), (780, 33)],
 )
 def test_number_of_active_instances(known, active):
     assert count_active(known) == active
--- a/crankchute/core/single_flow.py
+++ b/crankchute/core/single_flow.py
@@ -1,278 +1,216 @@
-"""A completion on one engine at a time: attempts, retries and resumption."""
+"""A completion on one engine at a time, on the forwarding engine.
 
+What is particular to completions is here: frames are matched to the attempt
+that asked for them, a flow without a free engine waits for its turn, and an
+engine that refuses is asked again after a pause.
+"""
+
+from crankchute.core.forward_attempt import Attempt
+from crankchute.core.forward_flow import ForwardFlow
 from crankchute.core.frames import FrameFate, FrameMatcher
 from crankchute.errors import BackendError
 from crankchute.ports.engines import EngineListener, GenerateOrder
+from crankchute.ports.forwarding import (
+    AnswerHead,
+    AnswerSink,
+    ForwardPort,
+    Rejection,
+    StreamEvent,
+)
 
-_STALL_MS = 2500
-_FIRST_STALL_FACTOR = 3
+_OK = 200
+_FAILED = 'engine_failed'
 
 
-class Attempt(EngineListener):
-    """One order to one engine; ends once, and tells its flow how.
+class CompletionCall(EngineListener):
+    """One order to an engine, whose frames become events."""
 
-    Attributes:
-      backend: The Backend that was asked.
-      started: Whether a frame was taken, a bool.
-    """
+    __slots__ = ('_call', '_listener', '_matcher', '_metrics')
 
-    def __init__(self, flow, backend, order):
-        """Create an attempt; start() sends the order.
+    def __init__(self, order, listener, metrics):
+        """Create the call; start() sends the order.
 
         Args:
-          flow: The flow to tell.
-          backend: A Backend.
           order: A GenerateOrder.
+          listener: An AttemptListener.
+          metrics: A Metrics port.
         """
-        self._flow = flow
-        self._order = order
+        self._call = None
+        self._listener = listener
         self._matcher = FrameMatcher(
             order.request_id,
             order.attempt,
             order.offset,
         )
-        self._call = None
-        self._ended = False
-        self._at_ms = flow.now_ms()
-        self._stall = None
-        self._silent_ms = self._at_ms
-        self.backend = backend
-        self.started = False
-
-    def start(self, engines, first_ms):
+        self._metrics = metrics
+
+    @property
+    def sent(self):
+        """Whether the order may have left, a bool."""
+        return self._call is not None
+
+    def start(self, engines, backend, order):
         """Send the order.
 
         Args:
           engines: An EnginePort.
-          first_ms: The predicted time to the first token.
+          backend: A Backend.
+          order: A GenerateOrder.
         """
-        tokens = self._flow.job.tokens
-        backend = self.backend
-        backend.in_flight += 1
-        backend.note_sent(self._order.priority, tokens)
-        backend.serving_long += self._flow.job.is_long
-        backend.breaker.note_start()
-        self._watch(_STALL_MS + first_ms * _FIRST_STALL_FACTOR)
-        self._call = engines.generate(backend, self._order, self)
+        self._listener.on_head(AnswerHead(_OK))
+        self._call = engines.generate(backend, order, self)
 
     def cancel(self):
-        """Give the attempt up; the flow hears nothing more of it."""
-        if self._close():
-            self.backend.breaker.note_abandoned()
-            self._cancel_call()
+        """Give the order up."""
+        if self._call is not None:
+            self._call.cancel()
 
     def on_frame(self, frame):
         """See EngineListener."""
-        if self._ended or self._flow.expire_if_late():
-            return
-        offset = self._matcher.offset
         fate = self._matcher.match(frame)
         if fate == FrameFate.TAKEN:
-            self._take(offset, frame)
+            event = StreamEvent(self._matcher.offset, frame.tokens)
+            self._listener.on_event(event)
         elif fate == FrameFate.END:
-            self._close()
-            self.backend.breaker.note_success()
-            self._flow.on_attempt_end(frame.count)
+            self._listener.on_end()
         elif fate == FrameFate.GAP:
-            self._fail('a part of the stream is missing')
+            self.cancel()
+            text = 'a part of the stream is missing'
+            self._listener.on_failed(BackendError(text, sent=True))
         else:
-            self._flow.on_frame_dropped()
+            self._metrics.count('frames_dropped')
 
     def on_refused(self, code, retry_after_ms):
         """See EngineListener."""
-        if not self._close():
-            return
-        self.backend.breaker.note_success()
-        self._flow.on_attempt_refused(self, code, retry_after_ms)
+        rejection = Rejection(code, retry_after_ms=retry_after_ms)
+        self._listener.on_not_run(rejection)
 
     def on_failed(self, exc):
         """See EngineListener."""
-        if not self._close():
-            return
-        self.backend.breaker.note_failure(self._flow.now_ms())
-        self._flow.on_attempt_failed(self, exc)
-
-    def _take(self, offset, frame):
-        if not self.started:
-            self.started = True
-            self._note_answered()
-            self._flow.on_first_frame()
-        self._watch(_STALL_MS)
-        self._flow.on_tokens(offset, frame.tokens)
-
-    def _note_answered(self):
-        tokens = self._flow.job.tokens
-        self.backend.note_answered(self._order.priority, tokens)
-
-    def _fail(self, text):
-        self._cancel_call()
-        self.on_failed(BackendError(text, sent=True))
-
-    def _cancel_call(self):
-        if self._call is not None:
-            self._call.cancel()
+        self._listener.on_failed(exc)
+
+
+class CompletionPort(ForwardPort):
+    """Sends completions to engines."""
 
-    def _watch(self, allowed_ms):
-        """Allow the engine a time of silence from now.
+    def __init__(self, engines, metrics):
+        """Create the port.
 
-        A timer for each token would cost more than the token; one timer is
-        set again when it ends and finds that the engine has spoken.
+        Args:
+          engines: An EnginePort.
+          metrics: A Metrics port.
         """
-        self._silent_ms = self._flow.now_ms() + allowed_ms
-        if self._stall is None:
-            self._stall = self._flow.timers.after(allowed_ms, self._on_stall)
-
-    def _on_stall(self):
-        self._stall = None
-        left_ms = self._silent_ms - self._flow.now_ms()
-        if self._ended:
-            return
-        if left_ms > 0:
-            self._watch(left_ms)
-        else:
-            self._fail('the engine fell silent')
+        self._engines = engines
+        self._metrics = metrics
 
-    def _close(self):
-        if self._ended:
-            return False
-        self._ended = True
-        if self._stall is not None:
-            self._stall.cancel()
-        backend = self.backend
-        backend.in_flight -= 1
-        backend.serving_long -= self._flow.job.is_long
-        if not self.started:
-            self._note_answered()
-        return True
+    def send(self, job, placement, attempt, listener):
+        """See ForwardPort; the placement's key is a GroupShare or None."""
+        order = GenerateOrder(
+            job,
+            attempt.number,
+            attempt.resume_after,
+            attempt.remaining_ms,
+        )
+        if placement.key is not None:
+            placement.key.apply(order)
+        call = CompletionCall(order, listener, self._metrics)
+        call.start(self._engines, placement.backend, order)
+        return call
 
 
-class SingleFlow:
-    """Serves one job on one engine at a time.
+class CompletionSink(AnswerSink):
+    """Hands the events of a completion to a RequestSink as tokens."""
 
-    Attributes:
-      job: The Job.
-      delivered: How many tokens the caller has, an int.
-    """
+    __slots__ = ('_count', '_sink')
 
-    def __init__(self, job, desk, sink):
-        """Create a flow; run() starts it.
+    def __init__(self, sink):
+        """Create the sink.
 
         Args:
-          job: The Job.
-          desk: The Dispatcher's FlowDesk.
           sink: A RequestSink.
         """
-        self._desk = desk
         self._sink = sink
-        self._attempts = 0
-        self._attempt = None
-        self._failed_on = set()
-        self._ended = False
-        self._first_ms = None
-        self.job = job
-        self.delivered = 0
-        self.timers = desk.timers
+        self._count = 0
 
-    @property
-    def dispatched(self):
-        """Whether an engine was asked at least once, a bool."""
-        return self._attempts > 0
+    def on_answer(self, head, body):
+        """See AnswerSink; completions have no such answers."""
 
-    @property
-    def ended(self):
-        """Whether the sink was told the end."""
-        return self._ended
+    def on_head(self, head):
+        """See AnswerSink; a RequestSink needs none."""
 
-    def now_ms(self):
-        """Return the time on this process's clock."""
-        return self.timers.clock.now_ms()
+    def on_event(self, event):
+        """See AnswerSink; an event's number is the offset after it."""
+        self._count = event.number
+        tokens = event.payload
+        self._sink.on_tokens(event.number - len(tokens), tokens)
 
-    def run(self):
-        """Send the request to an engine if one has room.
+    def on_end(self):
+        """See AnswerSink."""
+        self._sink.on_end(self._count)
 
-        Returns:
-          False if the flow must wait.
-        """
-        choice = self._desk.choose(self.job, self._failed_on)
-        if choice is None:
-            return False
-        self._attempts += 1
-        order = GenerateOrder(
-            self.job,
-            self._attempts,
-            self.delivered,
-            self.job.remaining_ms(self.now_ms()),
-        )
-        self._attempt = Attempt(self, choice.backend, order)
-        self._attempt.start(self._desk.engines, choice.start_ms)
-        return True
+    def on_refused(self, refusal):
+        """See AnswerSink."""
+        self._sink.on_refused(refusal)
 
-    def cancel(self):
-        """Give the request up; neither engine nor caller hear more of it."""
-        self._ended = True
-        if self._attempt is not None:
-            self._attempt.cancel()
 
-    def end(self, refusal):
-        """End the request without an answer.
+class SingleFlow(ForwardFlow):
+    """Serves one job on one engine at a time.
 
-        Args:
-          refusal: A Refusal.
-        """
-        if not self._ended:
-            self.cancel()
-            self._sink.on_refused(refusal)
+    Attributes:
+      first_ms: When the first token came, or None.
+    """
 
-    def expire_if_late(self):
-        """End the request if its deadline has passed.
+    unfinished_hint_ms = 200
 
-        A process may sleep between noticing that bytes came and reading
-        them, and then its timers have not run yet.
+    def __init__(self, job, desk, sink):
+        """Create a flow; start() queues it, run() sends it.
 
-        Returns:
-          True if the request has ended.
+        Args:
+          job: The Job.
+          desk: The Dispatcher's FlowDesk.
+          sink: A RequestSink.
         """
-        if self.job.remaining_ms(self.now_ms()) < 0:
-            self._desk.expire(self)
-        return self._ended
+        super().__init__(job, desk, CompletionSink(sink))
+        self.first_ms = None
 
-    def on_tokens(self, offset, tokens):
-        """Pass tokens on to the caller."""
-        self.delivered = offset + len(tokens)
-        self._sink.on_tokens(offset, tokens)
+    def run(self):
+        """Send the request to an engine if one has room.
 
-    def on_first_frame(self):
-        """Note that the engine started to answer."""
-        if self._first_ms is None:
-            self._first_ms = self.now_ms()
-        self._desk.note_first(self)
+        Returns:
+          False if the flow must wait.
+        """
+        placement = self._desk.choose(self.job, self._avoided)
+        if placement is None:
+            return False
+        self._launch(placement)
+        return True
 
     def token_gap_ms(self):
         """Return the mean time between the tokens that were delivered."""
-        if self._first_ms is None:
+        if self.first_ms is None:
             return 0
-        elapsed_ms = self.now_ms() - self._first_ms
+        elapsed_ms = self.now_ms() - self.first_ms
         return elapsed_ms / max(self.delivered - 1, 1)
 
-    def on_frame_dropped(self):
-        """Count a frame that was not of this attempt."""
-        self._desk.metrics.count('frames_dropped')
-
-    def on_attempt_end(self, count):
-        """End the request with a whole answer."""
-        self._ended = True
-        self._desk.note_success(self)
-        self._sink.on_end(count)
-
-    def on_attempt_refused(self, attempt, code, retry_after_ms):
-        """Try elsewhere, or wait, after an engine that did not start."""
+    def on_attempt_not_run(self, attempt, rejection):
+        """Wait and try again after an engine that did not start."""
         self._attempt = None
-        self._desk.metrics.count('engine_refusals', code)
-        self._desk.note_refusal(attempt.backend, retry_after_ms)
+        self._desk.note_attempt_end(self, attempt, rejection.code)
+        self._desk.note_rejection(self, attempt, rejection)
         self._desk.requeue(self)
 
     def on_attempt_failed(self, attempt, exc):
         """Try elsewhere within the retry budget, or end."""
-        self._attempt = None
-        self._failed_on.add(attempt.backend.identity)
-        self._desk.retry_or_end(self, exc)
+        self._note_failed(attempt, exc)
+        if self._desk.take_retry(self.job):
+            self._try_next(_FAILED)
+        else:
+            self._give_up(_FAILED, str(exc))
+
+    def _launch(self, placement):
+        self._attempt = Attempt(self, self._desk, placement)
+        self._attempt.start()
+
+    def _try_next(self, cause):
+        """Wait for a turn; the queue calls run()."""
+        self._desk.enqueue(self)
--- a/crankchute/ports/forwarding.py
+++ b/crankchute/ports/forwarding.py
@@ -95,18 +95,21 @@
         address) or "rejected".
       at_server: The address or id of the server at fault, or None if it is
         the one that was asked.
+      retry_after_ms: When it may be asked again, or None.
     """
 
-    __slots__ = ('at_server', 'code')
+    __slots__ = ('at_server', 'code', 'retry_after_ms')
 
-    def __init__(self, code, at_server=None):
+    def __init__(self, code, at_server=None, retry_after_ms=None):
         """Create the rejection.
 
         Args:
           code: See the class.
           at_server: See the class.
+          retry_after_ms: See the class.
         """
         self.code = code
+        self.retry_after_ms = retry_after_ms
         self.at_server = at_server
 
 
