--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -169,8 +169,8 @@
         'configuration',
         'crankchute/core/config_check.py',
         '    if findings:\n        raise ConfigError(findings)\n'
-        '    return Config',
-        '    return Config',
+        '    return config',
+        '    return config',
     ),
 )
 
--- a/crankchute/adapters/http_intake.py
+++ b/crankchute/adapters/http_intake.py
@@ -51,6 +51,7 @@
 
     Attributes:
       done: Whether the request is whole, a bool.
+      keeps_alive: Whether the caller keeps its connection afterwards.
       started_ms: When its first bytes came, or None.
       target: The request's target as sent, bytes.
       headers: Pairs of name and value as sent, bytes.
@@ -69,6 +70,7 @@
         '_size',
         'done',
         'headers',
+        'keeps_alive',
         'parts',
         'started_ms',
         'target',
@@ -95,6 +97,7 @@
         self._head_done = False
         self._message_count = 0
         self.done = False
+        self.keeps_alive = True
         self.headers = []
         self.parts = []
         self.started_ms = None
@@ -105,11 +108,6 @@
         """The request's method, a string."""
         return self._parser.get_method().decode('latin-1')
 
-    @property
-    def keeps_alive(self):
-        """Whether the caller keeps its connection after the answer."""
-        return self._parser.should_keep_alive()
-
     def feed(self, chunk, now_ms):
         """Take bytes from the connection.
 
@@ -188,6 +186,8 @@
     def on_headers_complete(self):
         """Parser callback: all headers are here."""
         self._head_done = True
+        # Once the message is whole the parser no longer tells.
+        self.keeps_alive = self._parser.should_keep_alive()
         if not self._has_host:
             raise _bad_request('the Host header is missing')
 
--- a/crankchute/adapters/metrics.py
+++ b/crankchute/adapters/metrics.py
@@ -12,6 +12,9 @@
 from crankchute.ports.metrics import Metrics
 
 _SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10, 30, 60)
+_EARLY_SECONDS = (-1, -0.3, -0.1, -0.03)
+_LATE_SECONDS = (0, 0.03, 0.1, 0.3, 1, 3)
+_ERROR_SECONDS = (*_EARLY_SECONDS, *_LATE_SECONDS)
 _COUNTERS = (
     ('requests_ended', 'Completions ended, by outcome.', 'outcome'),
     ('service_calls_ended', 'Plain service calls ended.', 'outcome'),
@@ -53,8 +56,23 @@
             buckets=_SECONDS,
             registry=self.registry,
         )
+        self._errors = Histogram(
+            'crankchute_first_event_error_seconds',
+            'By how much first events came later than predicted.',
+            ['band'],
+            buckets=_ERROR_SECONDS,
+            registry=self.registry,
+        )
         for band in length_bands():
             self._first_token.labels(band)
+            self._errors.labels(band)
+        self._requests = Histogram(
+            'crankchute_request_seconds',
+            'Time from the arrival of a forwarded request to its end.',
+            ['pool'],
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
 
     def add_gauge(self, name, text, function):
         """Add a gauge that is read when metrics are asked for.
@@ -80,6 +98,15 @@
         band = length_band(job.tokens)
         self._first_token.labels(band).observe(waited_ms / _MS_PER_SECOND)
 
+    def observe_prediction(self, tokens, error_ms):
+        """See Metrics."""
+        band = self._errors.labels(length_band(tokens))
+        band.observe(error_ms / _MS_PER_SECOND)
+
+    def observe_request(self, pool, waited_ms):
+        """See Metrics."""
+        self._requests.labels(pool).observe(waited_ms / _MS_PER_SECOND)
+
     def render(self):
         """Return all metrics in the text format, as bytes."""
         return generate_latest(self.registry)
--- a/crankchute/core/completion_machine_test.py
+++ b/crankchute/core/completion_machine_test.py
@@ -192,7 +192,7 @@
 
 
 CompletionMachine.TestCase.settings = settings(
-    max_examples=200,
+    max_examples=500,
     stateful_step_count=40,
     deadline=None,
     derandomize=True,
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -145,6 +145,10 @@
     def note_first(self, flow, attempt):
         """Note that a server began to answer with an event."""
         self._tell(flow, 'note_first', attempt.placement)
+        predicted_ms = attempt.placement.first_ms
+        if flow.job.size is not None and predicted_ms is not None:
+            error_ms = attempt.first_ms - attempt.sent_ms - predicted_ms
+            self.metrics.observe_prediction(flow.job.size.prompt, error_ms)
 
     def note_left(self, flow, attempt):
         """Note that a job that was sent is no longer at its server."""
@@ -165,6 +169,8 @@
         """Note that a request ended."""
         self._flows.discard(flow)
         self.metrics.count(self._ended_counter, outcome.value)
+        waited_ms = self.now_ms() - flow.job.arrived_ms
+        self.metrics.observe_request(flow.job.pool, waited_ms)
         if outcome == Outcome.NOT_RUN:
             self.metrics.count('refusals', code)
         self.journal.log_end(flow, outcome, code)
--- a/crankchute/core/once_machine_test.py
+++ b/crankchute/core/once_machine_test.py
@@ -178,7 +178,7 @@
 
 
 OnceMachine.TestCase.settings = settings(
-    max_examples=150,
+    max_examples=800,
     stateful_step_count=30,
     deadline=None,
     derandomize=True,
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -29,6 +29,7 @@
 _STOP_MARGIN_MS = 800
 _STOP_CHECK_MS = 100
 _COUNT_MS = 1000
+_MS_PER_SECOND = 1000
 
 
 class InstanceIdentity:
@@ -146,6 +147,7 @@
         self.desk = ForwardDesk(ports, limits.retries)
         self.peers = ForwardPeers(loop, self, wiring.take_config)
         self.holder.subscribe(self._on_config)
+        self._add_gauges()
         self.timers.every(_COUNT_MS, self._count_instances)
 
     @property
@@ -200,6 +202,36 @@
         members = self.peers.sharing.choose_addresses(data_centre)
         return [member.http_address for member in members]
 
+    def _add_gauges(self):
+        gauges = (
+            (
+                'forwards_in_progress',
+                'Forwarded requests that have not ended.',
+                lambda: self.desk.in_progress,
+            ),
+            (
+                'config_version',
+                'The version of the configuration in force.',
+                lambda: self.holder.version,
+            ),
+            (
+                'config_proof_age_seconds',
+                'Since when the configuration is not proved the newest.',
+                self._proof_age_s,
+            ),
+            (
+                'members',
+                'Entry instances not believed dead.',
+                lambda: len(self.peers.membership.believed_alive()),
+            ),
+        )
+        for name, text, function in gauges:
+            self.metrics.add_gauge(name, text, function)
+
+    def _proof_age_s(self):
+        age_ms = self.holder.proof_age_ms(self.now_ms())
+        return float('inf') if age_ms is None else age_ms / _MS_PER_SECOND
+
     def _chooser_of(self, pool):
         return self._choosers.get(pool)
 
