--- a/crankchute/adapters/forward_server.py
+++ b/crankchute/adapters/forward_server.py
@@ -75,6 +75,28 @@
         self.on_gone = None
         self.started = False
 
+    def serve(self, function):
+        """Let a function answer, and give an end whatever it raises.
+
+        Args:
+          function: A function of this exchange; it may raise RequestRefused.
+        """
+        try:
+            function(self)
+        except RequestRefused as refusal:
+            _reply_refused(self, refusal)
+        except Exception as exc:
+            log_change(
+                'internal_error',
+                failed=True,
+                error=repr(exc),
+                stack=format_tb(exc.__traceback__),
+            )
+            if self.started:
+                self.abort()
+            else:
+                self.reply(HTTPStatus.INTERNAL_SERVER_ERROR, b'')
+
     def header(self, name):
         """Return the first value of a header, or None.
 
@@ -184,7 +206,7 @@
         """Listen on an address.
 
         Args:
-          bind: A pair of IP number and port.
+          bind: A pair of IP number and port, or a listening socket.
           on_request: A function of a ForwardExchange; it may raise
             RequestRefused.
           timers: A TimerService.
@@ -279,24 +301,7 @@
         if intake.done:
             exchange = ForwardExchange(self, sock, intake)
             connection.exchange = exchange
-            self._hand_over(exchange)
-
-    def _hand_over(self, exchange):
-        try:
-            self._on_request(exchange)
-        except RequestRefused as refusal:
-            _reply_refused(exchange, refusal)
-        except Exception as exc:
-            # Whatever went wrong, the caller gets an end.
-            log_change(
-                'internal_error',
-                error=repr(exc),
-                stack=format_tb(exc.__traceback__),
-            )
-            if exchange.started:
-                exchange.abort()
-            else:
-                exchange.reply(HTTPStatus.INTERNAL_SERVER_ERROR, b'')
+            exchange.serve(self._on_request)
 
     def _refuse_raw(self, sock, refusal):
         """Answer bytes that are no request, and close."""
--- a/crankchute/adapters/forward_server_test.py
+++ b/crankchute/adapters/forward_server_test.py
@@ -141,7 +141,7 @@
     seen = world.ask(payload, to_end=True)
     assert seen.startswith(b'HTTP/1.1 %d' % status)
     assert b'Connection: close' in seen
-    assert world.exchanges == []
+    assert not world.exchanges
 
 
 def test_connection_serves_one_request_after_the_other():
--- a/crankchute/platform/__main__.py
+++ b/crankchute/platform/__main__.py
@@ -1,16 +1,15 @@
-"""The daemon of an instance on the platform."""
+"""The daemon of an instance on the platform.
+
+Its addresses are listened on before the libraries are imported, which takes a
+quarter of a second: callers that come meanwhile wait instead of being refused.
+"""
 
 import argparse
-import gc
 import os
-import signal
 import sys
 
-from crankchute.adapters.clock import SteadyClock
-from crankchute.adapters.log import log_change, start_log
-from crankchute.adapters.loop import Loop
+from crankchute.adapters.early_listen import listen_on
 from crankchute.errors import SettingsError
-from crankchute.platform.node import PlatformNode
 from crankchute.platform.settings import load_settings
 from crankchute.settings import (
     Setting,
@@ -43,51 +42,28 @@
     parser = argparse.ArgumentParser(description=__doc__)
     add_flags(parser, _FLAGS)
     flags = parser.parse_args(arguments)
-    start_log(sys.stdout)
     try:
         own = read_settings(_FLAGS, flags, os.environ)
         settings = load_settings()
     except SettingsError as exc:
-        log_change('settings_refused', failed=True, findings=str(exc))
+        sys.stderr.write(f'{exc}\n')
         return EXIT_BAD_INPUT
-    return _run(settings, own.metrics_port)
-
-
-def _run(settings, metrics_port):
-    loop = Loop(SteadyClock())
+    settings.listeners.set_metrics_port(own.metrics_port)
     try:
-        platform = PlatformNode(loop, settings, metrics_port)
+        sockets = listen_on(settings.listeners.addresses())
     except OSError as exc:
-        log_change('not_started', failed=True, reason=str(exc))
+        sys.stderr.write(f'{exc}\n')
         return 1
-    node = platform.node
-    node.on_stopped = loop.stop
-    loop.on_signal(signal.SIGTERM, node.stop)
-    loop.on_signal(signal.SIGINT, node.stop)
-    # The library handles no hang-up, whose default would end the process.
-    signal.signal(
-        signal.SIGHUP,
-        lambda *_args: loop.post(_reload, platform),
-    )
-    log_change(
-        'started',
-        instance=settings.instance,
-        boot=node.identity.boot,
-        seeds=[list(one) for one in settings.seeds],
-    )
-    gc.freeze()
-    loop.run()
-    return 0
+    return _run(settings, sockets)
 
 
-def _reload(platform):
-    try:
-        settings = load_settings()
-    except SettingsError as exc:
-        log_change('settings_refused', failed=True, findings=str(exc))
-        return
-    platform.reload(settings)
-    log_change('settings_reloaded', seeds=[list(one) for one in settings.seeds])
+def _run(settings, sockets):
+    # Imported here, so that the sockets above are open before.
+    from crankchute.adapters.log import start_log  # noqa: WPS433
+    from crankchute.platform.run import run_instance  # noqa: WPS433
+
+    start_log(sys.stdout)
+    return run_instance(settings, sockets)
 
 
 if __name__ == '__main__':
--- a/crankchute/platform/backend_calls_test.py
+++ b/crankchute/platform/backend_calls_test.py
@@ -129,7 +129,7 @@
 def chunked(*parts):
     head = b'HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n\r\n' % _SIGNED
     chunks = b''.join(b'%x\r\n%b\r\n' % (len(one), one) for one in parts)
-    return head + chunks + b'0\r\n\r\n'
+    return b'%b%b0\r\n\r\n' % (head, chunks)
 
 
 @pytest.mark.parametrize(
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -1,5 +1,6 @@
 """One instance on the platform: the product's node between its adapters."""
 
+from crankchute.adapters.early_requests import EarlyRequests
 from crankchute.adapters.forward_server import ForwardServer
 from crankchute.adapters.http_client import HttpClient
 from crankchute.adapters.http_intake import IntakeLimits
@@ -49,19 +50,19 @@
       http_client: The HttpClient of all outgoing calls.
     """
 
-    def __init__(self, loop, settings, metrics_port):
+    def __init__(self, loop, settings, sockets):
         """Wire the adapters and begin to read the store.
 
         Args:
           loop: The Loop.
           settings: InstanceSettings.
-          metrics_port: The port for metrics and the state.
+          sockets: A map from address to the socket that listens on it.
         Raises:
           OSError: If an address cannot be listened on.
         """
         self.timers = loop.timers
         self.settings = settings
-        self._metrics_port = metrics_port
+        self._sockets = sockets
         self.http_client = HttpClient(timers=loop.timers).register(loop)
         wiring = ForwardWiring(
             port=BackendCalls(self.http_client),
@@ -97,22 +98,30 @@
 
     def _listen_all(self, loop):
         listeners = self.settings.listeners
-        self._server = self._listen(loop, listeners.callers, self._on_request)
+        self._early = EarlyRequests(loop.timers, self._on_request)
+        self._server = self._listen(
+            loop,
+            listeners.callers,
+            self._early.take,
+        )
         readiness = Readiness(lambda: self.node.is_accepting)
         self._listen(loop, listeners.readiness, readiness.answer)
         pages = OperatorPages(
             self.node.metrics,
             lambda: dump_forward_node(self.node),
         )
-        host, _port = listeners.callers
-        self._listen(loop, (host, self._metrics_port), pages.answer)
+        self._listen(loop, listeners.operators, pages.answer)
         if listeners.directory is not None:
             choose = self.node.choose_addresses
             directory = Directory(choose, ADDRESS_TTL_MS)
             self._listen(loop, listeners.directory, directory.answer)
 
     def _watch_store(self):
-        servers = PublishedServers(self.node.fleet, self.timers.clock)
+        servers = PublishedServers(
+            self.node.fleet,
+            self.timers.clock,
+            self._check_informed,
+        )
         servers.watch = StoreWatch(
             self,
             SERVERS_PREFIX,
@@ -122,10 +131,10 @@
         servers.watch.start()
         StoreWatch(self, CONFIG_KEY, self._published, _CONFIG_WAIT_MS).start()
 
-    def _listen(self, loop, bind, on_request):
-        _host, port = bind
+    def _listen(self, loop, address, on_request):
+        _host, port = address
         server = ForwardServer(
-            bind,
+            self._sockets[address],
             on_request,
             self.timers,
             channel=f'server-{port}',
@@ -146,7 +155,12 @@
     def _take_config(self, payload):
         self._published.take(payload)
 
+    def _check_informed(self):
+        if self.node.holder.config is not None and len(self.node.fleet):
+            self._early.note_informed()
+
     def _on_config(self, config):
+        self._check_informed()
         intake = config.intake
         if intake is not None:
             self._server.idle_ms = intake.idle_ms
--- a/crankchute/platform/published.py
+++ b/crankchute/platform/published.py
@@ -48,13 +48,15 @@
 class PublishedServers:
     """Hands the backend servers' entries to the fleet."""
 
-    def __init__(self, fleet, clock):
+    def __init__(self, fleet, clock, on_listed):
         """Create the listener of a watch; `watch` is set afterwards.
 
         Args:
           fleet: A ForwardFleet.
           clock: A Clock.
+          on_listed: Called after all entries were taken.
         """
+        self._on_listed = on_listed
         self._fleet = fleet
         self._clock = clock
         self.watch = None
@@ -65,6 +67,7 @@
         present = [record for record in listed if record is not None]
         self._fleet.replace(present, may_lapse=self._is_troubled())
         log_change('servers_listed', servers=len(present))
+        self._on_listed()
 
     def on_changes(self, entries, _asked_ms):
         """Take the entries that changed."""
--- a/crankchute/platform/settings.py
+++ b/crankchute/platform/settings.py
@@ -20,9 +20,10 @@
       readiness: For the platform's checks.
       directory: For callers that ask where to go.
       peers: For the other instances, through the seeds.
+      operators: For metrics and the state of the process.
     """
 
-    __slots__ = ('callers', 'directory', 'peers', 'readiness')
+    __slots__ = ('callers', 'directory', 'operators', 'peers', 'readiness')
 
     def __init__(self, **fields):
         """Create the record.
@@ -30,8 +31,28 @@
         Args:
           fields: A value for each attribute, None where it is not served.
         """
-        for name in self.__slots__:
-            setattr(self, name, fields[name])
+        self.operators = None
+        for name, address in fields.items():
+            setattr(self, name, address)
+
+    def set_metrics_port(self, port):
+        """Serve operators at a port of the address for callers.
+
+        Args:
+          port: A port number.
+        """
+        host, _port = self.callers
+        self.operators = (host, port)
+
+    def addresses(self):
+        """Return the addresses that are listened on, peers' apart."""
+        served = (
+            self.callers,
+            self.readiness,
+            self.directory,
+            self.operators,
+        )
+        return [one for one in served if one is not None]
 
 
 class Bounds:
