Let an instance that starts without the store get the servers from others

Change: the list is handed over like the configuration, to instances that know none; an instance serves once it knows both.

--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -101,6 +101,7 @@
       phase: "joining", "serving", or "draining" (out of address answers,
         still serving callers that hold old ones).
       journal: The ForwardJournal.
+      on_serving: Called when the instance begins to serve.
       on_draining: Called when stopping begins.
       on_stopped: Called when nothing is left to do.
     """
@@ -122,12 +123,14 @@
         self.random = random.Random(identity.boot)
         self.phase = JOINING
         self.on_draining = None
+        self.on_serving = None
         self.on_stopped = None
         self.holder = ForwardConfigHolder()
         self.fleet = ForwardFleet(loop.timers, wiring.pool_label)
         self.board = EngineBoard(self.now_ms)
         self._limits = limits
         self._choosers = {}
+        self._has_listed = False
         self._stop_ms = None
         self._reservations = ReservationDesk(
             wiring.reservations,
@@ -181,6 +184,11 @@
         if self.on_draining is not None:
             self.on_draining()
 
+    def note_listed(self):
+        """Note that the backend servers are known, be they many or none."""
+        self._has_listed = True
+        self._check_informed()
+
     def note_refused(self, request_id, refusal):
         """Count and log a request that was refused before it was a job.
 
@@ -202,6 +210,16 @@
         members = self.peers.sharing.choose_addresses(data_centre)
         return [member.http_address for member in members]
 
+    def _check_informed(self):
+        """Serve once the configuration and backend servers are known."""
+        is_informed = self._has_listed and self.holder.version
+        if self.phase != JOINING or not is_informed:
+            return
+        self._enter(SERVING)
+        self.peers.announce(is_serving=True)
+        if self.on_serving is not None:
+            self.on_serving()
+
     def _add_gauges(self):
         gauges = (
             (
@@ -241,9 +259,7 @@
             for name, pool in config.pools.items()
         }
         log_change('config_in_force', version=config.version)
-        if self.phase == JOINING:
-            self._enter(SERVING)
-            self.peers.announce(is_serving=True)
+        self._check_informed()
 
     def _make_chooser(self, pool):
         name = LEAST_BUSY if pool.figures is None else PREDICTED
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -2,9 +2,13 @@
 
 import time
 
+import orjson
+
+from crankchute.adapters.log import log_change
 from crankchute.adapters.peer_records import read_briefing, write_briefing
 from crankchute.adapters.peers_grpc import PeerClient, PeerServer
 from crankchute.core.engine_board import Change
+from crankchute.core.fleet import Listed
 from crankchute.core.membership import Member
 from crankchute.core.replica import ChangeSet, Entry
 from crankchute.core.sharing import Briefing, Sharing, SharingParts
@@ -14,6 +18,8 @@
 #: How often seeds are asked until another instance is known.
 _SEED_MS = 500
 _CONFIG = 'config'
+#: The store of Peering that lists instances elsewhere lists servers here.
+_SERVERS = 'instances'
 
 
 class ConfigExchange:
@@ -80,18 +86,58 @@
         self.seen = revision
 
 
-class _NoInventory:
-    """Stands in for the instance list, which is not published here."""
+class ServersExchange:
+    """The backend servers, for an instance that starts without the store.
+
+    Only whether any are known counts: an instance that knows some hears of
+    changes from the store, and of servers that leave from the others.
+    """
+
+    def __init__(self, fleet, on_listed):
+        """Create the exchange.
+
+        Args:
+          fleet: A ForwardFleet.
+          on_listed: Called after servers were taken from a peer.
+        """
+        self._fleet = fleet
+        self._on_listed = on_listed
+
+    @property
+    def revision(self):
+        """1 if any servers are known, else 0."""
+        return int(len(self._fleet) > 0)
+
+    @property
+    def seen_revision(self):
+        """The same as revision."""
+        return self.revision
 
-    revision = 0
-    seen_revision = 0
+    def changes_for(self, in_force, _seen):
+        """Return the servers if another instance knows none, or None."""
+        if self.revision <= in_force:
+            return None
+        entries = {
+            backend.identity: Entry(1, _write_listed(backend.listed))
+            for backend in self._fleet
+        }
+        return ChangeSet(0, self.revision, entries)
 
-    def changes_for(self, _in_force, _seen):
-        """Return None: there is nothing to hand over."""
+    def offer(self, changes):
+        """Take the servers that a peer handed over, if none are known.
 
-    def offer(self, _changes):
-        """Take nothing."""
-        return False
+        Args:
+          changes: A ChangeSet.
+        Returns:
+          True if they were taken.
+        """
+        if len(self._fleet):
+            return False
+        for entry in changes.entries.values():
+            self._fleet.put(Listed(orjson.loads(entry.payload)))
+        log_change('servers_from_peer', servers=len(changes.entries))
+        self._on_listed()
+        return True
 
 
 class ForwardPeers:
@@ -116,6 +162,7 @@
         identity = node.identity
         self._server = PeerServer(loop, identity.peer_address, self)
         exchange = ConfigExchange(node.holder, take_config)
+        servers = ServersExchange(node.fleet, node.note_listed)
         # Peering finds the parts that it works with on one object.
         self.timers = loop.timers
         self.peer_client = self._client
@@ -133,7 +180,7 @@
         self._peering = Peering(
             self,
             own,
-            {_CONFIG: exchange, 'instances': _NoInventory()},
+            {_CONFIG: exchange, _SERVERS: servers},
         )
         self.membership = self._peering.membership
         self.sharing = Sharing(self._make_parts(node), identity.instance)
@@ -262,6 +309,19 @@
                 self._peering.probe(address, _ignore)
 
 
+def _write_listed(listed):
+    return orjson.dumps(
+        {
+            'id': listed.identity,
+            'kind': listed.kind,
+            'address': _write_address(listed.address),
+            'data_centre': listed.data_centre,
+            'labels': listed.labels,
+            'state': listed.state,
+        }
+    )
+
+
 def _write_address(address):
     host, port = address
     return f'{host}:{port}'
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -85,6 +85,7 @@
         self._listen_all(loop)
         self.node.holder.subscribe(self._on_config)
         self.node.on_draining = self._on_draining
+        self.node.on_serving = self._early.note_informed
         self._watch_store()
 
     def reload(self, settings):
@@ -120,7 +121,7 @@
         servers = PublishedServers(
             self.node.fleet,
             self.timers.clock,
-            self._check_informed,
+            self.node.note_listed,
         )
         servers.watch = StoreWatch(
             self,
@@ -155,12 +156,7 @@
     def _take_config(self, payload):
         self._published.take(payload)
 
-    def _check_informed(self):
-        if self.node.holder.config is not None and len(self.node.fleet):
-            self._early.note_informed()
-
     def _on_config(self, config):
-        self._check_informed()
         intake = config.intake
         if intake is not None:
             self._server.idle_ms = intake.idle_ms
