Ask the store less often where others prove the configuration

Change: two active instances prove the configuration for all with short waits; the others ask when no proof has come for three seconds. The list of servers is watched with long waits, and anew when the store is regained.

--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -179,6 +179,15 @@
         known = [moment_ms for moment_ms in heard if moment_ms is not None]
         return self._now_ms() - min(known) if known else None
 
+    def is_among_first(self, count):
+        """Tell whether this instance is one of the first active ones.
+
+        Args:
+          count: How many of them.
+        """
+        first = [one.identity for one in self.active[:count]]
+        return self._own in first or not first
+
     def choose_addresses(self, data_centre):
         """Return the members that a caller should use.
 
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -31,9 +31,16 @@
 #: How long callers may keep an address answer, in milliseconds: short, so
 #: that they leave a lost instance soon; each question costs about 1 ms.
 ADDRESS_TTL_MS = 1000
-#: How long a watch of the store waits; each answer proves the configuration.
-_CONFIG_WAIT_MS = 1500
-_SERVERS_WAIT_MS = 1500
+#: How long a watch of the configuration waits where it proves that for the
+#: others too; the age of the proof stays under twice as long.
+_READER_WAIT_MS = 1200
+#: How long other watches wait; calls of the store have a price.
+_LONG_WAIT_MS = 8000
+#: Above this age an instance asks for a proof of its own.
+_STALE_PROOF_MS = 3000
+_PROOF_CHECK_MS = 250
+#: How many of the active instances prove the configuration for all.
+_READERS = 2
 #: What is left of the time to refuse a revoked key, for requests on the way.
 _KEY_MARGIN_MS = 700
 _IDLE_MS = 15_000
@@ -63,6 +70,7 @@
         self.timers = loop.timers
         self.settings = settings
         self._sockets = sockets
+        self._waits_long = False
         self.http_client = HttpClient(timers=loop.timers).register(loop)
         wiring = ForwardWiring(
             port=BackendCalls(self.http_client),
@@ -127,10 +135,32 @@
             self,
             SERVERS_PREFIX,
             servers,
-            _SERVERS_WAIT_MS,
+            lambda: _LONG_WAIT_MS,
         )
         servers.watch.start()
-        StoreWatch(self, CONFIG_KEY, self._published, _CONFIG_WAIT_MS).start()
+        self._config_watch = StoreWatch(
+            self,
+            CONFIG_KEY,
+            self._published,
+            self._choose_wait_ms,
+        )
+        # What cut one watch off may have cut off the other unnoticed.
+        self._config_watch.on_regained = servers.watch.refresh
+        self._config_watch.start()
+        self.timers.every(_PROOF_CHECK_MS, self._check_proof)
+
+    def _choose_wait_ms(self):
+        holder = self.node.holder
+        age_ms = holder.proof_age_ms(self.timers.clock.now_ms())
+        is_stale = age_ms is None or age_ms > _STALE_PROOF_MS
+        is_reader = self.node.peers.sharing.is_among_first(_READERS)
+        self._waits_long = not is_reader and not is_stale
+        return _LONG_WAIT_MS if self._waits_long else _READER_WAIT_MS
+
+    def _check_proof(self):
+        """Ask the store when neither it nor a peer has proved lately."""
+        if self._waits_long and self._choose_wait_ms() != _LONG_WAIT_MS:
+            self._config_watch.refresh()
 
     def _listen(self, loop, address, on_request):
         _host, port = address
--- a/crankchute/platform/store.py
+++ b/crankchute/platform/store.py
@@ -72,11 +72,12 @@
     """Follows one prefix and tells a listener what stands there.
 
     Attributes:
+      on_regained: Called without arguments when calls succeed again, or None.
       failed_ms: When a call last failed, on this process's clock, or None.
       calls: How many calls were made, an int.
     """
 
-    def __init__(self, parts, prefix, listener, wait_ms):
+    def __init__(self, parts, prefix, listener, choose_wait_ms):
         """Create a watch; start() begins it.
 
         Args:
@@ -84,14 +85,17 @@
           prefix: The prefix of the keys.
           listener: An object with on_entries(entries, asked_ms) for all that
             stands there, and on_changes(entries, asked_ms).
-          wait_ms: How long a watch waits for a change.
+          choose_wait_ms: A function that returns how long the next watch
+            waits for a change.
         """
         self._client = parts.http_client
         self._timers = parts.timers
         self._address = parts.settings.store
         self._prefix = prefix
         self._listener = listener
-        self._wait_ms = wait_ms
+        self._choose_wait_ms = choose_wait_ms
+        self._is_watching = False
+        self.on_regained = None
         self._at = None
         self._entries = []
         self._retry_ms = _FIRST_RETRY_MS
@@ -106,6 +110,14 @@
         self._entries = []
         self._read_page(None, self._now_ms(), None)
 
+    def refresh(self):
+        """Ask anew if a watch waits; whatever it knows stays known."""
+        if not self._is_watching:
+            return
+        self._guard.cancel()
+        self._call.cancel()
+        self._watch()
+
     def _now_ms(self):
         return self._timers.clock.now_ms()
 
@@ -128,9 +140,10 @@
 
     def _watch(self):
         asked_ms = self._now_ms()
+        wait_ms = self._choose_wait_ms()
         path = (
             f'{WATCH_PATH}?path-prefix={quote(self._prefix, safe="")}'
-            f'&after={self._at}&wait-ms={self._wait_ms}'
+            f'&after={self._at}&wait-ms={wait_ms}'
         )
 
         def take(page):
@@ -138,12 +151,14 @@
             self._watch()
             self._listener.on_changes(page.entries, asked_ms)
 
-        self._ask(path, self._wait_ms, take)
+        self._is_watching = True
+        self._ask(path, wait_ms, take)
 
     def _ask(self, path, wait_ms, take):
         self.calls += 1
 
         def on_response(status, body):
+            self._is_watching = False
             self._guard.cancel()
             if status == HTTPStatus.GONE:
                 self._at = None
@@ -154,6 +169,7 @@
                 self._retry(f'status {status}')
 
         def on_error(exc):
+            self._is_watching = False
             self._guard.cancel()
             self._retry(str(exc))
 
@@ -179,6 +195,7 @@
         take(page)
 
     def _on_silence(self):
+        self._is_watching = False
         self._call.cancel()
         self._retry('no answer in time')
 
@@ -187,6 +204,8 @@
         if self._is_failing:
             self._is_failing = False
             log_change('store_regained', prefix=self._prefix)
+            if self.on_regained is not None:
+                self.on_regained()
 
     def _retry(self, reason):
         self.failed_ms = self._now_ms()
--- /dev/null
+++ b/crankchute/platform/store_test.py
@@ -0,0 +1,150 @@
+"""Tests of watching the store, with a fake client in virtual time."""
+
+import base64
+
+import orjson
+import pytest
+
+from crankchute.core.fakes import ManualTimers
+from crankchute.errors import BackendError
+from crankchute.platform.store import StoreWatch
+
+PREFIX = 'servers/'
+
+
+class FakeCall:
+    """A call that waits for its answer."""
+
+    def __init__(self, path, sink):
+        self.path = path
+        self.sink = sink
+        self.cancelled = False
+
+    def cancel(self):
+        self.cancelled = True
+
+    def answer(self, document, status=200):
+        self.sink.on_head(status, {})
+        self.sink.on_body(orjson.dumps(document))
+        self.sink.on_done()
+
+
+class World:
+    """A watch, its calls, and what its listener was told."""
+
+    def __init__(self):
+        self.timers = ManualTimers()
+        self.http_client = self
+        self.settings = self
+        self.store = ('127.0.0.1', 1)
+        self.calls = []
+        self.told = []
+        self.wait_ms = 1000
+        self.watch = StoreWatch(self, PREFIX, self, lambda: self.wait_ms)
+        self.watch.start()
+
+    def send(self, address, payload, sink, options):
+        path = payload.split(b' ')[1].decode()
+        self.calls.append(FakeCall(path, sink))
+        return self.calls[-1]
+
+    def on_entries(self, entries, asked_ms):
+        self.told.append(('all', [one.key for one in entries], asked_ms))
+
+    def on_changes(self, entries, asked_ms):
+        changes = [(one.key, one.payload) for one in entries]
+        self.told.append(('changed', changes, asked_ms))
+
+    def list_all(self, *keys, at=5, more=False):
+        found = [make_item(key) for key in keys]
+        document = {'items': found, 'more': more, 'at': at}
+        self.calls[-1].answer(document)
+
+
+def make_item(key):
+    payload = base64.b64encode(key.encode()).decode()
+    return {'tls-key': key, 'value': payload, 'revision': 1, 'lease': 0}
+
+
+def test_all_is_read_page_by_page_and_then_watched():
+    world = World()
+    world.list_all('servers/a', at=5, more=True)
+    assert 'after=servers%2Fa' in world.calls[-1].path
+    world.list_all('servers/b', at=9)
+    assert world.told == [('all', ['servers/a', 'servers/b'], 0)]
+    # Pages are no snapshot, so changes are asked for from the first one on.
+    assert 'after=5&wait-ms=1000' in world.calls[-1].path
+
+
+def test_changes_are_told_with_the_moment_of_asking():
+    world = World()
+    world.list_all()
+    world.timers.advance(400)
+    gone = {'tls-key': 'servers/a', 'revision': 7, 'gone': True}
+    events = [make_item('servers/b'), gone]
+    world.calls[-1].answer({'events': events, 'at': 7})
+    changes = [('servers/b', b'servers/b'), ('servers/a', None)]
+    assert world.told[-1] == ('changed', changes, 0)
+    world.calls[-1].answer({'events': [], 'at': 7})
+    assert world.told[-1] == ('changed', [], 400)
+
+
+@pytest.mark.parametrize(
+    'fail',
+    [
+        lambda call: call.answer({}, status=503),
+        lambda call: call.answer({}, status=429),
+        lambda call: call.answer({'events': 5, 'at': 1}),
+        lambda call: call.answer([]),
+        lambda call: call.sink.on_error(BackendError('lost', sent=True)),
+    ],
+)
+def test_failed_watch_goes_on_where_it_was(fail):
+    world = World()
+    world.list_all(at=5)
+    before = len(world.told)
+    fail(world.calls[-1])
+    assert world.watch.failed_ms == 0
+    world.timers.advance(300)
+    assert 'after=5' in world.calls[-1].path
+    assert len(world.told) == before
+
+
+def test_watch_that_hangs_is_given_up():
+    world = World()
+    world.list_all(at=5)
+    hung = world.calls[-1]
+    world.timers.advance(2500)
+    assert hung.cancelled
+    assert 'after=5' in world.calls[-1].path
+
+
+def test_lost_history_is_read_anew():
+    world = World()
+    world.list_all('servers/a')
+    world.calls[-1].answer({}, status=410)
+    assert 'kv-range' in world.calls[-1].path
+    world.list_all('servers/b')
+    assert world.told[-1][:2] == ('all', ['servers/b'])
+
+
+def test_refresh_asks_anew_with_another_wait():
+    world = World()
+    world.list_all(at=5)
+    first = world.calls[-1]
+    world.wait_ms = 200
+    world.watch.refresh()
+    assert first.cancelled
+    assert 'after=5&wait-ms=200' in world.calls[-1].path
+
+
+def test_regained_store_is_told_once():
+    world = World()
+    regained = []
+    world.watch.on_regained = lambda: regained.append(1)
+    world.list_all()
+    world.calls[-1].answer({}, status=503)
+    world.timers.advance(300)
+    world.calls[-1].answer({'events': [], 'at': 5})
+    world.calls[-1].answer({'events': [], 'at': 5})
+    assert regained == [1]
