Count an engine's silence from the end of what it reads

Change: silence counts from the last event or from the end of the reading that was sent to the engine, whichever is later.

--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -100,8 +100,8 @@
         """
 
     @abc.abstractmethod
-    def stall_ms(self, job, attempt):
-        """Return how long a server may be silent, or None.
+    def silent_until_ms(self, job, attempt):
+        """Return until when a server may be silent, or None for ever.
 
         Args:
           job: A ForwardJob.
@@ -138,11 +138,12 @@
         self._parts.random.shuffle(members)
         return Placement(min(members, key=_in_flight))
 
-    def stall_ms(self, job, attempt):
+    def silent_until_ms(self, job, attempt):
         """See Chooser; what may start once is waited for to the end."""
         if job.repeat != Repeat.AGAIN:
             return None
-        return max(job.goal_ms * _SILENCE_FACTOR, _LEAST_SILENCE_MS)
+        allowed_ms = max(job.goal_ms * _SILENCE_FACTOR, _LEAST_SILENCE_MS)
+        return attempt.heard_ms + allowed_ms
 
 
 @choosers.register('random')
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -160,16 +160,22 @@
             plans = self._plan_jointly(job, candidates)
         return self._place(job, min(plans, key=_cost_of))
 
-    def stall_ms(self, job, attempt):
-        """See Chooser."""
+    def silent_until_ms(self, job, attempt):
+        """See Chooser.
+
+        While an engine reads what was sent there since it was heard from, it
+        writes nothing, so the silence counts from the end of that.
+        """
+        state = self._board.state(attempt.backend.identity)
+        since_ms = max(attempt.heard_ms, state.read_until_ms)
         if attempt.started:
             gap_ms = (job.gap_ms or 0) * _GAP_SILENCE_FACTOR
-            return max(gap_ms, _LEAST_GAP_SILENCE_MS)
+            return since_ms + max(gap_ms, _LEAST_GAP_SILENCE_MS)
         first_ms = attempt.placement.first_ms or 0
         allowed_ms = _FIRST_SILENCE_MS + first_ms * _FIRST_SILENCE_FACTOR
         if attempt.placement.helpers:
             allowed_ms += self._figures.stall_ms
-        return allowed_ms
+        return since_ms + allowed_ms
 
     def note_sent(self, job, placement):
         """See Chooser."""
--- a/crankchute/core/engine_chooser_test.py
+++ b/crankchute/core/engine_chooser_test.py
@@ -140,3 +140,25 @@
     chosen.append(world.place(SHORT)[1].backend.identity)
     assert chosen[0] == 'server-00'
     assert chosen[1] in {'server-00', 'server-01'}
+
+
+class FakeAttempt:
+    """An attempt as far as silence goes."""
+
+    def __init__(self, placement, heard_ms):
+        self.placement = placement
+        self.backend = placement.backend
+        self.heard_ms = heard_ms
+        self.started = True
+
+
+def test_engine_that_reads_may_be_silent_for_longer():
+    world = World(engines=1)
+    job, placement = world.place(SHORT)
+    attempt = FakeAttempt(placement, 0)
+    world.chooser.note_first(job, placement)
+    before_ms = world.chooser.silent_until_ms(job, attempt)
+    world.place(PromptSize(200_000, 100), goal_ms=2500)
+    read_ms = world.board.state(placement.backend.identity).read_until_ms
+    assert read_ms > 3000
+    assert world.chooser.silent_until_ms(job, attempt) == before_ms + read_ms
--- a/crankchute/core/flow_desk.py
+++ b/crankchute/core/flow_desk.py
@@ -122,11 +122,13 @@
         """Run a callback later; see TimerService."""
         return self.timers.after(delay_ms, callback)
 
-    def stall_ms(self, flow, attempt):
-        """Return how long an attempt's engine may be silent."""
-        if attempt.started:
-            return _STALL_MS
-        return _STALL_MS + attempt.placement.first_ms * _FIRST_STALL_FACTOR
+    def silent_until_ms(self, flow, attempt):
+        """Return until when an attempt's engine may be silent."""
+        allowed_ms = _STALL_MS
+        if not attempt.started:
+            first_ms = attempt.placement.first_ms
+            allowed_ms += first_ms * _FIRST_STALL_FACTOR
+        return attempt.heard_ms + allowed_ms
 
     def take_retry(self, job):
         """Take a retry from the budget of a job's account, if there is one."""
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -14,6 +14,7 @@
       placement: The Placement.
       sent_ms: When it was sent, or None before.
       first_ms: When the server sent its first event, or None before.
+      heard_ms: When it was sent, or its server last sent an event.
       longest_gap_ms: The longest pause between two events, in milliseconds.
     """
 
@@ -24,11 +25,10 @@
         '_flow',
         '_head',
         '_is_over',
-        '_latest_ms',
         '_reservation',
         '_silence',
-        '_silent_ms',
         'first_ms',
+        'heard_ms',
         'longest_gap_ms',
         'placement',
         'sent_ms',
@@ -50,9 +50,8 @@
         self._is_over = False
         self._reservation = None
         self._silence = None
-        self._silent_ms = None
-        self._latest_ms = None
         self.first_ms = None
+        self.heard_ms = None
         self.longest_gap_ms = 0
         self.placement = placement
         self.sent_ms = None
@@ -105,7 +104,6 @@
         if self._is_over:
             return
         self._note_event()
-        self._watch(self._desk.stall_ms(self._flow, self))
         self._flow.on_event(self, self._head, event)
 
     def on_end(self):
@@ -136,9 +134,9 @@
             self.first_ms = now_ms
             self._desk.note_first(self._flow, self)
         else:
-            gap_ms = now_ms - self._latest_ms
+            gap_ms = now_ms - self.heard_ms
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
-        self._latest_ms = now_ms
+        self.heard_ms = now_ms
 
     def _on_reserved(self, refused):
         if self._is_over:
@@ -153,8 +151,9 @@
         self.sent_ms = self._desk.now_ms()
         self.backend.in_flight += 1
         self.backend.breaker.note_start()
+        self.heard_ms = self.sent_ms
         self._flow.on_attempt_sent(self)
-        self._watch(self._desk.stall_ms(self._flow, self))
+        self._watch()
         job = self._flow.job
         order = AttemptOrder(
             self._flow.attempts,
@@ -163,29 +162,26 @@
         )
         self._call = self._desk.port.send(job, self.placement, order, self)
 
-    def _watch(self, allowed_ms):
-        """Allow the server a time of silence from now, or any time if None.
+    def _watch(self):
+        """Wait until the server has been silent for too long.
 
         A timer for each event would cost more than the event; one timer is
-        set again when it ends and finds that the server has spoken.
+        set again when it ends and finds that the server may still be silent.
         """
-        if allowed_ms is None:
-            self._silent_ms = None
+        until_ms = self._desk.silent_until_ms(self._flow, self)
+        if until_ms is None:
             return
-        self._silent_ms = self._desk.now_ms() + allowed_ms
-        if self._silence is None:
-            self._silence = self._desk.after(allowed_ms, self._on_silence)
-
-    def _on_silence(self):
-        self._silence = None
-        if self._is_over or self._silent_ms is None:
-            return
-        left_ms = self._silent_ms - self._desk.now_ms()
+        left_ms = until_ms - self._desk.now_ms()
         if left_ms > 0:
             self._silence = self._desk.after(left_ms, self._on_silence)
         else:
             self._end_silence()
 
+    def _on_silence(self):
+        self._silence = None
+        if not self._is_over:
+            self._watch()
+
     def _end_silence(self):
         if self._call is not None:
             self._call.cancel()
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -112,10 +112,12 @@
             chooser.note_sent(flow.job, choice)
         return choice
 
-    def stall_ms(self, flow, attempt):
-        """Return how long an attempt's server may be silent, or None."""
+    def silent_until_ms(self, flow, attempt):
+        """Return until when an attempt's server may be silent, or None."""
         chooser = self._chooser_of(flow.job.pool)
-        return None if chooser is None else chooser.stall_ms(flow.job, attempt)
+        if chooser is None:
+            return None
+        return chooser.silent_until_ms(flow.job, attempt)
 
     def take_retry(self, job):
         """Take a retry of a job's pool from the budget, if there is one."""
--- a/crankchute/core/forward_flow_test.py
+++ b/crankchute/core/forward_flow_test.py
@@ -208,3 +208,17 @@
     flow.cancel()
     world.timers.advance(5000)
     assert world.reservations.released == ['ticket-1', 'ticket-1', 'ticket-1']
+
+
+def test_silent_server_is_given_up_and_one_that_speaks_is_not():
+    world = ForwardWorld()
+    world.chooser.allowed_ms = 1000
+    _flow, sink = world.submit(repeat=RESUME, is_stream=True)
+    for number in range(1, 4):
+        world.timers.advance(900)
+        send_events(world.port.calls[0], number)
+    assert len(world.port.calls) == 1
+    world.timers.advance(1100)
+    assert world.port.calls[0].cancelled
+    assert world.port.calls[1].order.resume_after == 3
+    assert sink.seen[-1] == ('event', 3)
