Take a server back when its lapsed entry returns

Cause: while the store was silent for 5 s its entries lapsed and came back under the same ids 2 s after its return. The trouble was not noticed, either: only the watch of the servers was looked at, which waited long, and not that of the configuration, which had failed.

Change: draining is for good; a removed entry keeps its server out until the entry is back, and what another instance saw go counts for 8 s unless the own list is newer.

--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -70,7 +70,8 @@
         is_serving=briefing.is_serving,
         version=briefing.version,
         proof_age_ms=_NO_PROOF if age_ms is None else age_ms,
-        left=briefing.left,
+        drained=briefing.drained,
+        gone=briefing.gone,
         news=[_write_news(one, now_ms) for one in briefing.news],
     )
 
@@ -89,7 +90,8 @@
         is_serving=record.is_serving,
         version=record.version,
         proof_age_ms=None if age_ms < 0 else age_ms,
-        left=list(record.left),
+        drained=list(record.drained),
+        gone=list(record.gone),
         news=[_read_news(one, now_ms) for one in record.news],
     )
 
--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -1,17 +1,23 @@
 """The backend servers of forwarding, as the store and the peers tell of them.
 
-A server that leaves takes no new requests from the moment anyone here knows
-of it, whatever the store says later: an incarnation that left never returns.
-Entries that lapse because the store was away are kept for a while, since the
-servers behind them mostly live.
+A server that drains takes no new requests from the moment anyone here knows
+of it, whatever the store says later.  One whose entry is gone takes none until
+its entry is back: entries lapse while the store is away, and the servers
+behind them mostly live.  Around trouble with the store, such entries are kept
+for a while.
 """
 
 from crankchute.core.fleet import LEAVING, Backend
 
 #: How long an entry that vanished around trouble of the store is kept.
 _LAPSE_MS = 1800
-#: How long an id that left is remembered.
+#: How long an id that drained is remembered.
 _REMEMBER_MS = 120_000
+#: How long a server stays out after another instance told that its entry is
+#: gone, if this instance's own list still has it.
+_GONE_MS = 8000
+#: What others tell is older than an entry that was read this lately here.
+_FRESH_MS = 3000
 
 
 class ForwardFleet:
@@ -27,8 +33,9 @@
         self._timers = timers
         self._pool_label = pool_label
         self._backends = {}
-        self._left_ms = {}
-        self._listeners = []
+        self._drained_ms = {}
+        self._gone_ms = {}
+        self._listed_ms = {}
         self._lapsing = {}
 
     def __len__(self):
@@ -47,17 +54,18 @@
         """Return the ids of all servers, a set."""
         return set(self._backends)
 
-    def left(self):
-        """Return the ids that are known to have left lately, a list."""
-        return list(self._left_ms)
+    def drained(self):
+        """Return the ids that are known to drain, a list."""
+        return list(self._drained_ms)
 
-    def subscribe(self, listener):
-        """Be told when a server leaves.
-
-        Args:
-          listener: A function of the server's id.
-        """
-        self._listeners.append(listener)
+    def gone(self):
+        """Return the ids whose entries went lately, a list."""
+        now_ms = self._now_ms()
+        return [
+            identity
+            for identity, since_ms in self._gone_ms.items()
+            if now_ms - since_ms < _GONE_MS
+        ]
 
     def members_of(self, pool):
         """Return the servers of a pool that take new requests.
@@ -71,7 +79,7 @@
             backend
             for identity, backend in self._backends.items()
             if backend.listed.labels[self._pool_label] == pool
-            and identity not in self._left_ms
+            and self._takes_requests(identity)
         ]
 
     def put(self, listed):
@@ -81,13 +89,15 @@
           listed: A Listed.
         """
         self._lapsing.pop(listed.identity, None)
+        self._gone_ms.pop(listed.identity, None)
+        self._listed_ms[listed.identity] = self._now_ms()
         backend = self._backends.get(listed.identity)
         if backend is None or backend.listed.address != listed.address:
             backend = Backend(listed)
             self._backends[listed.identity] = backend
         backend.listed = listed
         if listed.state == LEAVING:
-            self.note_left(listed.identity)
+            self.note_drained(listed.identity)
 
     def remove(self, identity, *, may_lapse):
         """Take the end of a server's entry.
@@ -99,7 +109,7 @@
         """
         if identity not in self._backends:
             return
-        if may_lapse and identity not in self._left_ms:
+        if may_lapse and identity not in self._drained_ms:
             if identity not in self._lapsing:
                 self._lapsing[identity] = self._timers.after(
                     _LAPSE_MS,
@@ -122,18 +132,35 @@
             if identity not in present:
                 self.remove(identity, may_lapse=may_lapse)
 
-    def note_left(self, identity):
-        """Note that a server leaves; it gets no new request any more.
+    def note_drained(self, identity):
+        """Note that a server drains; it gets no new request any more.
 
         Args:
           identity: The server's id.
         """
-        if identity in self._left_ms:
-            return
-        self._left_ms[identity] = self._timers.clock.now_ms()
+        self._drained_ms.setdefault(identity, self._now_ms())
         self._forget_old()
-        for listener in self._listeners:
-            listener(identity)
+
+    def note_gone(self, identity):
+        """Note that another instance saw a server's entry go.
+
+        Args:
+          identity: The server's id.
+        """
+        now_ms = self._now_ms()
+        listed_ms = self._listed_ms.get(identity)
+        is_fresh = listed_ms is not None and now_ms - listed_ms < _FRESH_MS
+        if not is_fresh:
+            self._gone_ms.setdefault(identity, now_ms)
+
+    def _now_ms(self):
+        return self._timers.clock.now_ms()
+
+    def _takes_requests(self, identity):
+        if identity in self._drained_ms:
+            return False
+        gone_ms = self._gone_ms.get(identity)
+        return gone_ms is None or self._now_ms() - gone_ms > _GONE_MS
 
     def _end_lapse(self, identity):
         if self._lapsing.pop(identity, None) is not None:
@@ -141,10 +168,13 @@
 
     def _drop(self, identity):
         self._backends.pop(identity, None)
-        self.note_left(identity)
+        self._listed_ms.pop(identity, None)
+        self._gone_ms[identity] = self._now_ms()
+        self._forget_old()
 
     def _forget_old(self):
-        oldest_ms = self._timers.clock.now_ms() - _REMEMBER_MS
-        for identity, since_ms in tuple(self._left_ms.items()):
-            if since_ms < oldest_ms and identity not in self._backends:
-                self._left_ms.pop(identity)
+        oldest_ms = self._now_ms() - _REMEMBER_MS
+        for times in (self._drained_ms, self._gone_ms):
+            for identity, since_ms in tuple(times.items()):
+                if since_ms < oldest_ms and identity not in self._backends:
+                    times.pop(identity)
--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -57,15 +57,17 @@
       is_serving: Whether it may be handed out to callers.
       version: The version of its configuration, an int.
       proof_age_ms: How long ago that was proved the newest, or None.
-      left: Ids of backend servers that leave.
+      drained: Ids of backend servers that drain.
+      gone: Ids of backend servers whose entries went lately.
       news: A list of WorkNews.
     """
 
     __slots__ = (
         'boot',
+        'drained',
+        'gone',
         'instance',
         'is_serving',
-        'left',
         'news',
         'proof_age_ms',
         'version',
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -267,22 +267,32 @@
             is_serving=node.is_accepting,
             version=node.holder.version,
             proof_age_ms=node.holder.proof_age_ms(self._now_ms()),
-            left=node.fleet.left(),
+            drained=node.fleet.drained(),
+            gone=node.fleet.gone(),
             news=news,
         )
 
     def _take(self, briefing, asked_ms):
         node = self._node
-        for identity in briefing.left:
-            node.fleet.note_left(identity)
+        self._take_servers(briefing)
+        self._take_news(briefing.news)
         if briefing.version > node.holder.version:
             self._fetch_config(briefing)
         elif asked_ms is not None and briefing.proof_age_ms is not None:
             # What was asked for at a moment proves no more than that.
             proved_ms = asked_ms - briefing.proof_age_ms
             node.holder.prove(briefing.version, proved_ms)
-        board = node.board
-        for one in briefing.news:
+
+    def _take_servers(self, briefing):
+        fleet = self._node.fleet
+        for identity in briefing.drained:
+            fleet.note_drained(identity)
+        for identity in briefing.gone:
+            fleet.note_gone(identity)
+
+    def _take_news(self, news):
+        board = self._node.board
+        for one in news:
             if one.change == Change.SENT:
                 board.add(one.work)
             elif one.change == Change.STARTED:
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -26,7 +26,8 @@
             _dump_member(one) for one in node.peers.membership.all_members()
         ],
         'servers': [_dump_server(node, one) for one in node.fleet],
-        'servers_left': node.fleet.left(),
+        'servers_drained': node.fleet.drained(),
+        'servers_gone': node.fleet.gone(),
         'requests_in_progress': node.desk.in_progress,
         'counters': _dump_counters(node.metrics.counts),
     }
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -131,13 +131,12 @@
             self.timers.clock,
             self.node.note_listed,
         )
-        servers.watch = StoreWatch(
+        servers_watch = StoreWatch(
             self,
             SERVERS_PREFIX,
             servers,
             lambda: _LONG_WAIT_MS,
         )
-        servers.watch.start()
         self._config_watch = StoreWatch(
             self,
             CONFIG_KEY,
@@ -145,7 +144,9 @@
             self._choose_wait_ms,
         )
         # What cut one watch off may have cut off the other unnoticed.
-        self._config_watch.on_regained = servers.watch.refresh
+        self._config_watch.on_regained = servers_watch.refresh
+        servers.watches = (servers_watch, self._config_watch)
+        servers_watch.start()
         self._config_watch.start()
         self.timers.every(_PROOF_CHECK_MS, self._check_proof)
 
--- a/crankchute/platform/published.py
+++ b/crankchute/platform/published.py
@@ -49,7 +49,7 @@
     """Hands the backend servers' entries to the fleet."""
 
     def __init__(self, fleet, clock, on_listed):
-        """Create the listener of a watch; `watch` is set afterwards.
+        """Create the listener of a watch; `watches` are set afterwards.
 
         Args:
           fleet: A ForwardFleet.
@@ -59,7 +59,7 @@
         self._on_listed = on_listed
         self._fleet = fleet
         self._clock = clock
-        self.watch = None
+        self.watches = ()
 
     def on_entries(self, entries, _asked_ms):
         """Take all entries that stand there."""
@@ -95,7 +95,10 @@
             return None
 
     def _is_troubled(self):
-        failed_ms = self.watch.failed_ms
-        if failed_ms is None:
-            return False
-        return self._clock.now_ms() - failed_ms < _TROUBLE_MS
+        """Tell whether any watch of the store failed lately."""
+        now_ms = self._clock.now_ms()
+        return any(
+            watch.failed_ms is not None
+            and now_ms - watch.failed_ms < _TROUBLE_MS
+            for watch in self.watches
+        )
