--- /dev/null
+++ b/crankchute/platform/requests_test.py
@@ -0,0 +1,172 @@
+"""Tests of checking callers' requests against the configuration."""
+
+import pytest
+
+from crankchute.core.fakes import ManualClock
+from crankchute.core.forward_config import (
+    ForwardConfig,
+    ForwardConfigHolder,
+    KeyOwner,
+)
+from crankchute.core.forward_job import Repeat
+from crankchute.core.route_table import PoolShare, Route
+from crankchute.errors import RequestRefused
+from crankchute.platform.requests import RequestReader
+
+_PROOF_MS = 4000
+_KEY = 'Bearer key-1'
+
+
+class FakeExchange:
+    """A request as the server hands it over."""
+
+    def __init__(self, **headers):
+        chosen = {
+            'host': 'a.example',
+            'x-crankchute-request-id': 'r1',
+            'authorization': _KEY,
+            'x-crankchute-deadline-ms': '900',
+        }
+        for given, told in headers.items():
+            chosen[given.replace('_', '-')] = told
+        self.headers = [pair for pair in chosen.items() if pair[1] is not None]
+        self.method = 'POST'
+        self.target = '/p/x?y=1'
+        self.body = b'body'
+        self.arrived_ms = 100
+
+    def header(self, name):
+        return dict(self.headers).get(name)
+
+
+def make_route(prefix, *, is_open):
+    return Route(
+        name=prefix,
+        host='a.example',
+        prefix=prefix,
+        shares=(PoolShare('pool', 1),),
+        repeat=Repeat.RESUME,
+        is_stream=True,
+        is_open=is_open,
+        timeout_ms=2000,
+        goal_ms=300,
+        gap_ms=250,
+        priority=3,
+        max_attempts=2,
+    )
+
+
+class World:
+    """A reader over one configuration."""
+
+    def __init__(self, *, keys=True, config=True):
+        self.clock = ManualClock()
+        self.holder = ForwardConfigHolder()
+        routes = [
+            make_route('/p/', is_open=False),
+            make_route('/open/', is_open=True),
+        ]
+        owners = {'key-1': KeyOwner('acc', 1)} if keys else None
+        if config:
+            self.holder.offer(ForwardConfig(1, routes, [], keys=owners), b'')
+            self.holder.prove(1, 0)
+        self.reader = RequestReader(self.holder, self.clock, _PROOF_MS)
+
+    def refuse(self, exchange):
+        try:
+            self.reader.read(exchange)
+        except RequestRefused as refusal:
+            return int(refusal.status), refusal.retry_after_ms
+        return None
+
+
+def test_job_of_a_request():
+    job = World().reader.read(
+        FakeExchange(
+            last_event_id='7',
+            x_crankchute_token_usage='4960,1500',
+            x_crankchute_tenant='somebody else',
+            x_crankchute_target_instance='i-9',
+            x_kept='yes',
+            connection='x-dropped',
+            x_dropped='no',
+        )
+    )
+    assert (job.request_id, job.account, job.priority) == ('r1', 'acc', 1)
+    assert (job.size.prompt, job.size.answer) == (4960, 1500)
+    assert job.deadline_ms == 1000
+    assert job.resume_after == 7
+    names = {name for name, _text in job.payload.headers}
+    assert names == {
+        'host',
+        'x-crankchute-request-id',
+        'x-crankchute-token-usage',
+        'x-kept',
+    }
+    assert job.payload.target == '/p/x?y=1'
+
+
+@pytest.mark.parametrize(
+    ('deadline', 'expected_ms'),
+    [('900', 1000), ('99999', 2100), (None, 2100)],
+)
+def test_deadline_is_the_sooner_of_two(deadline, expected_ms):
+    exchange = FakeExchange(x_crankchute_deadline_ms=deadline)
+    assert World().reader.read(exchange).deadline_ms == expected_ms
+
+
+@pytest.mark.parametrize(
+    ('headers', 'status'),
+    [
+        ({'host': 'b.example'}, 404),
+        ({'host': None}, 404),
+        ({'authorization': None}, 401),
+        ({'authorization': 'Bearer key-2'}, 401),
+        ({'authorization': 'Basic key-1'}, 401),
+        ({'x_crankchute_request_id': None}, 400),
+        ({'x_crankchute_request_id': 'x' * 201}, 400),
+        ({'x_crankchute_deadline_ms': 'soon'}, 400),
+        ({'x_crankchute_token_usage': '5'}, 400),
+        ({'x_crankchute_token_usage': '-5,2'}, 400),
+    ],
+)
+def test_refusals(headers, status):
+    assert World().refuse(FakeExchange(**headers))[0] == status
+
+
+def test_without_a_configuration_nothing_is_denied():
+    status, retry_after_ms = World(config=False).refuse(FakeExchange())
+    assert status == 503
+    assert retry_after_ms > 0
+
+
+@pytest.mark.parametrize(
+    ('age_ms', 'is_refused'),
+    [(0, False), (_PROOF_MS, False), (_PROOF_MS + 1, True)],
+)
+def test_keys_need_a_fresh_proof(age_ms, is_refused):
+    world = World()
+    world.clock.time_ms = age_ms
+    if is_refused:
+        status, retry_after_ms = world.refuse(FakeExchange())
+        assert status == 503
+        assert retry_after_ms > 0
+    else:
+        assert world.reader.read(FakeExchange()).account == 'acc'
+
+
+@pytest.mark.parametrize(
+    ('key', 'account'),
+    [(_KEY, 'acc'), ('Bearer key-2', None), (None, None)],
+)
+def test_open_routes_need_neither_key_nor_proof(key, account):
+    world = World()
+    world.clock.time_ms = 60_000
+    exchange = FakeExchange(authorization=key)
+    exchange.target = '/open/x'
+    assert world.reader.read(exchange).account == account
+
+
+def test_without_accounts_no_key_is_asked_for():
+    exchange = FakeExchange(authorization=None)
+    assert World(keys=False).reader.read(exchange).account is None
