Know slow engines by their first events, and avoid the server that is blamed

Change: a first event 1.8 times later than predicted raises an engine's slowness, which fades with a half-life of 3 s; the blamed server is avoided. The log names the status that a caller got.

--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -114,6 +114,9 @@
     def note_first(self, job, placement):
         """Note that a job led to its first event there."""
 
+    def note_pace(self, placement, seen_ms):
+        """Note how long the first event of a placement took."""
+
     def note_end(self, job, placement):
         """Note that a job ended there."""
 
--- a/crankchute/core/engine_board.py
+++ b/crankchute/core/engine_board.py
@@ -14,6 +14,13 @@
 #: How long a pass of an engine with writers usually takes, in milliseconds;
 #: only used to mark who is late already.
 _USUAL_PASS_MS = 50
+#: A first event this much later than predicted is a sign of a slow engine;
+#: the 90th percentile of usual ones is 1.3 (docs/MEASUREMENTS.md).
+_SLOW_RATIO = 1.8
+_SLOWEST = 10
+_SLOW_WEIGHT = 0.5
+#: After this long half of a slowness that was seen has faded.
+_SLOW_HALF_MS = 3000
 
 
 class Change(enum.IntEnum):
@@ -79,19 +86,53 @@
     Attributes:
       works: A map from key to Work.
       read_until_ms: When it has read all that was sent, as predicted.
-      slowness: How much slower than published it was seen to be, a float.
     """
 
-    __slots__ = ('memory', 'read_until_ms', 'slowness', 'works', 'writers')
+    __slots__ = (
+        '_slow_ms',
+        '_slowness',
+        'memory',
+        'read_until_ms',
+        'works',
+        'writers',
+    )
 
     def __init__(self):
         """Create the state of an idle engine."""
         self.works = {}
         self.read_until_ms = float(0)
-        self.slowness = float(1)
+        self._slowness = float(1)
+        self._slow_ms = float(0)
         self.memory = 0
         self.writers = 0
 
+    def slowness(self, now_ms):
+        """Return how much slower than published the engine seems to be.
+
+        What was seen fades, so that an engine that nobody asks any more is
+        tried again.
+
+        Args:
+          now_ms: The time.
+        """
+        age_ms = now_ms - self._slow_ms
+        faded = 0.5 ** (age_ms / _SLOW_HALF_MS)
+        return 1 + (self._slowness - 1) * faded
+
+    def note_pace(self, ratio, now_ms):
+        """Note how long a first event took, against the prediction.
+
+        Args:
+          ratio: Seen by predicted; what is usual changes nothing.
+          now_ms: The time.
+        """
+        before = self.slowness(now_ms)
+        if ratio < _SLOW_RATIO and before < _SLOW_RATIO:
+            return
+        seen = min(max(ratio * before, 1), _SLOWEST)
+        self._slowness = before + _SLOW_WEIGHT * (seen - before)
+        self._slow_ms = now_ms
+
     def wait_ms(self, now_ms):
         """Return how long a new prompt waits for those being read."""
         return max(self.read_until_ms - now_ms, 0)
@@ -107,7 +148,7 @@
         self.memory += work.memory
         self.writers += work.is_writer
         begin_ms = max(self.read_until_ms, now_ms)
-        self.read_until_ms = begin_ms + work.read_ms * self.slowness
+        self.read_until_ms = begin_ms + work.read_ms * self.slowness(now_ms)
         pause_ms = self.read_until_ms - now_ms + _USUAL_PASS_MS
         for other in self.works.values():
             if other.started and pause_ms > other.gap_ms:
@@ -159,7 +200,7 @@
         left_ms = sum(
             work.read_ms for work in self.works.values() if not work.started
         )
-        until_ms = now_ms + left_ms * self.slowness
+        until_ms = now_ms + left_ms * self.slowness(now_ms)
         self.read_until_ms = min(self.read_until_ms, until_ms)
 
 
--- a/crankchute/core/engine_board_test.py
+++ b/crankchute/core/engine_board_test.py
@@ -76,6 +76,24 @@
     assert set(world.state.works) == {'b'}
 
 
+@pytest.mark.parametrize(
+    ('ratios', 'is_slow'),
+    [
+        ([1, 1.3, 0.8], False),
+        ([5, 5, 5], True),
+        ([5, 5, 5, 0.2, 0.2, 0.2, 0.2], False),
+    ],
+)
+def test_slow_engines_are_known_by_their_first_events(ratios, is_slow):
+    state = World().state
+    for ratio in ratios:
+        state.note_pace(ratio, 0)
+    seems_slow = state.slowness(0) > 2
+    assert seems_slow == is_slow
+    # What was seen fades, so that the engine is tried again.
+    assert round(state.slowness(30_000)) == 1
+
+
 @given(
     st.lists(
         st.tuples(
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -76,9 +76,17 @@
       delay_ms: How long a read that is sent now waits there.
       pass_ms: How long a pass takes there without new reads.
       is_kept: Whether short prompts are kept off it, a bool.
+      slowness: How much slower than published it seems to be.
     """
 
-    __slots__ = ('backend', 'delay_ms', 'is_kept', 'pass_ms', 'state')
+    __slots__ = (
+        'backend',
+        'delay_ms',
+        'is_kept',
+        'pass_ms',
+        'slowness',
+        'state',
+    )
 
     def __init__(self, backend, state, **fields):
         """Create the candidate.
@@ -93,6 +101,7 @@
         self.delay_ms = fields['delay_ms']
         self.pass_ms = fields['pass_ms']
         self.is_kept = fields['is_kept']
+        self.slowness = fields['slowness']
 
     def first_ms(self, read_ms):
         """Predict when a read that is sent now is done.
@@ -100,7 +109,7 @@
         Args:
           read_ms: How long it takes by the published figures.
         """
-        return self.delay_ms + read_ms * self.state.slowness
+        return self.delay_ms + read_ms * self.slowness
 
     def harm(self, read_ms):
         """Return the worth that a read would cost those that write here.
@@ -109,7 +118,7 @@
           read_ms: How long it takes by the published figures.
         """
         wait_ms = self.delay_ms - self.pass_ms * _PASSES
-        pause_ms = wait_ms + self.pass_ms + read_ms * self.state.slowness
+        pause_ms = wait_ms + self.pass_ms + read_ms * self.slowness
         return self.state.weigh_delay(pause_ms)
 
 
@@ -189,6 +198,13 @@
             self._board.start(work.engine, work.key)
             self._parts.news(Change.STARTED, work)
 
+    def note_pace(self, placement, seen_ms):
+        """See Chooser; with helpers nobody can tell which one was slow."""
+        if placement.helpers or not placement.first_ms:
+            return
+        state = self._board.state(placement.backend.identity)
+        state.note_pace(seen_ms / placement.first_ms, self.now_ms())
+
     def note_end(self, job, placement):
         """See Chooser."""
         for work in placement.key.works:
@@ -212,7 +228,9 @@
 
     def _make_candidate(self, backend, is_kept):
         state = self._board.state(backend.identity)
+        slowness = state.slowness(self.now_ms())
         pass_ms = estimate_pass_ms(self._figures, state.writers, state.memory)
+        pass_ms *= slowness
         delay_ms = state.wait_ms(self.now_ms()) + pass_ms * _PASSES
         lacking = state.writers + 1 - self._figures.slots
         if lacking > 0:
@@ -221,8 +239,9 @@
             backend,
             state,
             delay_ms=delay_ms,
-            pass_ms=pass_ms * state.slowness,
+            pass_ms=pass_ms,
             is_kept=is_kept,
+            slowness=slowness,
         )
 
     def _cost_alone(self, job, candidate):
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -146,11 +146,16 @@
 
     def note_first(self, flow, attempt):
         """Note that a server began to answer with an event."""
-        self._tell(flow, 'note_first', attempt.placement)
-        predicted_ms = attempt.placement.first_ms
-        if flow.job.size is not None and predicted_ms is not None:
-            error_ms = attempt.first_ms - attempt.sent_ms - predicted_ms
-            self.metrics.observe_prediction(flow.job.size.prompt, error_ms)
+        placement = attempt.placement
+        self._tell(flow, 'note_first', placement)
+        if flow.job.size is None or placement.first_ms is None:
+            return
+        seen_ms = attempt.first_ms - attempt.sent_ms
+        error_ms = seen_ms - placement.first_ms
+        self.metrics.observe_prediction(flow.job.size.prompt, error_ms)
+        chooser = self._chooser_of(flow.job.pool)
+        if chooser is not None:
+            chooser.note_pace(placement, seen_ms)
 
     def note_left(self, flow, attempt):
         """Note that a job that was sent is no longer at its server."""
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -146,7 +146,8 @@
         self._attempt = None
         self._desk.note_attempt_end(self, attempt, rejection.code)
         self._desk.note_rejection(self, attempt, rejection)
-        self._avoided.add(attempt.backend.identity)
+        faulty = attempt.placement.find_faulty(rejection.at_server)
+        self._avoided.add(faulty.identity)
         if self._has_attempts() and self._desk.take_retry(self.job):
             self._try_next(rejection.code)
         else:
@@ -227,8 +228,9 @@
             return
         if self._last_answer is not None:
             # A failure that a server gave says more than one of ours.
-            self._sink.on_answer(*self._last_answer)
-            self._end(Outcome.FAILED, code)
+            head, body = self._last_answer
+            self._sink.on_answer(head, body)
+            self._end(Outcome.FAILED, str(head.status))
             return
         if retry_after_ms is None:
             retry_after_ms = _HINT_MS
--- a/crankchute/core/forward_flow_test.py
+++ b/crankchute/core/forward_flow_test.py
@@ -222,3 +222,22 @@
     assert world.port.calls[0].cancelled
     assert world.port.calls[1].order.resume_after == 3
     assert sink.seen[-1] == ('event', 3)
+
+
+@pytest.mark.parametrize(
+    ('at_server', 'next_server'),
+    [
+        (None, 'server-01'),
+        ('server-02', 'server-00'),
+        ('127.0.0.1:7002', 'server-00'),
+        ('10.0.0.1:9', 'server-01'),
+    ],
+)
+def test_server_that_a_rejection_blames_is_avoided(at_server, next_server):
+    world = ForwardWorld()
+    world.chooser.helpers = (Helper(world.backends[2]),)
+    world.submit(repeat=RESUME, is_stream=True)
+    rejection = Rejection('full', at_server)
+    world.port.calls[0].listener.on_not_run(rejection)
+    again = world.port.calls[1].placement.backend
+    assert again.identity == next_server
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -230,6 +230,21 @@
         self.priority = _USUAL_PRIORITY
         self.beliefs = None
 
+    def find_faulty(self, at_server):
+        """Return the server that a rejection blames.
+
+        Args:
+          at_server: Its id or its address "IP:port", or None if it is the
+            one that was asked.
+        Returns:
+          A Backend: a helper's if one has that id or address.
+        """
+        for helper in self.helpers:
+            host, port = helper.backend.listed.address
+            if at_server in {helper.backend.identity, f'{host}:{port}'}:
+                return helper.backend
+        return self.backend
+
     @property
     def tickets(self):
         """The helpers at which memory is set aside, a list of Helper."""
