Let silence last longer where instances speak more seldom

Cause: above 25 instances the pace of messages falls, but an instance was still taken for lost after 0.6 s; with 76 instances, as in the grown deployment, the active ones changed all the time. Found while measuring what sharing costs with 300 instances.

Change: silence has to last 2.2 turns of the pace. Nothing changes up to 25 instances.

The new test failed for 76 and 300 before.

--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -23,6 +23,8 @@
 #: One lost answer may be chance; an instance is left out after this long
 #: without any.
 _SILENT_MS = 600
+#: Where the pace is slow, silence has to last for so many of its turns.
+_SILENT_PACES = 2.2
 _TIMEOUT_MS = 400
 #: How many active instances there are at least, and one more for each so many
 #: instances.
@@ -102,18 +104,19 @@
         self.is_serving = True
         self.proof_age_ms = None
 
-    def seems_sound(self, now_ms):
+    def seems_sound(self, now_ms, silent_ms):
         """Tell whether it answers, as far as is known.
 
         Args:
           now_ms: The time.
+          silent_ms: How long it may be silent.
         """
         if not self.is_serving:
             return False
         if self.asked_ms is None:
             return True
         last_ms = self.heard_ms
-        return last_ms is not None and now_ms - last_ms < _SILENT_MS
+        return last_ms is not None and now_ms - last_ms < silent_ms
 
 
 class Sharing:
@@ -232,13 +235,23 @@
             return True
         age_ms = view.proof_age_ms
         is_stale = age_ms is not None and age_ms > _FRESH_PROOF_MS
-        return view.seems_sound(now_ms) and not is_stale
+        return view.seems_sound(now_ms, self._silent_ms()) and not is_stale
+
+    def _pace_ms(self):
+        known = len(self._parts.members())
+        return _PACE_MS * max(1, known / _PACE_INSTANCES)
+
+    def _silent_ms(self):
+        return max(_SILENT_MS, _SILENT_PACES * self._pace_ms())
+
+    def _seems_lost(self, identity, now_ms):
+        view = self._views[identity]
+        return not view.seems_sound(now_ms, self._silent_ms())
 
     def _on_pace(self):
         self._choose_active()
         now_ms = self._now_ms()
-        known = len(self._parts.members())
-        pace_ms = _PACE_MS * max(1, known / _PACE_INSTANCES) - _FLUSH_MS
+        pace_ms = self._pace_ms() - _FLUSH_MS
         for member in self._to_ask(now_ms):
             view = self._view(member.identity)
             is_due = view.asked_ms is None or now_ms >= view.asked_ms + pace_ms
@@ -253,7 +266,7 @@
             for one in self._parts.members()
             if one.identity != self._own
             and one.identity in self._views
-            and not self._views[one.identity].seems_sound(now_ms)
+            and self._seems_lost(one.identity, now_ms)
         ]
         if lost:
             members = [*members, self._parts.random.choice(lost)]
--- a/crankchute/core/sharing_test.py
+++ b/crankchute/core/sharing_test.py
@@ -1,6 +1,7 @@
 """Tests of who is active and of what instances tell each other."""
 
 import random
+from collections import Counter
 
 import pytest
 
@@ -163,3 +164,31 @@
     centres = [one.data_centre for one in chosen]
     assert sorted(centres[:3]) == ['a', 'b', 'c']
     assert len(centres) == 4
+
+
+@pytest.mark.parametrize('count', [6, 30, 100, 300])
+def test_cost_of_an_instance_stays_constant(count):
+    """An active instance hears no more, however many instances there are."""
+    world = World([f'{"abc"[one % 3]}{one}' for one in range(count)])
+    world.timers.advance(2000)
+    world.heard.clear()
+    # Two turns of the slowest pace.
+    world.timers.advance(6000)
+    heard = Counter(one[0] for one in world.heard if one[2] is None)
+    spoken = Counter(one[0] for one in world.heard if one[2] is not None)
+    # Messages a second that reach one instance, and that one instance sends.
+    assert max(heard.values()) / 6 <= 110
+    assert max(spoken.values()) / 6 <= 4 * count_active(count)
+
+
+@pytest.mark.parametrize('count', [6, 30, 76, 300])
+def test_active_instances_stay_while_nothing_happens(count):
+    """With a slower pace, silence has to last longer to mean anything."""
+    names = [f'{"abc"[one % 3]}{one}' for one in range(count)]
+    world = World(names)
+    world.timers.advance(2000)
+    seen = set()
+    for _ in range(30):
+        world.timers.advance(200)
+        seen.update(tuple(world.active_at(name)) for name in names[:5])
+    assert len(seen) == 1
