Probe silent servers, so that memory held for a dead one is freed

The server that wrote a prompt of several engines lost power; nobody answered, so the attempt was waited for until its time of silence was over (7.3 s: the read, three times the prediction and the time that others' reads were believed to take there), and its memory at the other engines was renewed meanwhile. It has to be free after 4 s.

Ruled out: lost release orders (they were sent at 18.9 s, when the attempt was given up) and the hold itself (3.7 s, but renewed every 1.2 s).

Change: outgoing connections are probed from one second of silence on, and end after 2.5 s without an answer of the host; a host whose process only hangs still answers. The attempt fails then, and its memory is released.

--- a/crankchute/adapters/sockets.py
+++ b/crankchute/adapters/sockets.py
@@ -20,6 +20,15 @@
 #: How long bytes may stay unacknowledged, in milliseconds.  A cut network or a
 #: machine without power says nothing, so this is what ends such connections.
 _USER_TIMEOUT_MS = 4000
+#: The same for connections to servers.  Memory that other servers hold for a
+#: request must be free four seconds after the one that used it died, so the
+#: death has to be noticed well before.
+_SERVER_TIMEOUT_MS = 2500
+#: A server that owes nothing but an answer is probed from this many seconds of
+#: silence on, and so often; its host answers while it has power.
+_PROBE_S = 1
+#: This many unanswered probes end the connection.
+_PROBES = 2
 
 
 class DirectServer(TCPServer):
@@ -139,7 +148,8 @@
         self._find_poller()
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
-        set_tcp_options(sock)
+        set_tcp_options(sock, _SERVER_TIMEOUT_MS)
+        probe_when_silent(sock)
         code = sock.connect_ex((host, port))
         if code and code not in _IN_PROGRESS:
             sock.close()
@@ -238,15 +248,24 @@
         """Create no socket, since nothing is listened on."""
 
 
-def set_tcp_options(sock):
+def set_tcp_options(sock, timeout_ms=_USER_TIMEOUT_MS):
     """Send small writes at once, and notice a peer that is gone.
 
     Args:
       sock: A TCP socket.
+      timeout_ms: How long bytes or probes may stay unanswered.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        _USER_TIMEOUT_MS,
-    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+def probe_when_silent(sock):
+    """Have the system probe a silent peer, so that a dead host is noticed.
+
+    Args:
+      sock: A TCP socket.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
