Share what instances think of failing and slow servers

Cause: an instance knew only its own failures, its breaker waited for three of them, and an attempt whose caller left told nothing. Slow engines were known by first events only, which their passes hide; the pauses between events show them.

Ruled out: load (the same prompts at other engines were in time), and a false prediction (0.9 to 1.1 of what was seen at sound engines of the same seconds).

Change: a fading suspicion for each server, from the first failure on, also of attempts whose first event is overdue; own signs are told to the other active instances with each briefing; choosers weigh it and never forbid a server. The shortest of three pauses tells how slow an engine is, and a pass that is longer than a writer's pause counts as late. A stream that has not begun is begun anew after 1.0 s in place of 1.5 s and thrice its prediction. Engine plans and an attempt's view of its desk became modules of their own.

--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -3,7 +3,7 @@
 from crankchute.core.engine_board import Change, Work
 from crankchute.core.membership import Member
 from crankchute.core.replica import ChangeSet, Entry
-from crankchute.core.sharing import Briefing, WorkNews
+from crankchute.core.sharing import Briefing, Impression, WorkNews
 from crankchute.proto import peer_pb2
 
 _MEMBER_FIELDS = Member.__slots__
@@ -73,6 +73,7 @@
         drained=briefing.drained,
         gone=briefing.gone,
         news=[_write_news(one, now_ms) for one in briefing.news],
+        impressions=[_write_impression(one) for one in briefing.impressions],
     )
 
 
@@ -93,6 +94,23 @@
         drained=list(record.drained),
         gone=list(record.gone),
         news=[_read_news(one, now_ms) for one in record.news],
+        impressions=[_read_impression(one) for one in record.impressions],
+    )
+
+
+def _write_impression(impression):
+    return peer_pb2.Impression(
+        server=impression.server,
+        failing=impression.failing,
+        slowness=impression.slowness,
+    )
+
+
+def _read_impression(record):
+    return Impression(
+        record.server,
+        failing=record.failing,
+        slowness=record.slowness,
     )
 
 
--- /dev/null
+++ b/crankchute/core/attempt_desk.py
@@ -0,0 +1,26 @@
+"""What an attempt tells the desk that made it, where a desk need not care."""
+
+
+class AttemptDesk:
+    """A desk of attempts; its defaults take what nobody asks for."""
+
+    def overdue_at_ms(self, flow, attempt):
+        """Return when an attempt without any answer is a sign of a fault.
+
+        Args:
+          flow: A ForwardFlow.
+          attempt: The Attempt.
+        """
+        return flow.job.deadline_ms
+
+    def note_attempt_end(self, flow, attempt, cause):
+        """Note how an attempt ended, by its cause."""
+
+    def note_pause(self, flow, attempt, pause_ms):
+        """Note the shortest of a few pauses between a server's events."""
+
+    def note_freed(self, flow, placement):
+        """Note that a job is no longer where it was placed."""
+
+    def note_left(self, flow, attempt):
+        """Note that a job that was sent is no longer at its server."""
--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -16,6 +16,8 @@
 #: the time within which an answer has its full worth.
 _SILENCE_FACTOR = 3
 _LEAST_SILENCE_MS = 800
+#: A server that failed one request lately counts as busy with so many more.
+_FAILURE_LOAD = 2
 
 
 class ChooserParts:
@@ -108,6 +110,15 @@
           attempt: The Attempt.
         """
 
+    def overdue_at_ms(self, job, attempt):
+        """Return when an attempt without any answer is a sign of a fault.
+
+        Args:
+          job: A ForwardJob.
+          attempt: The Attempt.
+        """
+        return attempt.heard_ms + job.goal_ms
+
     def note_sent(self, job, placement):
         """Note that a job is about to be sent where it was placed."""
 
@@ -117,6 +128,9 @@
     def note_pace(self, placement, seen_ms):
         """Note how long the first event of a placement took."""
 
+    def note_pause(self, placement, pause_ms):
+        """Note the shortest of a few pauses between events from there."""
+
     def note_end(self, job, placement):
         """Note that a job ended there."""
 
@@ -139,7 +153,7 @@
         if not members:
             return self.refuse()
         self._parts.random.shuffle(members)
-        return Placement(min(members, key=_in_flight))
+        return Placement(min(members, key=self._load))
 
     def silent_until_ms(self, job, attempt):
         """See Chooser; what may start once is waited for to the end."""
@@ -148,6 +162,10 @@
         allowed_ms = max(job.goal_ms * _SILENCE_FACTOR, _LEAST_SILENCE_MS)
         return attempt.heard_ms + allowed_ms
 
+    def _load(self, backend):
+        level = backend.suspicion.level(self.now_ms())
+        return backend.in_flight + level * _FAILURE_LOAD
+
 
 @choosers.register('random')
 class RandomChooser(LeastBusyChooser):
@@ -159,7 +177,3 @@
         if not members:
             return self.refuse()
         return Placement(self._parts.random.choice(members))
-
-
-def _in_flight(backend):
-    return backend.in_flight
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -11,6 +11,15 @@
 from crankchute.core.choosers import Chooser, choosers
 from crankchute.core.engine_board import Change, Work
 from crankchute.core.engine_model import estimate_pass_ms, estimate_read_ms
+from crankchute.core.engine_plans import (
+    PASSES,
+    Candidate,
+    PlacementKey,
+    Plan,
+    count_least_parts,
+    grade_lateness,
+    weigh_job,
+)
 from crankchute.core.forward_job import Beliefs, Helper, Placement
 
 #: The name of the chooser in the registry.
@@ -25,123 +34,33 @@
 #: What sending a short prompt to such an engine counts, in worth: about the
 #: chance that a long one comes while it is written.
 _LONG_PART_COST = 0.12
-#: How many tokens of a prompt make up the worth of one short prompt.
-_TOKENS_PER_WEIGHT = 9000
-#: The part of the time to the goal from which on a first event may be late.
-_SURE_PART = 0.6
 #: Where all else is equal, a second of delay counts this much.
 _SECOND_COST = 0.15
 #: Every further engine that reads a prompt costs a little.
 _PART_COST = 0.01
-#: How many passes a prompt waits at an engine with writers: half of the one
-#: that runs, and the one in which it is read (MEASUREMENTS.md).
-_PASSES = 1.5
 _NO_SLOT_MS = 400
+#: How likely a request is lost at an engine that failed one just now: the part
+#: that the users' page of troubles tells of engines that fail now and then.
+_FAILURE_CHANCE = 0.4
 #: What a lack of memory costs: somebody is put back and read anew.
 _NO_MEMORY_COST = 2
 _USABLE_MEMORY = 0.97
-#: A prompt that needs more than this part of an engine's memory has it set
-#: aside at several engines: beside it there would be room for little else.
-_SHARED_MEMORY = 0.5
 #: More memory is set aside than an even part, so that a prompt whose first
 #: engine fills up still fits.
 _TICKET_MARGIN = 1.05
-_FIRST_SILENCE_MS = 1500
+#: Callers leave a stream that has not begun after two seconds; it is begun
+#: anew before.
+_FIRST_SILENCE_MS = 1000
+#: A first event that is this much later than others' reads and twice its own
+#: prediction explain is a sign of a fault.
+_OVERDUE_MS = 250
+_OVERDUE_FACTOR = 2
 _FIRST_SILENCE_FACTOR = 3
 _GAP_SILENCE_FACTOR = 3
 _LEAST_GAP_SILENCE_MS = 1300
 _MS_PER_SECOND = 1000
 
 
-class PlacementKey:
-    """By what the board knows an attempt: its works at several engines."""
-
-    __slots__ = ('works',)
-
-    def __init__(self, works):
-        """Create the key.
-
-        Args:
-          works: A tuple of Work, the writer's first.
-        """
-        self.works = works
-
-
-class Candidate:
-    """An engine that a job may be sent to.
-
-    Attributes:
-      backend: The Backend.
-      state: Its EngineState.
-      delay_ms: How long a read that is sent now waits there.
-      pass_ms: How long a pass takes there without new reads.
-      is_kept: Whether short prompts are kept off it, a bool.
-      slowness: How much slower than published it seems to be.
-    """
-
-    __slots__ = (
-        'backend',
-        'delay_ms',
-        'is_kept',
-        'pass_ms',
-        'slowness',
-        'state',
-    )
-
-    def __init__(self, backend, state, **fields):
-        """Create the candidate.
-
-        Args:
-          backend: A Backend.
-          state: Its EngineState.
-          fields: A value for each other attribute.
-        """
-        self.backend = backend
-        self.state = state
-        self.delay_ms = fields['delay_ms']
-        self.pass_ms = fields['pass_ms']
-        self.is_kept = fields['is_kept']
-        self.slowness = fields['slowness']
-
-    def first_ms(self, read_ms):
-        """Predict when a read that is sent now is done.
-
-        Args:
-          read_ms: How long it takes by the published figures.
-        """
-        return self.delay_ms + read_ms * self.slowness
-
-    def harm(self, read_ms):
-        """Return the worth that a read would cost those that write here.
-
-        Args:
-          read_ms: How long it takes by the published figures.
-        """
-        wait_ms = self.delay_ms - self.pass_ms * _PASSES
-        pause_ms = wait_ms + self.pass_ms + read_ms * self.slowness
-        return self.state.weigh_delay(pause_ms)
-
-
-class Plan:
-    """A way to place a job, and its cost in worth."""
-
-    __slots__ = ('chosen', 'cost', 'first_ms', 'read_ms')
-
-    def __init__(self, chosen, read_ms, first_ms, cost):
-        """Create the plan.
-
-        Args:
-          chosen: Candidates, the writer first.
-          read_ms: How long each of them reads.
-          first_ms: When the last part is predicted to be read.
-          cost: A float.
-        """
-        self.chosen = chosen
-        self.read_ms = read_ms
-        self.first_ms = first_ms
-        self.cost = cost
-
-
 @choosers.register(PREDICTED)
 class EngineChooser(Chooser):
     """Chooses by predicted first event and by the harm to others."""
@@ -186,6 +105,13 @@
             allowed_ms += self._figures.stall_ms
         return since_ms + allowed_ms
 
+    def overdue_at_ms(self, job, attempt):
+        """See Chooser."""
+        state = self._board.state(attempt.backend.identity)
+        since_ms = max(attempt.heard_ms, state.read_until_ms)
+        first_ms = attempt.placement.first_ms or 0
+        return since_ms + _OVERDUE_MS + first_ms * _OVERDUE_FACTOR
+
     def note_sent(self, job, placement):
         """See Chooser."""
         for work in placement.key.works:
@@ -205,6 +131,14 @@
         state = self._board.state(placement.backend.identity)
         state.note_pace(seen_ms / placement.first_ms, self.now_ms())
 
+    def note_pause(self, placement, pause_ms):
+        """See Chooser; an event is written in each pass."""
+        if placement.helpers:
+            return
+        state = self._board.state(placement.backend.identity)
+        pass_ms = estimate_pass_ms(self._figures, state.writers, state.memory)
+        state.note_slowness(pause_ms / pass_ms, self.now_ms())
+
     def note_end(self, job, placement):
         """See Chooser."""
         for work in placement.key.works:
@@ -231,7 +165,7 @@
         slowness = state.slowness(self.now_ms())
         pass_ms = estimate_pass_ms(self._figures, state.writers, state.memory)
         pass_ms *= slowness
-        delay_ms = state.wait_ms(self.now_ms()) + pass_ms * _PASSES
+        delay_ms = state.wait_ms(self.now_ms()) + pass_ms * PASSES
         lacking = state.writers + 1 - self._figures.slots
         if lacking > 0:
             delay_ms += lacking * _NO_SLOT_MS
@@ -242,6 +176,7 @@
             pass_ms=pass_ms,
             is_kept=is_kept,
             slowness=slowness,
+            failing=backend.suspicion.level(self.now_ms()),
         )
 
     def _cost_alone(self, job, candidate):
@@ -255,7 +190,7 @@
 
     def _plan_jointly(self, job, candidates):
         """Return the best plan for each number of engines."""
-        least = min(self._least_parts(job), len(candidates))
+        least = min(count_least_parts(self._figures, job), len(candidates))
         most = min(_MOST_PARTS, len(candidates))
         return [
             self._plan_parts(job, candidates, parts)
@@ -265,13 +200,14 @@
     def _plan_parts(self, job, candidates, parts):
         read_ms = estimate_read_ms(self._figures, job.size.prompt, parts)
         memory = job.size.memory / parts
-        if parts == 1 or self._least_parts(job) == 1:
+        if parts == 1 or count_least_parts(self._figures, job) == 1:
             memory = job.size.memory
         left_ms = max(self._left_ms(job), 1)
 
         def rank(one):
             delay = one.first_ms(read_ms) / left_ms
-            return one.harm(read_ms) + self._weigh(job) * delay
+            risk = one.failing * _FAILURE_CHANCE
+            return one.harm(read_ms) + weigh_job(job) * (delay + risk)
 
         ranked = sorted(candidates, key=rank)[:parts]
         writer = min(
@@ -285,7 +221,11 @@
     def _plan(self, job, chosen, read_ms, cost):
         first_ms = max(one.first_ms(read_ms) for one in chosen)
         cost += sum(one.harm(read_ms) for one in chosen)
-        cost += self._weigh(job) * self._lateness(job, first_ms)
+        risk = sum(one.failing for one in chosen) * _FAILURE_CHANCE
+        late = self._lateness(job, first_ms) + grade_lateness(
+            chosen[0].pass_ms / (job.gap_ms or job.goal_ms),
+        )
+        cost += weigh_job(job) * (late + risk)
         cost += first_ms / _MS_PER_SECOND * _SECOND_COST
         return Plan(chosen, read_ms, first_ms, cost)
 
@@ -294,18 +234,7 @@
 
     def _lateness(self, job, first_ms):
         """Return how likely a first event is to be late, from 0 to 1."""
-        left_ms = max(self._left_ms(job), 1)
-        part = (first_ms / left_ms - _SURE_PART) / (1 - _SURE_PART)
-        return min(max(part, 0), 1)
-
-    def _weigh(self, job):
-        return max(job.size.prompt / _TOKENS_PER_WEIGHT, 1)
-
-    def _least_parts(self, job):
-        """Return among how many engines a job's memory must be shared."""
-        usable = self._figures.memory_tokens * _SHARED_MEMORY
-        needed = job.size.memory
-        return 1 if needed <= usable else -int(-needed // usable)
+        return grade_lateness(first_ms / max(self._left_ms(job), 1))
 
     def _place(self, job, plan):
         self._sent += 1
@@ -342,7 +271,7 @@
 
     def _make_helpers(self, job, plan):
         others = [one.backend for one in plan.chosen[1:]]
-        if self._least_parts(job) == 1:
+        if count_least_parts(self._figures, job) == 1:
             return tuple(Helper(backend) for backend in others)
         even = int(job.size.memory / len(plan.chosen) * _TICKET_MARGIN) + 1
         return tuple(
@@ -358,7 +287,7 @@
             memory=0,
             is_writer=False,
             gap_ms=job.gap_ms or job.goal_ms,
-            weight=self._weigh(job),
+            weight=weigh_job(job),
             until_ms=job.deadline_ms,
         )
 
--- /dev/null
+++ b/crankchute/core/engine_plans.py
@@ -0,0 +1,134 @@
+"""What a choice of engines is made of: candidates, plans, and their weights."""
+
+#: How many tokens of a prompt make up the worth of one short prompt.
+_TOKENS_PER_WEIGHT = 9000
+#: The part of the time to the goal from which on a first event may be late.
+_SURE_PART = 0.6
+#: How many passes a prompt waits at an engine with writers: half of the one
+#: that runs, and the one in which it is read (MEASUREMENTS.md).
+PASSES = 1.5
+#: A prompt that needs more than this part of an engine's memory has it set
+#: aside at several engines: beside it there would be room for little else.
+_SHARED_MEMORY = 0.5
+
+
+class PlacementKey:
+    """By what the board knows an attempt: its works at several engines."""
+
+    __slots__ = ('works',)
+
+    def __init__(self, works):
+        """Create the key.
+
+        Args:
+          works: A tuple of Work, the writer's first.
+        """
+        self.works = works
+
+
+class Candidate:
+    """An engine that a job may be sent to.
+
+    Attributes:
+      backend: The Backend.
+      state: Its EngineState.
+      delay_ms: How long a read that is sent now waits there.
+      pass_ms: How long a pass takes there without new reads.
+      is_kept: Whether short prompts are kept off it, a bool.
+      slowness: How much slower than published it seems to be.
+      failing: How much it seems to fail; see Suspicion.level().
+    """
+
+    __slots__ = (
+        'backend',
+        'delay_ms',
+        'failing',
+        'is_kept',
+        'pass_ms',
+        'slowness',
+        'state',
+    )
+
+    def __init__(self, backend, state, **fields):
+        """Create the candidate.
+
+        Args:
+          backend: A Backend.
+          state: Its EngineState.
+          fields: A value for each other attribute.
+        """
+        self.backend = backend
+        self.state = state
+        self.delay_ms = fields['delay_ms']
+        self.pass_ms = fields['pass_ms']
+        self.is_kept = fields['is_kept']
+        self.slowness = fields['slowness']
+        self.failing = fields['failing']
+
+    def first_ms(self, read_ms):
+        """Predict when a read that is sent now is done.
+
+        Args:
+          read_ms: How long it takes by the published figures.
+        """
+        return self.delay_ms + read_ms * self.slowness
+
+    def harm(self, read_ms):
+        """Return the worth that a read would cost those that write here.
+
+        Args:
+          read_ms: How long it takes by the published figures.
+        """
+        wait_ms = self.delay_ms - self.pass_ms * PASSES
+        pause_ms = wait_ms + self.pass_ms + read_ms * self.slowness
+        return self.state.weigh_delay(pause_ms)
+
+
+class Plan:
+    """A way to place a job, and its cost in worth."""
+
+    __slots__ = ('chosen', 'cost', 'first_ms', 'read_ms')
+
+    def __init__(self, chosen, read_ms, first_ms, cost):
+        """Create the plan.
+
+        Args:
+          chosen: Candidates, the writer first.
+          read_ms: How long each of them reads.
+          first_ms: When the last part is predicted to be read.
+          cost: A float.
+        """
+        self.chosen = chosen
+        self.read_ms = read_ms
+        self.first_ms = first_ms
+        self.cost = cost
+
+
+def weigh_job(job):
+    """Return the worth of a job, as that of so many short prompts.
+
+    Args:
+      job: A ForwardJob with a size.
+    """
+    return max(job.size.prompt / _TOKENS_PER_WEIGHT, 1)
+
+
+def count_least_parts(figures, job):
+    """Return among how many engines a job's memory must be shared.
+
+    Args:
+      figures: EngineFigures.
+      job: A ForwardJob with a size.
+    """
+    usable = figures.memory_tokens * _SHARED_MEMORY
+    needed = job.size.memory
+    return 1 if needed <= usable else -int(-needed // usable)
+
+
+def grade_lateness(part):
+    """Return how likely what takes a part of its time is late, from 0 to 1.
+
+    Args:
+      part: The predicted by the allowed time.
+    """
+    return min(max((part - _SURE_PART) / (1 - _SURE_PART), 0), 1)
--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -10,6 +10,7 @@
 from crankchute.core.labels import match_labels
 from crankchute.core.ownership import Holding
 from crankchute.core.prefix import PrefixKnowledge
+from crankchute.core.suspicion import Suspicion
 
 #: How old an engine's load is at most when its report arrives.
 REPORT_LAG_MS = 200
@@ -127,6 +128,8 @@
         first token yet, an int.
       serving_long: How many long prompts of this instance are there.
       refused_until_ms: Until when the server asked not to be called.
+      breaker: The Breaker of this instance's requests.
+      suspicion: The Suspicion, by all instances' signs.
     """
 
     __slots__ = (
@@ -139,6 +142,7 @@
         'prefix',
         'refused_until_ms',
         'serving_long',
+        'suspicion',
     )
 
     def __init__(self, listed):
@@ -155,6 +159,7 @@
         self.refused_until_ms = 0
         self.serving_long = 0
         self.breaker = Breaker()
+        self.suspicion = Suspicion()
         self.prefix = PrefixKnowledge()
 
     @property
@@ -174,6 +179,25 @@
         """The models that the server reported, a map to versions."""
         return {} if self.load is None else self.load.holding.models
 
+    def note_failed(self, now_ms, weight=1):
+        """Note that a request of this instance failed there.
+
+        Args:
+          now_ms: The time.
+          weight: How sure it is that the server is at fault, up to 1.
+        """
+        self.breaker.note_failure(now_ms)
+        self.suspicion.note_failure(now_ms, weight)
+
+    def note_sound(self, now_ms):
+        """Note that a request of this instance was answered.
+
+        Args:
+          now_ms: The time.
+        """
+        self.breaker.note_success()
+        self.suspicion.note_success(now_ms)
+
     def note_load(self, report):
         """Take a load report.
 
--- a/crankchute/core/flow_desk.py
+++ b/crankchute/core/flow_desk.py
@@ -1,5 +1,6 @@
 """What the flows of requests ask for: engines, retries, and their turn."""
 
+from crankchute.core.attempt_desk import AttemptDesk
 from crankchute.core.candidates import is_usable
 from crankchute.core.forward_job import Placement
 from crankchute.core.policies import (
@@ -17,7 +18,7 @@
 _FIRST_STALL_FACTOR = 3
 
 
-class FlowDesk:
+class FlowDesk(AttemptDesk):
     """What flows ask of the dispatcher: choices, retries, queueing."""
 
     def __init__(self, dispatcher, ports, data_centre):
@@ -153,12 +154,6 @@
             self.metrics.observe_first_token(job, now_ms - job.arrived_ms)
         self._dispatcher.pump()
 
-    def note_attempt_end(self, flow, attempt, cause):
-        """Note how an attempt ended; completions log no lines of it."""
-
-    def note_freed(self, flow, placement):
-        """Note that an attempt is over; see note_left."""
-
     def note_left(self, flow, attempt):
         """Note that a job that was sent is no longer at its engine."""
         job = flow.job
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -5,6 +5,10 @@
 from crankchute.ports.forwarding import AttemptListener
 
 FIRST_SERVER_ERROR = 500
+#: An error that a server gives may be the request's fault as well.
+_ERROR_WEIGHT = 0.5
+#: A server's pace is told after so many pauses between its events.
+_PAUSES_TOLD = 3
 
 
 class Attempt(AttemptListener):
@@ -25,6 +29,8 @@
         '_flow',
         '_head',
         '_is_over',
+        '_is_overdue',
+        '_pauses',
         '_reservation',
         '_silence',
         'first_ms',
@@ -48,6 +54,8 @@
         self._call = None
         self._head = None
         self._is_over = False
+        self._is_overdue = False
+        self._pauses = []
         self._reservation = None
         self._silence = None
         self.first_ms = None
@@ -110,10 +118,11 @@
         """See AttemptListener."""
         if not self._close():
             return
+        now_ms = self._desk.now_ms()
         if self._head.status >= FIRST_SERVER_ERROR:
-            self.backend.breaker.note_failure(self._desk.now_ms())
+            self.backend.note_failed(now_ms, _ERROR_WEIGHT)
         else:
-            self.backend.breaker.note_success()
+            self.backend.note_sound(now_ms)
         self._flow.on_attempt_end(self, self._head, b''.join(self._body))
 
     def on_not_run(self, rejection):
@@ -125,7 +134,7 @@
     def on_failed(self, exc):
         """See AttemptListener."""
         if self._close():
-            self.backend.breaker.note_failure(self._desk.now_ms())
+            self.backend.note_failed(self._desk.now_ms())
             self._flow.on_attempt_failed(self, exc)
 
     def _note_event(self):
@@ -134,10 +143,17 @@
             self.first_ms = now_ms
             self._desk.note_first(self._flow, self)
         else:
-            gap_ms = now_ms - self.heard_ms
-            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+            self._note_pause(now_ms - self.heard_ms)
         self.heard_ms = now_ms
 
+    def _note_pause(self, pause_ms):
+        """Keep the shortest of a few pauses, which others' reads spare."""
+        self.longest_gap_ms = max(self.longest_gap_ms, pause_ms)
+        self._pauses.append(pause_ms)
+        if len(self._pauses) == _PAUSES_TOLD:
+            self._desk.note_pause(self._flow, self, min(self._pauses))
+            self._pauses.clear()
+
     def _on_reserved(self, refused):
         if self._is_over:
             return
@@ -163,19 +179,32 @@
         self._call = self._desk.port.send(job, self.placement, order, self)
 
     def _watch(self):
-        """Wait until the server has been silent for too long.
+        """Wait until the server is overdue, or has been silent for too long.
 
         A timer for each event would cost more than the event; one timer is
         set again when it ends and finds that the server may still be silent.
         """
         until_ms = self._desk.silent_until_ms(self._flow, self)
-        if until_ms is None:
+        if until_ms is None and self._is_overdue:
             return
-        left_ms = until_ms - self._desk.now_ms()
+        next_ms = until_ms
+        if not self._is_overdue:
+            overdue_ms = self._desk.overdue_at_ms(self._flow, self)
+            next_ms = min(overdue_ms, until_ms or overdue_ms)
+        left_ms = next_ms - self._desk.now_ms()
         if left_ms > 0:
             self._silence = self._desk.after(left_ms, self._on_silence)
-        else:
+        elif self._is_overdue:
             self._end_silence()
+        else:
+            self._note_overdue()
+            self._watch()
+
+    def _note_overdue(self):
+        """Suspect a server whose first event should have come long ago."""
+        self._is_overdue = True
+        if not self.started:
+            self.backend.suspicion.note_failure(self._desk.now_ms())
 
     def _on_silence(self):
         self._silence = None
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -5,6 +5,7 @@
 baselines that experiments compare them with.
 """
 
+from crankchute.core.attempt_desk import AttemptDesk
 from crankchute.core.forward_flow import ForwardFlow
 from crankchute.core.forward_job import Placement
 from crankchute.core.outcomes import Outcome, refuse_not_run
@@ -13,7 +14,7 @@
 _NO_BACKEND_MS = 500
 
 
-class ForwardDesk:
+class ForwardDesk(AttemptDesk):
     """Serves forwarded requests and knows those in progress.
 
     Attributes:
@@ -119,6 +120,13 @@
             return None
         return chooser.silent_until_ms(flow.job, attempt)
 
+    def overdue_at_ms(self, flow, attempt):
+        """Return when an attempt without any answer is a sign of a fault."""
+        chooser = self._chooser_of(flow.job.pool)
+        if chooser is None:
+            return flow.job.deadline_ms
+        return chooser.overdue_at_ms(flow.job, attempt)
+
     def take_retry(self, job):
         """Take a retry of a job's pool from the budget, if there is one."""
         taken = self._budget(job).take(self.now_ms())
@@ -157,8 +165,11 @@
         if chooser is not None:
             chooser.note_pace(placement, seen_ms)
 
-    def note_left(self, flow, attempt):
-        """Note that a job that was sent is no longer at its server."""
+    def note_pause(self, flow, attempt, pause_ms):
+        """Note the shortest of a few pauses between a server's events."""
+        chooser = self._chooser_of(flow.job.pool)
+        if chooser is not None:
+            chooser.note_pause(attempt.placement, pause_ms)
 
     def note_attempt_end(self, flow, attempt, cause):
         """Note that an attempt ended."""
--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -50,6 +50,30 @@
         self.work = work
 
 
+class Impression:
+    """What an instance thinks of a backend server by its own requests.
+
+    Attributes:
+      server: The server's id.
+      failing: How much it failed lately; see Suspicion.own_level().
+      slowness: How much slower than published it seems to be.
+    """
+
+    __slots__ = ('failing', 'server', 'slowness')
+
+    def __init__(self, server, *, failing, slowness):
+        """Create the impression.
+
+        Args:
+          server: A string.
+          failing: A float.
+          slowness: A float, 1 for as published.
+        """
+        self.server = server
+        self.failing = failing
+        self.slowness = slowness
+
+
 class Briefing:
     """What one instance tells another.
 
@@ -61,6 +85,7 @@
       proof_age_ms: How long ago that was proved the newest, or None.
       drained: Ids of backend servers that drain.
       gone: Ids of backend servers whose entries went lately.
+      impressions: A list of Impression, of servers that seem unsound.
       news: A list of WorkNews.
     """
 
@@ -68,6 +93,7 @@
         'boot',
         'drained',
         'gone',
+        'impressions',
         'instance',
         'is_serving',
         'news',
--- a/crankchute/core/sharing_test.py
+++ b/crankchute/core/sharing_test.py
@@ -65,6 +65,7 @@
             proof_age_ms=self.ages.get(name, 10),
             drained=[],
             gone=[],
+            impressions=[],
             news=news,
         )
 
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -11,12 +11,20 @@
 from crankchute.core.fleet import Listed
 from crankchute.core.membership import Member
 from crankchute.core.replica import ChangeSet, Entry
-from crankchute.core.sharing import Briefing, Sharing, SharingParts
+from crankchute.core.sharing import (
+    Briefing,
+    Impression,
+    Sharing,
+    SharingParts,
+)
+from crankchute.core.suspicion import LEAST_SIGN
 from crankchute.entry.peering import Peering
 
 _MS_PER_SECOND = 1000
 #: How often seeds are asked until another instance is known.
 _SEED_MS = 500
+#: Slowness below this is not worth telling.
+_LEAST_SLOWNESS = 1.3
 _CONFIG = 'config'
 #: The store of Peering that lists instances elsewhere lists servers here.
 _SERVERS = 'instances'
@@ -269,6 +277,7 @@
             proof_age_ms=node.holder.proof_age_ms(self._now_ms()),
             drained=node.fleet.drained(),
             gone=node.fleet.gone(),
+            impressions=list_impressions(node, self._now_ms()),
             news=news,
         )
 
@@ -276,6 +285,7 @@
         node = self._node
         self._take_servers(briefing)
         self._take_news(briefing.news)
+        self._take_impressions(briefing)
         if briefing.version > node.holder.version:
             self._fetch_config(briefing)
         elif asked_ms is not None and briefing.proof_age_ms is not None:
@@ -300,6 +310,16 @@
             else:
                 board.end(one.work.engine, one.work.key)
 
+    def _take_impressions(self, briefing):
+        node = self._node
+        now_ms = self._now_ms()
+        for one in briefing.impressions:
+            backend = node.fleet.get(one.server)
+            if backend is not None:
+                teller = briefing.instance
+                backend.suspicion.hear(teller, one.failing, now_ms)
+                node.board.state(one.server).hear_slowness(one.slowness, now_ms)
+
     def _fetch_config(self, briefing):
         teller = self.membership.get(briefing.instance)
         if teller is not None:
@@ -319,6 +339,30 @@
                 self._peering.probe(address, _ignore)
 
 
+def list_impressions(node, now_ms):
+    """Return what an instance thinks of servers that seem unsound to it.
+
+    Args:
+      node: The ForwardNode.
+      now_ms: The time.
+    Returns:
+      A list of Impression, by this instance's own requests only.
+    """
+    impressions = []
+    for backend in node.fleet:
+        failing = backend.suspicion.own_level(now_ms)
+        slowness = node.board.own_slowness(backend.identity, now_ms)
+        if failing > LEAST_SIGN or slowness > _LEAST_SLOWNESS:
+            impressions.append(
+                Impression(
+                    backend.identity,
+                    failing=failing,
+                    slowness=slowness,
+                )
+            )
+    return impressions
+
+
 def _write_listed(listed):
     return orjson.dumps(
         {
