Weigh failures as a chance, and drop the slowness told by others

Engines stood with seven writers while others were free.

- a failure counted the same whether the server had answered twenty others or none, so half of the engines, which lost one answer in twenty, were avoided;
- a first event counted as overdue after some 450 ms, which sound engines need in a crowd.

What was believed of slowness and risk stands in the line of each attempt.

--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -4,6 +4,7 @@
 from crankchute.core.membership import Member
 from crankchute.core.replica import ChangeSet, Entry
 from crankchute.core.sharing import Briefing, Impression, WorkNews
+from crankchute.core.suspicion import Signs
 from crankchute.proto import peer_pb2
 
 _MEMBER_FIELDS = Member.__slots__
@@ -94,24 +95,23 @@
         drained=list(record.drained),
         gone=list(record.gone),
         news=[_read_news(one, now_ms) for one in record.news],
-        impressions=[_read_impression(one) for one in record.impressions],
+        impressions=[
+            _read_impression(one, now_ms) for one in record.impressions
+        ],
     )
 
 
 def _write_impression(impression):
     return peer_pb2.Impression(
         server=impression.server,
-        failing=impression.failing,
-        slowness=impression.slowness,
+        failures=impression.signs.failures,
+        successes=impression.signs.successes,
     )
 
 
-def _read_impression(record):
-    return Impression(
-        record.server,
-        failing=record.failing,
-        slowness=record.slowness,
-    )
+def _read_impression(record, now_ms):
+    signs = Signs(record.failures, record.successes, now_ms)
+    return Impression(record.server, signs)
 
 
 def _write_news(news, now_ms):
--- a/crankchute/core/attempt_desk.py
+++ b/crankchute/core/attempt_desk.py
@@ -16,9 +16,6 @@
     def note_attempt_end(self, flow, attempt, cause):
         """Note how an attempt ended, by its cause."""
 
-    def note_pause(self, flow, attempt, pause_ms):
-        """Note the shortest of a few pauses between a server's events."""
-
     def note_freed(self, flow, placement):
         """Note that a job is no longer where it was placed."""
 
--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -16,8 +16,8 @@
 #: the time within which an answer has its full worth.
 _SILENCE_FACTOR = 3
 _LEAST_SILENCE_MS = 800
-#: A server that failed one request lately counts as busy with so many more.
-_FAILURE_LOAD = 2
+#: A server that fails every request counts as busy with so many more.
+_FAILURE_LOAD = 5
 
 
 class ChooserParts:
@@ -128,9 +128,6 @@
     def note_pace(self, placement, seen_ms):
         """Note how long the first event of a placement took."""
 
-    def note_pause(self, placement, pause_ms):
-        """Note the shortest of a few pauses between events from there."""
-
     def note_end(self, job, placement):
         """Note that a job ended there."""
 
@@ -163,8 +160,8 @@
         return attempt.heard_ms + allowed_ms
 
     def _load(self, backend):
-        level = backend.suspicion.level(self.now_ms())
-        return backend.in_flight + level * _FAILURE_LOAD
+        chance = backend.suspicion.chance(self.now_ms())
+        return backend.in_flight + chance * _FAILURE_LOAD
 
 
 @choosers.register('random')
--- a/crankchute/core/engine_board.py
+++ b/crankchute/core/engine_board.py
@@ -89,8 +89,6 @@
     """
 
     __slots__ = (
-        '_heard_ms',
-        '_heard_slowness',
         '_slow_ms',
         '_slowness',
         'memory',
@@ -105,8 +103,6 @@
         self.read_until_ms = float(0)
         self._slowness = float(1)
         self._slow_ms = float(0)
-        self._heard_slowness = float(1)
-        self._heard_ms = float(0)
         self.memory = 0
         self.writers = 0
 
@@ -119,27 +115,9 @@
         Args:
           now_ms: The time.
         """
-        own = self.own_slowness(now_ms)
-        return max(own, _fade(self._heard_slowness, now_ms - self._heard_ms))
-
-    def own_slowness(self, now_ms):
-        """Return the same by this instance's own requests only.
-
-        Args:
-          now_ms: The time.
-        """
-        return _fade(self._slowness, now_ms - self._slow_ms)
-
-    def hear_slowness(self, slowness, now_ms):
-        """Take how slow the engine seems to another instance.
-
-        Args:
-          slowness: A float, 1 for as published.
-          now_ms: The time.
-        """
-        before = _fade(self._heard_slowness, now_ms - self._heard_ms)
-        self._heard_slowness = min(max(slowness, before), _SLOWEST)
-        self._heard_ms = now_ms
+        age_ms = now_ms - self._slow_ms
+        faded = 0.5 ** (age_ms / _SLOW_HALF_MS)
+        return 1 + (self._slowness - 1) * faded
 
     def note_pace(self, ratio, now_ms):
         """Note how long a first event took, against the prediction.
@@ -148,19 +126,12 @@
           ratio: Seen by predicted; what is usual changes nothing.
           now_ms: The time.
         """
-        believed = self.slowness(now_ms)
-        if ratio >= _SLOW_RATIO or believed >= _SLOW_RATIO:
-            self._learn_slowness(ratio * believed, now_ms)
-
-    def note_slowness(self, seen, now_ms):
-        """Note how long a pass took, against the published figures.
-
-        Args:
-          seen: Seen by published; what is usual changes nothing.
-          now_ms: The time.
-        """
-        if max(seen, self.own_slowness(now_ms)) >= _SLOW_RATIO:
-            self._learn_slowness(seen, now_ms)
+        before = self.slowness(now_ms)
+        if ratio < _SLOW_RATIO and before < _SLOW_RATIO:
+            return
+        seen = min(max(ratio * before, 1), _SLOWEST)
+        self._slowness = before + _SLOW_WEIGHT * (seen - before)
+        self._slow_ms = now_ms
 
     def wait_ms(self, now_ms):
         """Return how long a new prompt waits for those being read."""
@@ -224,12 +195,6 @@
         if not work.started:
             self._settle(now_ms)
 
-    def _learn_slowness(self, seen, now_ms):
-        before = self.own_slowness(now_ms)
-        seen = min(max(seen, 1), _SLOWEST)
-        self._slowness = before + _SLOW_WEIGHT * (seen - before)
-        self._slow_ms = now_ms
-
     def _settle(self, now_ms):
         """Count as waiting no more than what is still to be read."""
         left_ms = sum(
@@ -264,16 +229,6 @@
             self._states[engine] = state
         return state
 
-    def own_slowness(self, engine, now_ms):
-        """Return how slow an engine seems by this instance's own requests.
-
-        Args:
-          engine: The engine's id; one without any record is not slow.
-          now_ms: The time.
-        """
-        state = self._states.get(engine)
-        return 1 if state is None else state.own_slowness(now_ms)
-
     def add(self, work):
         """Take a Work that was sent, by this instance or another."""
         self.state(work.engine).add(work, self._now_ms())
@@ -305,7 +260,3 @@
             state = self._states.get(engine)
             if state is not None:
                 state.end(key, now_ms)
-
-
-def _fade(slowness, age_ms):
-    return 1 + (slowness - 1) * 0.5 ** (age_ms / _SLOW_HALF_MS)
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -39,22 +39,18 @@
 #: Every further engine that reads a prompt costs a little.
 _PART_COST = 0.01
 _NO_SLOT_MS = 400
-#: How likely a request is lost at an engine that failed one just now: the part
-#: that the users' page of troubles tells of engines that fail now and then.
-_FAILURE_CHANCE = 0.4
 #: What a lack of memory costs: somebody is put back and read anew.
 _NO_MEMORY_COST = 2
 _USABLE_MEMORY = 0.97
 #: More memory is set aside than an even part, so that a prompt whose first
 #: engine fills up still fits.
 _TICKET_MARGIN = 1.05
-#: Callers leave a stream that has not begun after two seconds; it is begun
-#: anew before.
-_FIRST_SILENCE_MS = 1000
-#: A first event that is this much later than others' reads and twice its own
-#: prediction explain is a sign of a fault.
-_OVERDUE_MS = 250
-_OVERDUE_FACTOR = 2
+_FIRST_SILENCE_MS = 1500
+#: A first event that is this much later than others' reads and three times its
+#: own prediction explain is a sign of a fault.  Half of it and twice the
+#: prediction were signs at sound engines too, and led to crowds elsewhere.
+_OVERDUE_MS = 600
+_OVERDUE_FACTOR = 3
 _FIRST_SILENCE_FACTOR = 3
 _GAP_SILENCE_FACTOR = 3
 _LEAST_GAP_SILENCE_MS = 1300
@@ -131,14 +127,6 @@
         state = self._board.state(placement.backend.identity)
         state.note_pace(seen_ms / placement.first_ms, self.now_ms())
 
-    def note_pause(self, placement, pause_ms):
-        """See Chooser; an event is written in each pass."""
-        if placement.helpers:
-            return
-        state = self._board.state(placement.backend.identity)
-        pass_ms = estimate_pass_ms(self._figures, state.writers, state.memory)
-        state.note_slowness(pause_ms / pass_ms, self.now_ms())
-
     def note_end(self, job, placement):
         """See Chooser."""
         for work in placement.key.works:
@@ -176,7 +164,7 @@
             pass_ms=pass_ms,
             is_kept=is_kept,
             slowness=slowness,
-            failing=backend.suspicion.level(self.now_ms()),
+            risk=backend.suspicion.chance(self.now_ms()),
         )
 
     def _cost_alone(self, job, candidate):
@@ -206,8 +194,7 @@
 
         def rank(one):
             delay = one.first_ms(read_ms) / left_ms
-            risk = one.failing * _FAILURE_CHANCE
-            return one.harm(read_ms) + weigh_job(job) * (delay + risk)
+            return one.harm(read_ms) + weigh_job(job) * (delay + one.risk)
 
         ranked = sorted(candidates, key=rank)[:parts]
         writer = min(
@@ -221,7 +208,7 @@
     def _plan(self, job, chosen, read_ms, cost):
         first_ms = max(one.first_ms(read_ms) for one in chosen)
         cost += sum(one.harm(read_ms) for one in chosen)
-        risk = sum(one.failing for one in chosen) * _FAILURE_CHANCE
+        risk = sum(one.risk for one in chosen)
         late = self._lateness(job, first_ms) + grade_lateness(
             chosen[0].pass_ms / (job.gap_ms or job.goal_ms),
         )
@@ -260,8 +247,11 @@
         return placement
 
     def _note_beliefs(self, plan):
-        state = plan.chosen[0].state
+        writer = plan.chosen[0]
+        state = writer.state
         return Beliefs(
+            slowness=max(one.slowness for one in plan.chosen),
+            risk=sum(one.risk for one in plan.chosen),
             wait_ms=state.wait_ms(self.now_ms()),
             writers=state.writers,
             memory=state.memory,
--- a/crankchute/core/engine_plans.py
+++ b/crankchute/core/engine_plans.py
@@ -36,15 +36,15 @@
       pass_ms: How long a pass takes there without new reads.
       is_kept: Whether short prompts are kept off it, a bool.
       slowness: How much slower than published it seems to be.
-      failing: How much it seems to fail; see Suspicion.level().
+      risk: How likely a request fails there, from 0 to 1.
     """
 
     __slots__ = (
         'backend',
         'delay_ms',
-        'failing',
         'is_kept',
         'pass_ms',
+        'risk',
         'slowness',
         'state',
     )
@@ -63,7 +63,7 @@
         self.pass_ms = fields['pass_ms']
         self.is_kept = fields['is_kept']
         self.slowness = fields['slowness']
-        self.failing = fields['failing']
+        self.risk = fields['risk']
 
     def first_ms(self, read_ms):
         """Predict when a read that is sent now is done.
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -7,8 +7,6 @@
 FIRST_SERVER_ERROR = 500
 #: An error that a server gives may be the request's fault as well.
 _ERROR_WEIGHT = 0.5
-#: A server's pace is told after so many pauses between its events.
-_PAUSES_TOLD = 3
 
 
 class Attempt(AttemptListener):
@@ -30,7 +28,6 @@
         '_head',
         '_is_over',
         '_is_overdue',
-        '_pauses',
         '_reservation',
         '_silence',
         'first_ms',
@@ -55,7 +52,6 @@
         self._head = None
         self._is_over = False
         self._is_overdue = False
-        self._pauses = []
         self._reservation = None
         self._silence = None
         self.first_ms = None
@@ -141,19 +137,14 @@
         now_ms = self._desk.now_ms()
         if self.first_ms is None:
             self.first_ms = now_ms
+            if self._is_overdue:
+                self.backend.suspicion.retract_failure(now_ms)
             self._desk.note_first(self._flow, self)
         else:
-            self._note_pause(now_ms - self.heard_ms)
+            gap_ms = now_ms - self.heard_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self.heard_ms = now_ms
 
-    def _note_pause(self, pause_ms):
-        """Keep the shortest of a few pauses, which others' reads spare."""
-        self.longest_gap_ms = max(self.longest_gap_ms, pause_ms)
-        self._pauses.append(pause_ms)
-        if len(self._pauses) == _PAUSES_TOLD:
-            self._desk.note_pause(self._flow, self, min(self._pauses))
-            self._pauses.clear()
-
     def _on_reserved(self, refused):
         if self._is_over:
             return
@@ -185,26 +176,26 @@
         set again when it ends and finds that the server may still be silent.
         """
         until_ms = self._desk.silent_until_ms(self._flow, self)
-        if until_ms is None and self._is_overdue:
+        may_be_overdue = not self.started and not self._is_overdue
+        if until_ms is None and not may_be_overdue:
             return
         next_ms = until_ms
-        if not self._is_overdue:
+        if may_be_overdue:
             overdue_ms = self._desk.overdue_at_ms(self._flow, self)
             next_ms = min(overdue_ms, until_ms or overdue_ms)
         left_ms = next_ms - self._desk.now_ms()
         if left_ms > 0:
             self._silence = self._desk.after(left_ms, self._on_silence)
-        elif self._is_overdue:
-            self._end_silence()
-        else:
+        elif may_be_overdue:
             self._note_overdue()
             self._watch()
+        else:
+            self._end_silence()
 
     def _note_overdue(self):
         """Suspect a server whose first event should have come long ago."""
         self._is_overdue = True
-        if not self.started:
-            self.backend.suspicion.note_failure(self._desk.now_ms())
+        self.backend.suspicion.note_failure(self._desk.now_ms())
 
     def _on_silence(self):
         self._silence = None
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -165,12 +165,6 @@
         if chooser is not None:
             chooser.note_pace(placement, seen_ms)
 
-    def note_pause(self, flow, attempt, pause_ms):
-        """Note the shortest of a few pauses between a server's events."""
-        chooser = self._chooser_of(flow.job.pool)
-        if chooser is not None:
-            chooser.note_pause(attempt.placement, pause_ms)
-
     def note_attempt_end(self, flow, attempt, cause):
         """Note that an attempt ended."""
         self.journal.log_attempt_end(flow, attempt, cause)
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -161,35 +161,38 @@
       wait_ms: How long prompts before this one would still be read there.
       writers: How many requests write there.
       memory: How many tokens of its memory are taken.
+      slowness: How much slower than published it seems to be.
+      risk: How likely a request fails there, from 0 to 1.
       cost: What the placement was thought to cost, in worth.
       heard_ms_ago: How long ago another instance was last heard from, which
         is how old the beliefs about its requests may be, or None.
     """
 
-    __slots__ = ('cost', 'heard_ms_ago', 'memory', 'wait_ms', 'writers')
+    __slots__ = (
+        'cost',
+        'heard_ms_ago',
+        'memory',
+        'risk',
+        'slowness',
+        'wait_ms',
+        'writers',
+    )
 
-    def __init__(self, *, wait_ms, writers, memory, cost, heard_ms_ago):
+    def __init__(self, **fields):
         """Create the record.
 
         Args:
-          wait_ms: Milliseconds.
-          writers: An int.
-          memory: Tokens.
-          cost: A float.
-          heard_ms_ago: Milliseconds or None.
+          fields: A value for each attribute.
         """
-        self.wait_ms = wait_ms
-        self.writers = writers
-        self.memory = memory
-        self.cost = cost
-        self.heard_ms_ago = heard_ms_ago
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
 
     def describe(self):
         """Return the beliefs as a map of numbers, rounded for people."""
         described = {}
         for name in self.__slots__:
             found = getattr(self, name)
-            described[name] = None if found is None else round(found, 1)
+            described[name] = None if found is None else round(found, 2)
         return described
 
 
--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -55,23 +55,20 @@
 
     Attributes:
       server: The server's id.
-      failing: How much it failed lately; see Suspicion.own_level().
-      slowness: How much slower than published it seems to be.
+      signs: The Signs of its own requests.
     """
 
-    __slots__ = ('failing', 'server', 'slowness')
+    __slots__ = ('server', 'signs')
 
-    def __init__(self, server, *, failing, slowness):
+    def __init__(self, server, signs):
         """Create the impression.
 
         Args:
           server: A string.
-          failing: A float.
-          slowness: A float, 1 for as published.
+          signs: Signs.
         """
         self.server = server
-        self.failing = failing
-        self.slowness = slowness
+        self.signs = signs
 
 
 class Briefing:
@@ -210,11 +207,13 @@
         known = [moment_ms for moment_ms in heard if moment_ms is not None]
         return self._now_ms() - min(known) if known else None
 
-    def is_among_first(self, count):
+    def is_among_first(self, count=None):
         """Tell whether this instance is one of the first active ones.
 
         Args:
-          count: How many of them.
+          count: How many of them, or None for all.
+        Returns:
+          A bool, true also while no instance is known to be active.
         """
         first = [one.identity for one in self.active[:count]]
         return self._own in first or not first
--- a/crankchute/core/suspicion.py
+++ b/crankchute/core/suspicion.py
@@ -1,44 +1,58 @@
-"""How much a backend server seems to fail, by own signs and others'.
-
-A server is avoided from the first failure on, while a breaker waits for the
-third.  Instances tell each other their own signs only, so that a sign never
-comes back as news.  All signs fade, and are weighed against the other reasons
-for a choice; they never forbid a server.
+"""How likely a request fails at a backend server, by own signs and others'.
+
+A server that fails is avoided from its first failures on, while a breaker
+waits for three in a row, and no more than its failures are a part of what it
+was asked lately: a server that loses one answer in twenty is better than a
+crowd at the others.  Instances tell each other their own signs only, so that a
+sign never comes back as news.  All signs fade, and a chance is weighed against
+other reasons for a choice; it never forbids a server.
 """
 
-#: After this long half of a sign has faded, in milliseconds: about as long as
-#: a short request takes, so that a server is tried again by a few of them.
-_HALF_MS = 2000
-#: No matter how many failures, a server counts as failing at most this much.
-_MOST = 4
-#: What a success leaves of the signs before it.
-_LEFT_BY_SUCCESS = 0.5
-#: Less than this is not worth telling or weighing.
-LEAST_SIGN = 0.1
+#: After this long half of what was seen has faded, in milliseconds: about as
+#: long as two short requests take.
+_HALF_MS = 3000
+#: What nobody has seen counts as so many answers: one failure at a server that
+#: nobody asked else is a chance of 0.4.
+_UNSEEN = 1.5
+#: Fewer failures than this are not worth telling.
+LEAST_FAILURES = 0.1
+
 
+class Signs:
+    """Fading counts of what requests met at a server.
 
-class FadingSign:
-    """A number that halves every so often."""
+    Attributes:
+      failures: How many failed, a float.
+      successes: How many were answered, a float.
+    """
 
-    __slots__ = ('_level', '_since_ms')
+    __slots__ = ('_since_ms', 'failures', 'successes')
 
-    def __init__(self, level, now_ms):
-        """Create the sign.
+    def __init__(self, failures, successes, now_ms):
+        """Create the counts.
 
         Args:
-          level: A float.
+          failures: A float.
+          successes: A float.
           now_ms: The time.
         """
-        self._level = level
+        self.failures = failures
+        self.successes = successes
         self._since_ms = now_ms
 
-    def level(self, now_ms):
-        """Return what is left of it.
+    def fade(self, now_ms):
+        """Let the counts fade until now.
 
         Args:
           now_ms: The time.
+        Returns:
+          This object.
         """
-        return self._level * 0.5 ** ((now_ms - self._since_ms) / _HALF_MS)
+        left = 0.5 ** ((now_ms - self._since_ms) / _HALF_MS)
+        self.failures *= left
+        self.successes *= left
+        self._since_ms = now_ms
+        return self
 
 
 class Suspicion:
@@ -47,8 +61,8 @@
     __slots__ = ('_heard', '_own')
 
     def __init__(self):
-        """Create the record of a server without signs."""
-        self._own = None
+        """Create the record of a server that was never asked."""
+        self._own = Signs(float(0), float(0), 0)
         self._heard = {}
 
     def note_failure(self, now_ms, weight=1):
@@ -58,8 +72,16 @@
           now_ms: The time.
           weight: How sure it is that the server is at fault, up to 1.
         """
-        level = min(self.own_level(now_ms) + weight, _MOST)
-        self._own = FadingSign(level, now_ms)
+        self._own.fade(now_ms).failures += weight
+
+    def retract_failure(self, now_ms):
+        """Take a failure back, since the server answered after all.
+
+        Args:
+          now_ms: The time.
+        """
+        own = self._own.fade(now_ms)
+        own.failures = max(own.failures - 1, 0)
 
     def note_success(self, now_ms):
         """Note that a request was answered.
@@ -67,40 +89,40 @@
         Args:
           now_ms: The time.
         """
-        level = self.own_level(now_ms) * _LEFT_BY_SUCCESS
-        self._own = FadingSign(level, now_ms) if level > LEAST_SIGN else None
+        self._own.fade(now_ms).successes += 1
 
-    def hear(self, instance, level, now_ms):
-        """Take what another instance thinks by its own signs.
+    def hear(self, instance, signs):
+        """Take what another instance saw itself.
 
         Args:
           instance: Its id; a later word replaces an earlier one.
-          level: A float.
-          now_ms: The time.
+          signs: Signs.
         """
-        self._heard[instance] = FadingSign(min(level, _MOST), now_ms)
+        self._heard[instance] = signs
 
-    def own_level(self, now_ms):
-        """Return how much it failed this instance lately, a float.
+    def own_signs(self, now_ms):
+        """Return what this instance saw itself, Signs.
 
         Args:
           now_ms: The time.
         """
-        return 0 if self._own is None else self._own.level(now_ms)
+        return self._own.fade(now_ms)
 
-    def level(self, now_ms):
-        """Return how much it seems to fail, from 0 to 4; one is a failure.
+    def chance(self, now_ms):
+        """Return how likely a request fails there, from 0 to 1.
 
         Args:
           now_ms: The time.
         """
-        if self._own is None and not self._heard:
+        if not self._heard and not self._own.failures:
             return 0
-        total = self.own_level(now_ms)
-        for instance, sign in tuple(self._heard.items()):
-            level = sign.level(now_ms)
-            if level < LEAST_SIGN:
+        own = self._own.fade(now_ms)
+        failures = own.failures
+        successes = own.successes
+        for instance, signs in tuple(self._heard.items()):
+            if signs.fade(now_ms).failures < LEAST_FAILURES:
                 self._heard.pop(instance)
-            else:
-                total += level
-        return min(total, _MOST)
+                continue
+            failures += signs.failures
+            successes += signs.successes
+        return failures / (failures + successes + _UNSEEN)
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -17,14 +17,12 @@
     Sharing,
     SharingParts,
 )
-from crankchute.core.suspicion import LEAST_SIGN
+from crankchute.core.suspicion import LEAST_FAILURES
 from crankchute.entry.peering import Peering
 
 _MS_PER_SECOND = 1000
 #: How often seeds are asked until another instance is known.
 _SEED_MS = 500
-#: Slowness below this is not worth telling.
-_LEAST_SLOWNESS = 1.3
 _CONFIG = 'config'
 #: The store of Peering that lists instances elsewhere lists servers here.
 _SERVERS = 'instances'
@@ -311,14 +309,10 @@
                 board.end(one.work.engine, one.work.key)
 
     def _take_impressions(self, briefing):
-        node = self._node
-        now_ms = self._now_ms()
         for one in briefing.impressions:
-            backend = node.fleet.get(one.server)
+            backend = self._node.fleet.get(one.server)
             if backend is not None:
-                teller = briefing.instance
-                backend.suspicion.hear(teller, one.failing, now_ms)
-                node.board.state(one.server).hear_slowness(one.slowness, now_ms)
+                backend.suspicion.hear(briefing.instance, one.signs)
 
     def _fetch_config(self, briefing):
         teller = self.membership.get(briefing.instance)
@@ -350,16 +344,9 @@
     """
     impressions = []
     for backend in node.fleet:
-        failing = backend.suspicion.own_level(now_ms)
-        slowness = node.board.own_slowness(backend.identity, now_ms)
-        if failing > LEAST_SIGN or slowness > _LEAST_SLOWNESS:
-            impressions.append(
-                Impression(
-                    backend.identity,
-                    failing=failing,
-                    slowness=slowness,
-                )
-            )
+        signs = backend.suspicion.own_signs(now_ms)
+        if signs.failures > LEAST_FAILURES:
+            impressions.append(Impression(backend.identity, signs))
     return impressions
 
 
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -21,7 +21,7 @@
 from crankchute.platform.engine_orders import EngineOrders
 from crankchute.platform.published import PublishedConfig, PublishedServers
 from crankchute.platform.requests import RequestReader
-from crankchute.platform.store import StoreWatch
+from crankchute.platform.store import StoreWatch, WatchPace
 from crankchute.platform.wire import (
     CONFIG_KEY,
     REQUEST_ID,
@@ -36,6 +36,13 @@
 _READER_WAIT_MS = 1200
 #: How long other watches wait; calls of the store have a price.
 _LONG_WAIT_MS = 8000
+#: How long an active instance does without a watch after a change: servers
+#: register by the dozen when a day begins.
+_ACTIVE_PAUSE_MS = 150
+#: The same elsewhere; what may not wait is told by the active ones.  Together
+#: with the way of a change it stays well under the two seconds within which a
+#: leaving server or a new version must be heeded.
+_PAUSE_MS = 1000
 #: Above this age an instance asks for a proof of its own.
 _STALE_PROOF_MS = 3000
 _PROOF_CHECK_MS = 250
@@ -135,13 +142,13 @@
             self,
             SERVERS_PREFIX,
             servers,
-            lambda: _LONG_WAIT_MS,
+            WatchPace(lambda: _LONG_WAIT_MS, self._choose_pause_ms),
         )
         self._config_watch = StoreWatch(
             self,
             CONFIG_KEY,
             self._published,
-            self._choose_wait_ms,
+            WatchPace(self._choose_wait_ms, self._choose_pause_ms),
         )
         # What cut one watch off may have cut off the other unnoticed.
         self._config_watch.on_regained = servers_watch.refresh
@@ -158,6 +165,10 @@
         self._waits_long = not is_reader and not is_stale
         return _LONG_WAIT_MS if self._waits_long else _READER_WAIT_MS
 
+    def _choose_pause_ms(self):
+        is_active = self.node.peers.sharing.is_among_first()
+        return _ACTIVE_PAUSE_MS if is_active else _PAUSE_MS
+
     def _check_proof(self):
         """Ask the store when neither it nor a peer has proved lately."""
         if self._waits_long and self._choose_wait_ms() != _LONG_WAIT_MS:
--- a/crankchute/platform/store.py
+++ b/crankchute/platform/store.py
@@ -68,6 +68,29 @@
         self.has_more = has_more
 
 
+class WatchPace:
+    """How often a watch asks the store; calls have a price.
+
+    Attributes:
+      choose_wait_ms: A function that returns how long the next watch waits
+        for a change.
+      choose_pause_ms: A function that returns how long to do without a watch
+        after a change, so that changes that come together are one call.
+    """
+
+    __slots__ = ('choose_pause_ms', 'choose_wait_ms')
+
+    def __init__(self, choose_wait_ms, choose_pause_ms):
+        """Create the pace.
+
+        Args:
+          choose_wait_ms: See the class.
+          choose_pause_ms: See the class.
+        """
+        self.choose_wait_ms = choose_wait_ms
+        self.choose_pause_ms = choose_pause_ms
+
+
 class StoreWatch:
     """Follows one prefix and tells a listener what stands there.
 
@@ -77,7 +100,7 @@
       calls: How many calls were made, an int.
     """
 
-    def __init__(self, parts, prefix, listener, choose_wait_ms):
+    def __init__(self, parts, prefix, listener, pace):
         """Create a watch; start() begins it.
 
         Args:
@@ -85,15 +108,14 @@
           prefix: The prefix of the keys.
           listener: An object with on_entries(entries, asked_ms) for all that
             stands there, and on_changes(entries, asked_ms).
-          choose_wait_ms: A function that returns how long the next watch
-            waits for a change.
+          pace: A WatchPace.
         """
         self._client = parts.http_client
         self._timers = parts.timers
         self._address = parts.settings.store
         self._prefix = prefix
         self._listener = listener
-        self._choose_wait_ms = choose_wait_ms
+        self._pace = pace
         self._is_watching = False
         self.on_regained = None
         self._at = None
@@ -140,7 +162,7 @@
 
     def _watch(self):
         asked_ms = self._now_ms()
-        wait_ms = self._choose_wait_ms()
+        wait_ms = self._pace.choose_wait_ms()
         path = (
             f'{WATCH_PATH}?path-prefix={quote(self._prefix, safe="")}'
             f'&after={self._at}&wait-ms={wait_ms}'
@@ -148,7 +170,11 @@
 
         def take(page):
             self._at = max(self._at, page.at)
-            self._watch()
+            pause_ms = self._pace.choose_pause_ms() if page.entries else 0
+            if pause_ms:
+                self._timers.after(pause_ms, self._watch)
+            else:
+                self._watch()
             self._listener.on_changes(page.entries, asked_ms)
 
         self._is_watching = True
