--- /dev/null
+++ b/crankchute/entry/forward_node_test.py
@@ -0,0 +1,113 @@
+"""Tests of how an instance stops; it takes part over loopback sockets."""
+
+import pytest
+
+from bench.ports import LOOPBACK, pick_ports
+from crankchute.adapters.loop import Loop
+from crankchute.core.fleet import Listed
+from crankchute.core.forward_config import ForwardConfig, PoolConfig
+from crankchute.core.forward_fakes import (
+    POOL,
+    FakePort,
+    FakeReservations,
+    FakeSink,
+    make_job,
+)
+from crankchute.core.sliding_budget import RetryLimits
+from crankchute.entry.forward_node import (
+    ForwardLimits,
+    ForwardNode,
+    ForwardWiring,
+    InstanceIdentity,
+)
+from crankchute.ports.forwarding import AnswerHead
+
+_TICK_S = 0.001
+_TTL_MS = 10
+_GRACE_MS = 60_000
+
+
+class World:
+    """An instance with one server, which answers when a test says so."""
+
+    def __init__(self):
+        self.loop = Loop()
+        self.port = FakePort()
+        peer_port, caller_port = pick_ports(2)
+        identity = InstanceIdentity(
+            'one',
+            'here',
+            peer_address=(LOOPBACK, peer_port),
+            caller_address=(LOOPBACK, caller_port),
+            seeds=(),
+        )
+        retries = RetryLimits(ratio=0, slack=10, window_ms=1000)
+        limits = ForwardLimits(
+            retries=retries,
+            address_ttl_ms=_TTL_MS,
+            grace_ms=_GRACE_MS,
+        )
+        wiring = ForwardWiring(
+            port=self.port,
+            reservations=FakeReservations(),
+            take_config=lambda _payload: None,
+            pool_label='pool',
+        )
+        self.node = ForwardNode(self.loop, identity, limits, wiring)
+        self.stopped = []
+        self.node.on_stopped = lambda: self.stopped.append(True)
+        self._publish()
+
+    def wait_turns(self, delay_ms):
+        """Let the loop run for a while."""
+        over = []
+        self.loop.timers.after(delay_ms, lambda: over.append(True))
+        self.loop.run_until(lambda: bool(over), _TICK_S)
+
+    def submit(self):
+        """Return the sink of a request that its server works on."""
+        now_ms = self.node.now_ms()
+        job = make_job(arrived_ms=now_ms, deadline_ms=now_ms + _GRACE_MS)
+        sink = FakeSink()
+        self.node.desk.submit(job, sink)
+        return sink
+
+    def answer(self):
+        """Let the server answer its oldest request."""
+        listener = self.port.calls.pop(0).listener
+        listener.on_head(AnswerHead(200))
+        listener.on_end()
+
+    def _publish(self):
+        self.node.fleet.put(
+            Listed(
+                {
+                    'id': 's1',
+                    'kind': 'backend',
+                    'address': f'{LOOPBACK}:1',
+                    'data_centre': 'here',
+                    'labels': {'pool': POOL},
+                }
+            )
+        )
+        config = ForwardConfig(1, [], [PoolConfig(POOL, 8, None)])
+        self.node.holder.offer(config, b'')
+        self.node.note_listed()
+
+
+@pytest.mark.parametrize('in_progress', [0, 1, 3])
+def test_stopping_waits_for_what_is_in_progress(in_progress):
+    """Every request that was read gets its answer, late ones included."""
+    world = World()
+    sinks = [world.submit() for _ in range(in_progress)]
+    world.node.stop()
+    assert not world.node.is_accepting
+    if in_progress:
+        world.wait_turns(400)
+        assert not world.stopped
+        sinks.append(world.submit())
+        while world.port.calls:
+            world.answer()
+    world.loop.run_until(lambda: bool(world.stopped), _TICK_S)
+    for sink in sinks:
+        assert sink.seen == [('answer', 200)]
