Put memory back at the engine stand-in when a request is rejected

Cause: found in reading the change. The check whether an engine lacks what a request needs took its tickets into use, and a rejection left them so; a second request with the same ticket would have been rejected for the stand-in's fault.

Change: what was taken is put back on each way out, by one function.

--- a/crankchute/platform/standin_engine.py
+++ b/crankchute/platform/standin_engine.py
@@ -201,14 +201,24 @@
             self._reject(exchange, HTTPStatus.SERVICE_UNAVAILABLE, self)
             return
         shares = _read_shares(exchange.header(HELPERS))
-        faulty = self._find_lacking(exchange, shares)
+        taken = []
+        faulty = self._take_memory(exchange, shares, taken)
         if faulty is not None:
+            self._put_back(taken)
             self._reject(exchange, HTTPStatus.SERVICE_UNAVAILABLE, faulty)
             return
         self._run(exchange, shares, behaviour)
 
-    def _find_lacking(self, exchange, shares):
-        """Return the engine that lacks what a request needs, or None."""
+    def _take_memory(self, exchange, shares, taken):
+        """Take the tickets of a request into use.
+
+        Args:
+          exchange: A ForwardExchange.
+          shares: Shares.
+          taken: A list to which the Shares are added whose tickets are used.
+        Returns:
+          The engine that lacks what the request needs, or None.
+        """
         prompt, answer = exchange.header(TOKEN_USAGE).split(',')
         needed = int(prompt) + int(answer)
         lent = 0
@@ -220,6 +230,7 @@
                 tokens = helper.use(share.ticket)
                 if tokens is None:
                     return helper
+                taken.append(share)
                 lent += tokens
         return self if needed - lent > self.memory_tokens else None
 
@@ -243,9 +254,11 @@
             exchange.abort()
         else:
             self._write(exchange, first, behaviour)
+        self._put_back([one for one in shares if one.ticket is not None])
+
+    def _put_back(self, shares):
         for share in shares:
-            if share.ticket is not None:
-                self._engines[share.address].put_back(share.ticket)
+            self._engines[share.address].put_back(share.ticket)
 
     def _write(self, exchange, first, behaviour):
         headers = [
