Hand no request over whose caller closed behind it

Cause: a request that a busy loop, or a process that stood still, reads late was sent to a server before the end of its connection was seen in the same buffer; the server then began to work for nobody.

Ruled out: looking only after the loop was late, which needs a bound that some machine would miss.

Change: before a whole request is handed over, the socket is looked at once more (one system call); an end or a reset behind the request closes the connection. A caller that is only silent is served as before.

--- a/crankchute/adapters/forward_server.py
+++ b/crankchute/adapters/forward_server.py
@@ -5,6 +5,7 @@
 and its answer is framed here.
 """
 
+import socket
 from contextlib import suppress
 from http import HTTPStatus
 from traceback import format_tb
@@ -298,7 +299,11 @@
         except RequestRefused as refusal:
             self._refuse_raw(sock, refusal)
             return
-        if intake.done:
+        if intake.done and _has_left(sock):
+            # Read late, by a loop that was busy or a process that stood
+            # still; nothing of it may reach a server any more.
+            self.drop(sock)
+        elif intake.done:
             exchange = ForwardExchange(self, sock, intake)
             connection.exchange = exchange
             exchange.serve(self._on_request)
@@ -345,6 +350,20 @@
             self._refuse_raw(sock, refusal)
 
 
+def _has_left(sock):
+    """Tell whether a caller closed its connection behind its request.
+
+    Args:
+      sock: A socket from which all but the newest bytes were read.
+    """
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def _reply_refused(exchange, refusal):
     headers = []
     if refusal.retry_after_ms is not None:
--- a/crankchute/adapters/forward_server_test.py
+++ b/crankchute/adapters/forward_server_test.py
@@ -4,6 +4,7 @@
 """
 
 import socket
+import struct
 
 import pytest
 
@@ -211,3 +212,41 @@
 
     world = World(fail)
     assert world.ask(_OK).startswith(b'HTTP/1.1 500')
+
+
+def close_at_once(sock):
+    sock.close()
+
+
+def reset(sock):
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    sock.close()
+
+
+@pytest.mark.parametrize('leave', [close_at_once, reset])
+@pytest.mark.parametrize('requests', [1, 2])
+def test_request_of_a_caller_that_left_is_not_handed_over(leave, requests):
+    """A process that stood still finds the request and its end together."""
+    world = World(reply_ok)
+    sock = world.connect()
+    sock.sendall(_OK)
+    if requests == 2:
+        world.read(sock, b'fine')
+        sock.sendall(_OK)
+    leave(sock)
+    seen = len(world.exchanges)
+    other = world.connect()
+    other.sendall(_OK)
+    world.read(other, b'fine')
+    other.close()
+    assert len(world.exchanges) == seen + 1
+
+
+def test_caller_that_is_only_silent_is_served():
+    world = World(reply_ok)
+    sock = world.connect()
+    sock.sendall(_OK)
+    assert b'fine' in world.read(sock, b'fine')
+    assert len(world.exchanges) == 1
+    sock.close()
