Divide engines between long and short prompts by what is asked for

Change: fading sums (half in 2 s) of the work that all instances sent, by length; long prompts get the part of the pool that their reading is of all, counted twice, between a tenth and nine tenths, and a half until something was seen.

One test counted on the fixed half: with short prompts alone seven of eight engines are open to them now, so it sends as many to each of these as before.

--- a/crankchute/core/engine_board.py
+++ b/crankchute/core/engine_board.py
@@ -10,6 +10,7 @@
 import enum
 import heapq
 
+from crankchute.core.length_demand import LengthDemand
 from crankchute.core.seen_load import UnknownLoad
 
 
@@ -279,7 +280,11 @@
 
 
 class EngineBoard:
-    """The states of all engines by id."""
+    """The states of all engines by id.
+
+    Attributes:
+      demand: The LengthDemand of the work that was sent.
+    """
 
     def __init__(self, now_ms):
         """Create an empty board.
@@ -290,6 +295,7 @@
         self._now_ms = now_ms
         self._states = {}
         self._ends = []
+        self.demand = LengthDemand()
 
     def state(self, engine):
         """Return the EngineState of an engine.
@@ -305,7 +311,11 @@
 
     def add(self, work):
         """Take a Work that was sent, by this instance or another."""
-        self.state(work.engine).add(work, self._now_ms())
+        now_ms = self._now_ms()
+        state = self.state(work.engine)
+        if work.key not in state.works:
+            self.demand.note(work, now_ms)
+        state.add(work, now_ms)
         heapq.heappush(self._ends, (work.until_ms, work.key, work.engine))
         self._drop_expired()
 
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -26,12 +26,11 @@
     weigh_job,
 )
 from crankchute.core.engine_shortlist import Shortlist
+from crankchute.core.length_demand import LONG_PROMPTS
 from crankchute.core.forward_job import Beliefs, Helper, Placement
 
 #: The name of the chooser in the registry.
 PREDICTED = 'predicted'
-#: A prompt that is longer than so many usual ones counts as long.
-_LONG_PROMPTS = 2
 #: The most engines that read one prompt, the published bound of helpers + 1.
 _MOST_PARTS = 17
 #: What sending a short prompt to an engine that is kept for long ones counts, in worth: about the
@@ -75,11 +74,12 @@
     def choose(self, job, avoided):
         """See Chooser."""
         self._shortlist.take(self._parts.members())
+        self._shortlist.divide(self.now_ms())
         stretch = self._shortlist.draw_stretch()
         usable = self.usable(avoided, stretch) or self.usable(avoided)
         if not usable:
             return self.refuse()
-        longest = self._figures.usual_prompt * _LONG_PROMPTS
+        longest = self._figures.usual_prompt * LONG_PROMPTS
         is_long = job.size.prompt > longest
         candidates = self._make_candidates(usable, is_long=is_long)
         if is_long:
--- a/crankchute/core/engine_shortlist.py
+++ b/crankchute/core/engine_shortlist.py
@@ -33,8 +33,6 @@
 _CONNECT_S = 0.02
 _FAR_S = 0.01
 _MS_PER_SECOND = 1000
-#: The part of a pool's engines that short prompts are kept off.
-_LONG_SHARE = 0.5
 
 
 class Shortlist:
@@ -58,6 +56,8 @@
         self._slot_ms = estimate_write_ms(parts.pool.figures) / self._slots
         self._members = None
         self._order = []
+        self._ordered = []
+        self._kept_count = 0
         self.kept = frozenset()
 
     def take(self, members):
@@ -74,9 +74,21 @@
         self._members = members
         self._order = list(members)
         self._random.shuffle(self._order)
-        ordered = sorted(one.identity for one in members)
-        count = max(1, round(len(ordered) * _LONG_SHARE))
-        self.kept = frozenset(ordered[:count])
+        self._ordered = sorted(one.identity for one in members)
+        self._kept_count = 0
+
+    def divide(self, now_ms):
+        """Divide the engines between long and short prompts.
+
+        Args:
+          now_ms: The time.
+        """
+        demand = self._board.demand
+        share = demand.estimate_long_share(now_ms, self._slot_ms)
+        count = max(1, round(len(self._ordered) * share))
+        if count != self._kept_count:
+            self._kept_count = count
+            self.kept = frozenset(self._ordered[:count])
 
     def draw_stretch(self):
         """Return the engines to look at for one prompt, a list of Backend."""
--- a/crankchute/core/engine_shortlist_test.py
+++ b/crankchute/core/engine_shortlist_test.py
@@ -76,6 +76,7 @@
     parts.random = random.Random(1)
     shortlist = Shortlist(parts)
     shortlist.take(backends)
+    shortlist.divide(0)
     stretch = shortlist.draw_stretch()
     assert len({one.identity for one in stretch}) == min(engines, 192)
     drawn = shortlist.draw(stretch, 0, is_long=is_long)
