Log for how many slots a prompt waits

Cause: `crankchute losses` has a cause "late, no slot" that never applied, since no attempt logged what it looks for; such losses were counted as predicted, or as a wrong belief.

Change: what was believed at a choice says how many requests must end first.

Test: engine_chooser_test, red before.

--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -273,11 +273,13 @@
     def _note_beliefs(self, plan):
         writer = plan.chosen[0]
         state = writer.state
+        writers = state.count_requests(self.now_ms(), self._write_ms)
         return Beliefs(
             slowness=max(one.slowness for one in plan.chosen),
             risk=sum(one.risk for one in plan.chosen),
             wait_ms=state.wait_ms(self.now_ms()),
-            writers=state.count_requests(self.now_ms(), self._write_ms),
+            writers=writers,
+            lacking=max(writers + 1 - self._figures.slots, 0),
             memory=state.memory,
             cost=plan.cost,
             heard_ms_ago=self._parts.heard_ms_ago(),
--- a/crankchute/core/engine_chooser_test.py
+++ b/crankchute/core/engine_chooser_test.py
@@ -272,3 +272,15 @@
     world.board.add(work)
     _job, placement = world.place(SHORT)
     assert placement.backend.identity != 'server-06'
+
+
+@pytest.mark.parametrize(('writers', 'lacking'), [(0, 0), (7, 0), (8, 1)])
+def test_beliefs_say_how_many_must_end_first(writers, lacking):
+    """What the logs call a wait for a slot is found by it."""
+    world = World(engines=1)
+    for number in range(writers):
+        work = make_work(f'writer-{number}', 'server-00')
+        world.board.add(work)
+        world.board.start('server-00', work.key)
+    _job, placement = world.place(SHORT)
+    assert placement.beliefs.describe()['lacking'] == lacking
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -160,6 +160,7 @@
     Attributes:
       wait_ms: How long prompts before this one would still be read there.
       writers: How many requests write there.
+      lacking: How many of them must end before this one gets a slot.
       memory: How many tokens of its memory are taken.
       slowness: How much slower than published it seems to be.
       risk: How likely a request fails there, from 0 to 1.
@@ -171,6 +172,7 @@
     __slots__ = (
         'cost',
         'heard_ms_ago',
+        'lacking',
         'memory',
         'risk',
         'slowness',
