Show home, strength and the revision of the servers in the state of an instance

The state dump of an instance on the platform tells which active instance it asks, how strong members are, and of which revision its list of servers is, with the age of the proof. Tests: forward_state_test, sharing_test.

--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -66,6 +66,17 @@
         """The Members that callers are sent to, best first."""
         return self._instances.chosen
 
+    @property
+    def home(self):
+        """The id of the active instance that this one asks, or None.
+
+        An active instance has none: it speaks to all the others.
+        """
+        found = None
+        if not self._instances.includes_own:
+            found = self._instances.find_home()
+        return None if found is None else found.identity
+
     def start(self):
         """Begin to speak to the active instances."""
         self._parts.timers.every(PACE_MS, self._on_pace)
--- a/crankchute/core/sharing_test.py
+++ b/crankchute/core/sharing_test.py
@@ -341,6 +341,16 @@
     assert set(count_questions(world, others, 10)) <= {20, 21}
 
 
+def test_home_is_told_to_people():
+    world = World(FAR_NAMES)
+    world.timers.advance(3000)
+    active = world.active_at(FAR_NAMES[0])
+    homes = {name: world.instances[name].home for name in FAR_NAMES}
+    assert {homes[name] for name in active} == {None}
+    assert set(homes.values()) - {None} <= set(active)
+    assert all(homes[name] for name in FAR_NAMES if name not in active)
+
+
 def test_homes_are_near_and_spread():
     world = World(FAR_NAMES)
     world.timers.advance(3000)
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -20,7 +20,12 @@
             'version': node.holder.version,
             'proof_age_ms': node.holder.proof_age_ms(now_ms),
         },
+        'servers_listed': {
+            'revision': node.servers.revision,
+            'proof_age_ms': node.servers.proof_age_ms(now_ms),
+        },
         'active': [one.identity for one in node.peers.sharing.active],
+        'home': node.peers.sharing.home,
         'peers_heard_ms_ago': node.peers.sharing.heard_ms_ago(),
         'members': [
             _dump_member(one) for one in node.peers.membership.all_members()
@@ -40,6 +45,7 @@
         'address': member.http_address,
         'data_centre': member.data_centre,
         'draining': member.draining,
+        'strength': member.strength,
         'status': member.status.name.lower(),
     }
 
--- /dev/null
+++ b/crankchute/entry/forward_state_test.py
@@ -0,0 +1,24 @@
+"""Tests of the state of an instance as people read it."""
+
+import pytest
+
+from crankchute.entry.forward_node_test import World
+from crankchute.entry.forward_state import dump_forward_node
+
+
+@pytest.mark.parametrize(
+    ('name', 'found'),
+    [
+        ('instance', 'one'),
+        ('home', None),
+        ('servers_listed', {'revision': 0, 'proof_age_ms': None}),
+    ],
+)
+def test_state_tells_what_the_instance_knows(name, found):
+    world = World()
+    assert dump_forward_node(world.node)[name] == found
+
+
+def test_state_tells_how_strong_members_are():
+    members = dump_forward_node(World().node)['members']
+    assert [one['strength'] for one in members] == [0]
