Let a list of servers read in pages leave no gap, and keep lapsed entries

Change: the list has the revision of its oldest page; a whole list with entries that may have lapsed is taken like one.

Tests: published_test, two, red before.

--- a/crankchute/core/server_list.py
+++ b/crankchute/core/server_list.py
@@ -50,11 +50,10 @@
         """Take the whole list as the platform told it.
 
         Args:
-          entries: A map from id to Entry.
-          revision: The store's revision that it holds for at least.
+          entries: A map from id to Entry; some may be newer than the list.
+          revision: The store's revision that the list holds for, not lower
+            than that of this one.
         """
-        newest = max((one.revision for one in entries.values()), default=0)
-        revision = max(newest, revision, self.revision)
         # What came and went below it is not known here.
         self._whole_below = revision
         self._replica = Replica(revision, entries)
--- a/crankchute/core/server_list_test.py
+++ b/crankchute/core/server_list_test.py
@@ -11,7 +11,7 @@
 def make_list(**revisions):
     servers = ServerList()
     entries = {key: Entry(one, PAYLOAD) for key, one in revisions.items()}
-    servers.take_all(entries, 0)
+    servers.take_all(entries, max(revisions.values()))
     return servers
 
 
--- a/crankchute/platform/published.py
+++ b/crankchute/platform/published.py
@@ -121,7 +121,11 @@
             if entry.payload is not None
         ]
         present = [record for record in listed if record is not None]
-        self._fleet.replace(present, may_lapse=self._is_troubled())
+        may_lapse = any(entry.may_lapse for entry in entries.values())
+        self._fleet.replace(
+            present,
+            may_lapse=may_lapse or self._is_troubled(),
+        )
         log_change('servers_listed', servers=len(present))
         self._on_listed()
 
--- a/crankchute/platform/published_test.py
+++ b/crankchute/platform/published_test.py
@@ -115,3 +115,32 @@
         assert world.members() == {'a', 'b'}
         world.timers.advance(1900)
         assert world.members() == {'b'}
+
+
+def test_pages_that_are_older_leave_no_gap():
+    """What changed between two pages comes with the watch, or from others."""
+    world = World()
+    pages = [
+        make_entry('a', 20, write_server()),
+        make_entry('z', 3, write_server()),
+    ]
+    world.published.on_entries(pages, None, 8)
+    assert world.members() == {'a', 'z'}
+    assert world.servers.revision == 8
+    assert world.servers.proof_age_ms(0) == 0
+    world.published.on_changes([make_entry('z', 15, None)], 10)
+    assert world.members() == {'a'}
+    other = World()
+    other.published.take(world.servers.changes_since(5))
+    assert other.members() == {'a'}
+
+
+def test_lapsed_entry_is_kept_by_who_gets_the_whole_list():
+    reader = World()
+    reader.watch.failed_ms = 0
+    reader.published.on_changes([make_entry('a', 6, None)], 0)
+    follower = World()
+    follower.published.take(reader.servers.changes_since(0))
+    assert follower.members() == {'a', 'b'}
+    follower.timers.advance(1900)
+    assert follower.members() == {'b'}
