Leave no instance out for what was heard of it long ago

And a home that was no longer active kept its followers: its word about the new ones was not taken, so they named the old ones for up to three seconds more.

Change: whoever is left out for a fault, lost or with an old proof, is asked again, three of them a turn; a home that is no longer active says whom to ask next, without keeping its list in force.

Test: sharing_test, an old proof at two active instances of 5, 30 and 100; two of three cases red before.

--- a/crankchute/core/active_instances.py
+++ b/crankchute/core/active_instances.py
@@ -32,9 +32,9 @@
 _TOLD_MS = 3000
 #: How old the proof of the configuration may be in an active instance.
 _FRESH_PROOF_MS = 3200
-#: Lost instances are looked for among so many times those that are active,
-#: the first by rank: these would be active if they were back.
-_LOST_FACTOR = 2
+#: Instances that are left out are asked again among so many times those that
+#: are active, the first by rank: these would be active without their fault.
+_LEFT_OUT_FACTOR = 2
 
 
 class ActiveInstances:
@@ -103,14 +103,16 @@
         if not self.includes_own:
             self.chosen = self._list_told() or own_choice
 
-    def note_told(self, briefing):
+    def note_told(self, briefing, *, is_answer):
         """Take the active instances that another one named.
 
-        Only the word of one that is active itself counts: others pass on
-        what they were told, and would keep an old list alive among them.
+        Only the word of one that is active itself keeps a list in force:
+        others pass on what they were told, and would keep an old list alive
+        among them.  A home that is no longer active says whom to ask next.
 
         Args:
           briefing: A Briefing.
+          is_answer: Whether this instance had asked.
         """
         told = self._told
         if briefing.active:
@@ -118,13 +120,11 @@
             told = [one for one in known if one is not None]
         elif briefing.digest == self.digest:
             told = self.chosen
-        if all(one.identity != briefing.instance for one in told):
-            return
-        now_ms = self._now_ms()
-        self._told = tuple(told)
-        self._told_ms = now_ms
-        for member in self._told:
-            self._vouch(self.view(member.identity), now_ms)
+        is_active = any(one.identity == briefing.instance for one in told)
+        if is_active or (is_answer and briefing.active):
+            self._told = tuple(told)
+        if is_active:
+            self._vouch_all()
 
     def note_wish(self, briefing):
         """Take what another instance wants to be told.
@@ -164,10 +164,14 @@
         """Return how often each active instance is spoken to."""
         return PACE_MS * max(1, len(self.chosen) / _PACE_INSTANCES)
 
-    def list_lost(self):
-        """Return the first Members by rank that were spoken to and are lost."""
-        lost = filter(self._is_lost, self._rank().members)
-        return list(islice(lost, _LOST_FACTOR * len(self.chosen)))
+    def list_left_out(self):
+        """Return the first Members by rank that are left out for a fault.
+
+        They are lost, stop, or have no fresh proof, as far as was heard; they
+        are asked now and then, since nobody else says when that is over.
+        """
+        left_out = filter(self._is_left_out, self._rank().members)
+        return list(islice(left_out, _LEFT_OUT_FACTOR * len(self.chosen)))
 
     def list_followers(self):
         """Return the Members that are not active and want to be told."""
@@ -189,14 +193,18 @@
             self._ranking = Ranking(self._parts.members())
         return self._ranking
 
-    def _vouch(self, view, now_ms):
-        """Believe that an instance is active, on the word of a home.
+    def _vouch_all(self):
+        """Believe that those told of are active, on the word of a home.
 
-        What it said of itself a moment ago counts more.
+        What one said of itself a moment ago counts more.
         """
-        view.vouched_ms = now_ms
-        if view.heard_ms is None or now_ms - view.heard_ms > _TOLD_MS:
-            view.is_serving = True
+        now_ms = self._now_ms()
+        self._told_ms = now_ms
+        for member in self._told:
+            view = self.view(member.identity)
+            view.vouched_ms = now_ms
+            if view.heard_ms is None or now_ms - view.heard_ms > _TOLD_MS:
+                view.is_serving = True
 
     def _list_told(self):
         """Return the active Members that were told of, while that counts."""
@@ -232,11 +240,13 @@
             self._silent_ms(),
         )
 
-    def _is_lost(self, member):
+    def _is_left_out(self, member):
         view = self._views.get(member.identity)
         if view is None or member.identity == self._own:
             return False
-        return not view.seems_sound(self._now_ms(), self._silent_ms())
+        if not view.seems_sound(self._now_ms(), self._silent_ms()):
+            return True
+        return not self._is_fresh(member)
 
     def _is_vouched(self, view):
         """Tell whether an instance is active by the word of others.
--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -39,6 +39,8 @@
 #: An instance that chose an engine this lately wants to be told of others'
 #: work, in milliseconds; about as long as a usual answer is written.
 _INTEREST_MS = 2000
+#: How many instances that were left out are asked again at each turn.
+_MOST_LEFT_OUT = 3
 #: How many instances that are not active are told of work at most, so that
 #: the cost of an instance does not grow with the fleet.
 _MOST_FOLLOWERS = 9
@@ -121,7 +123,8 @@
         for batch in view.feed.take(briefing, now_ms):
             apply_batch(self._parts.board, briefing.instance, batch)
         self._parts.take(briefing, asked_ms)
-        self._instances.note_told(briefing)
+        is_answer = asked_ms is not None
+        self._instances.note_told(briefing, is_answer=is_answer)
 
     def answer(self, briefing):
         """Take what another instance told, and return what it is told.
@@ -204,11 +207,11 @@
             self._ask_all(0, (home,))
 
     def _to_ask(self):
-        """Return the active instances, and one that is believed lost."""
-        lost = self._instances.list_lost()
-        if not lost:
-            return self._instances.others
-        return [*self._instances.others, self._parts.random.choice(lost)]
+        """Return the active instances, and a few that are left out."""
+        left_out = self._instances.list_left_out()
+        count = min(len(left_out), _MOST_LEFT_OUT)
+        asked_again = self._parts.random.sample(left_out, count)
+        return [*self._instances.others, *asked_again]
 
     def _on_flush(self):
         self._flush = None
--- a/crankchute/core/sharing_test.py
+++ b/crankchute/core/sharing_test.py
@@ -425,3 +425,20 @@
     ranking = Ranking(make_strong(names, ('a1', 'a2', 'b1', 'b2')))
     found = ranking.choose(3, lambda one: one.identity != 'a1')
     assert {one.identity for one in found} == {'a2', 'b1', 'b2'}
+
+
+@pytest.mark.parametrize('count', [5, 30, 100])
+def test_instance_whose_proof_is_fresh_again_is_named_by_all(count):
+    """What was heard of it long ago is no reason to leave it out."""
+    names = [f'{"abcde"[one % 5]}{one}' for one in range(count)]
+    world = World(names)
+    world.timers.advance(3000)
+    before = world.active_at(names[0])
+    stale = before[:2]
+    world.ages.update(dict.fromkeys(stale, 4000))
+    world.timers.advance(2000)
+    for name in names:
+        assert not set(stale) & set(world.active_at(name))
+    world.ages.clear()
+    world.timers.advance(3000)
+    assert {tuple(world.active_at(name)) for name in names} == {tuple(before)}
