--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -3,11 +3,11 @@
 Requests of all callers go to a few active instances.  Each of them tells the
 other active ones at once what it sent to which engine, what began and what
 ended.  Any other instance asks one of them, its home, twice a second, and is
-told which instances are active; so an active one hears from 24 others at most
-(48 messages a second), and a lost one is out of every answer in 1.4 s, however
-large the fleet is.  With every message goes what may not wait for the store:
-the version of the configuration, the revision of the list of backend servers,
-the ages of their proofs, and which servers are known to leave.
+told which instances are active; so an active one hears from 24 others in the
+mean (48 messages a second), and a lost one is out of every answer in 1.4 s,
+however large the fleet is.  With every message goes what may not wait for the
+store: the version of the configuration, the revision of the list of backend
+servers, the ages of their proofs, and which servers are known to leave.
 
 All of it is a hint but for two things that are safe by themselves: a newer
 version, and a server that left, never become untrue.
