Keep one copy of the age of a proof, and the store's stand-in where its words end

The configuration's holder and the list of servers each counted the age of their proof; core/proof.py does for both. The stand-in of the platform's store that a benchmark uses lies in platform/ now, since it speaks the platform's names. No change of behaviour; all tests pass.

--- a/bench/idle_cost.py
+++ b/bench/idle_cost.py
@@ -15,21 +15,19 @@
 import sys
 import tempfile
 import time
-from base64 import b64encode
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import ThreadingHTTPServer
 from pathlib import Path
 from threading import Thread
-from urllib.parse import parse_qs, urlsplit
 
 import grpc
-import orjson
 
 from bench.ports import LOOPBACK, pick_ports
 from crankchute.core.active_choice import Ranking, count_active, digest_members
 from crankchute.core.membership import Member
 from crankchute.adapters.peer_records import write_member
+from crankchute.platform.standin_store import REVISION, StoreStandin
 from crankchute.proto import peer_pb2, peer_pb2_grpc
 
 _START_S = 2
@@ -37,10 +35,6 @@
 _STRONG = 2000
 _USUAL = 500
 _RUMOURS = 12
-_ROUTES = 120
-_SERVERS = 150
-_PAGE = 50
-_REVISION = 1000
 _AGE_MS = 500
 _MS_PER_SECOND = 1000
 _SETTINGS = """
@@ -135,85 +129,11 @@
             proof_age_ms=_AGE_MS,
             digest=digest,
             active=[write_member(one) for one in told],
-            servers_revision=_REVISION,
+            servers_revision=REVISION,
             servers_age_ms=_AGE_MS,
         )
 
 
-class StoreStandin(BaseHTTPRequestHandler):
-    """The platform's store: one configuration, and servers in pages."""
-
-    protocol_version = 'HTTP/1.1'
-
-    def do_GET(self):  # noqa: N802  (named by the library)
-        """Answer a range or a watch."""
-        parts = urlsplit(self.path)
-        asked = parse_qs(parts.query)
-        wait_ms, prefix, after = (
-            asked.get(name, [''])[0]
-            for name in ('wait-ms', 'path-prefix', 'after')
-        )
-        if wait_ms:
-            time.sleep(int(wait_ms) / _MS_PER_SECOND)
-            self._reply({'events': [], 'at': _REVISION})
-        elif prefix.startswith('op'):
-            self._reply(_list_page([('op/config', _make_config())]))
-        else:
-            listed = [one for one in _make_servers() if one[0] > after]
-            self._reply(_list_page(listed))
-
-    def log_message(self, *_args):
-        """Write nothing."""
-
-    def _reply(self, document):
-        body = orjson.dumps(document)
-        self.send_response(200)
-        self.send_header('Content-Length', str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-
-def _list_page(listed):
-    found = [
-        {
-            'tls-key': key,
-            'value': b64encode(orjson.dumps(document)).decode(),
-            'revision': _REVISION,
-        }
-        for key, document in listed[:_PAGE]
-    ]
-    return {'items': found, 'more': len(listed) > _PAGE, 'at': _REVISION}
-
-
-def _make_config():
-    routes = [
-        {
-            'host': 'a.example',
-            'path-prefix': f'/{number}/',
-            'kind': 'streaming',
-            'service': 'pool',
-            'timeout-ms': 10_000,
-        }
-        for number in range(_ROUTES)
-    ]
-    return {'version': 1, 'routes': routes, 'services': [{'name': 'pool'}]}
-
-
-def _make_servers():
-    return [
-        (
-            f'servers/s{number:04}',
-            {
-                'service': 'pool',
-                'address': f'{LOOPBACK}:{2000 + number}',
-                'zone': 'z0',
-                'state': 'ready',
-            },
-        )
-        for number in range(_SERVERS)
-    ]
-
-
 def _serve_fleet(fleet):
     servers = []
     for member in fleet.members:
--- a/crankchute/core/forward_config.py
+++ b/crankchute/core/forward_config.py
@@ -6,6 +6,7 @@
 cut off from the platform alone keeps serving.
 """
 
+from crankchute.core.proof import Proof
 from crankchute.core.route_table import RouteTable
 
 
@@ -110,8 +111,6 @@
     Attributes:
       config: A ForwardConfig, or None before the first.
       source: What the configuration was decoded from, for peers; bytes.
-      proved_ms: The moment at which it is proved to have been the newest, on
-        this process's clock, or None.
     """
 
     def __init__(self):
@@ -119,7 +118,7 @@
         self._listeners = []
         self.config = None
         self.source = b''
-        self.proved_ms = None
+        self._proof = Proof()
 
     @property
     def version(self):
@@ -158,10 +157,8 @@
           version: The version that was proved.
           asked_ms: The moment, on this process's clock.
         """
-        if version != self.version:
-            return
-        if self.proved_ms is None or asked_ms > self.proved_ms:
-            self.proved_ms = asked_ms
+        if version == self.version:
+            self._proof.note(asked_ms)
 
     def proof_age_ms(self, now_ms):
         """Return the age of the proof in milliseconds, or None.
@@ -169,4 +166,4 @@
         Args:
           now_ms: The time on this process's clock.
         """
-        return None if self.proved_ms is None else now_ms - self.proved_ms
+        return self._proof.age_ms(now_ms)
--- a/crankchute/core/server_list.py
+++ b/crankchute/core/server_list.py
@@ -6,6 +6,7 @@
 read them.
 """
 
+from crankchute.core.proof import Proof
 from crankchute.core.replica import Replica
 
 #: How many entries that are gone are kept for those that lack the end of
@@ -14,18 +15,13 @@
 
 
 class ServerList:
-    """The entries of the backend servers, at some revision.
-
-    Attributes:
-      proved_ms: The moment at which the list is proved to have been the
-        newest, on this process's clock, or None.
-    """
+    """The entries of the backend servers, at some revision."""
 
     def __init__(self):
         """Create an empty list, older than any."""
         self._replica = Replica()
         self._whole_below = 0
-        self.proved_ms = None
+        self._proof = Proof()
 
     @property
     def revision(self):
@@ -75,10 +71,8 @@
           revision: The revision that was proved.
           asked_ms: The moment, on this process's clock.
         """
-        if revision != self.revision:
-            return
-        if self.proved_ms is None or asked_ms > self.proved_ms:
-            self.proved_ms = asked_ms
+        if revision == self.revision:
+            self._proof.note(asked_ms)
 
     def proof_age_ms(self, now_ms):
         """Return the age of the proof in milliseconds, or None.
@@ -86,7 +80,7 @@
         Args:
           now_ms: The time on this process's clock.
         """
-        return None if self.proved_ms is None else now_ms - self.proved_ms
+        return self._proof.age_ms(now_ms)
 
     def _forget_ended(self):
         """Forget the oldest ends beyond the number that is kept."""
