Log what becomes of memory at engines, and when the loop runs late

Cause: neither logs nor metrics could tell the hypotheses apart: nothing was written when memory was set aside, when an order about it went unanswered, when it was free, or when the process stood still. Change: memory_set_aside, memory_order_unanswered and memory_released with the id of their request, so that `crankchute explain` shows them; loop_late when a timer runs over 200 ms late; the counter orders_unanswered. No change of logic.

--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -102,6 +102,58 @@
             events=flow.passed,
         )
 
+    def log_set_aside(self, request_id, helpers, refused, took_ms):
+        """Log that engines were asked to set memory aside.
+
+        Args:
+          request_id: The request's id.
+          helpers: The Helpers with tickets.
+          refused: Those among them that set nothing aside.
+          took_ms: Milliseconds until the last of them was known.
+        """
+        log_change(
+            'memory_set_aside',
+            failed=bool(refused),
+            request=request_id,
+            tickets=[one.ticket for one in helpers],
+            servers=[one.backend.identity for one in helpers],
+            refused=[one.ticket for one in refused],
+            took_ms=_round(took_ms),
+        )
+
+    def log_order_unanswered(self, name, request_id, helper):
+        """Log that an engine left an order about memory unanswered.
+
+        Args:
+          name: The order's name.
+          request_id: The id of the request that the memory is for.
+          helper: The Helper with its ticket.
+        """
+        log_change(
+            'memory_order_unanswered',
+            failed=True,
+            request=request_id,
+            order=name,
+            ticket=helper.ticket,
+            server=helper.backend.identity,
+        )
+
+    def log_released(self, request_id, helper, tries):
+        """Log that an engine answered that memory is free.
+
+        Args:
+          request_id: The id of the request that the memory was for.
+          helper: The Helper with its ticket.
+          tries: How often it was asked.
+        """
+        log_change(
+            'memory_released',
+            request=request_id,
+            ticket=helper.ticket,
+            server=helper.backend.identity,
+            tries=tries,
+        )
+
     def log_end(self, flow, outcome, code):
         """Log the end of a request.
 
--- a/crankchute/adapters/metrics.py
+++ b/crankchute/adapters/metrics.py
@@ -23,6 +23,7 @@
     ('retries', 'Attempts repeated after a failure.', None),
     ('retries_denied', 'Retries that the budget did not allow.', None),
     ('renewals_lost', 'Reservations that could not be renewed.', None),
+    ('orders_unanswered', 'Orders that engines did not answer.', 'order'),
     ('frames_dropped', 'Frames that belonged to no attempt here.', None),
     ('group_replacements', 'Lost members of groups replaced.', None),
     ('group_restarts', 'Groups that freed everything to start over.', None),
--- a/crankchute/adapters/timers.py
+++ b/crankchute/adapters/timers.py
@@ -7,10 +7,14 @@
 
 from circuits import BaseComponent, handler
 
+from crankchute.adapters.log import log_change
 from crankchute.core.timer_heap import TimerHeap
 from crankchute.ports.time import TimerService
 
 _MS_PER_SECOND = 1000
+#: A timer that runs this late, in milliseconds, tells that the process stood
+#: still or had too much to do: others take it for silent after that long.
+_LATE_MS = 200
 
 
 class LoopTimers(BaseComponent, TimerService):
@@ -48,7 +52,14 @@
 
     def _run_due(self):
         now_ms = self._clock.now_ms()
+        self._note_lateness(now_ms)
         subscription = self._heap.pop_due(now_ms)
         while subscription is not None:
             subscription.run()
             subscription = self._heap.pop_due(now_ms)
+
+    def _note_lateness(self, now_ms):
+        due_ms = self._heap.next_due_ms()
+        if due_ms is not None and now_ms - due_ms > _LATE_MS:
+            late_ms = round(now_ms - due_ms, 1)
+            log_change('loop_late', failed=True, late_ms=late_ms)
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -74,6 +74,7 @@
         """Set aside the memory that the placement needs, and send."""
         if self.placement.tickets:
             self._reservation = self._desk.reserve(
+                self._flow,
                 self.placement,
                 self._on_reserved,
             )
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -133,16 +133,21 @@
         self.metrics.count('retries' if taken else 'retries_denied')
         return taken
 
-    def reserve(self, placement, on_done):
+    def reserve(self, flow, placement, on_done):
         """Set aside the memory that a placement needs; see ReservationDesk.
 
         Args:
+          flow: The ForwardFlow that needs it.
           placement: A Placement with tickets.
           on_done: A function of the Helpers that set nothing aside.
         Returns:
           A Reservation.
         """
-        return self._reservations.reserve(placement.tickets, on_done)
+        return self._reservations.reserve(
+            flow.job.request_id,
+            placement.tickets,
+            on_done,
+        )
 
     def note_freed(self, flow, placement):
         """Note that a job is no longer where it was placed."""
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -138,15 +138,17 @@
 
 
 class FakeJournal:
-    """Keeps the ends that were logged.
+    """Keeps the ends that were logged, and what became of memory.
 
     Attributes:
       ends: Codes, a list.
+      memory: Tuples of a word, a ticket or tickets, and what came with them.
     """
 
     def __init__(self):
         """Create without lines."""
         self.ends = []
+        self.memory = []
 
     def log_request(self, job):
         """See ForwardJournal."""
@@ -157,6 +159,19 @@
     def log_attempt_end(self, flow, attempt, cause):
         """See ForwardJournal."""
 
+    def log_set_aside(self, request_id, helpers, refused, took_ms):
+        """See ForwardJournal."""
+        refused_tickets = [one.ticket for one in refused]
+        self.memory.append(('set aside', refused_tickets, took_ms))
+
+    def log_order_unanswered(self, name, request_id, helper):
+        """See ForwardJournal."""
+        self.memory.append(('unanswered', name, helper.ticket))
+
+    def log_released(self, request_id, helper, tries):
+        """See ForwardJournal."""
+        self.memory.append(('released', helper.ticket, tries))
+
     def log_end(self, flow, outcome, code):
         """See ForwardJournal."""
         self.ends.append(code)
@@ -203,6 +218,7 @@
       timers: ManualTimers.
       port: A FakePort.
       reservations: A FakeReservations.
+      reservation_desk: The ReservationDesk that gives it orders.
       chooser: A FirstChooser.
       desk: The ForwardDesk.
       journal: A FakeJournal.
@@ -224,17 +240,19 @@
         self.chooser = FirstChooser(
             make_parts(self.timers, lambda: self.backends)
         )
+        self.reservation_desk = ReservationDesk(
+            self.reservations,
+            self.timers,
+            metrics,
+            self.journal,
+            'instance-boot',
+        )
         ports = ForwardPorts(
             forward=self.port,
             timers=self.timers,
             metrics=metrics,
             journal=self.journal,
-            reservations=ReservationDesk(
-                self.reservations,
-                self.timers,
-                metrics,
-                'instance-boot',
-            ),
+            reservations=self.reservation_desk,
             chooser_of={POOL: self.chooser}.get,
         )
         limits = RetryLimits(ratio=0, slack=slack, window_ms=_WINDOW_MS)
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -142,13 +142,14 @@
         self._choosers = {}
         self._has_listed = False
         self._stop_ms = None
+        self.journal = ForwardJournal(self.holder, self.timers.clock)
         self._reservations = ReservationDesk(
             wiring.reservations,
             self.timers,
             self.metrics,
+            self.journal,
             f'{identity.instance}-{identity.boot}',
         )
-        self.journal = ForwardJournal(self.holder, self.timers.clock)
         ports = ForwardPorts(
             forward=wiring.port,
             timers=self.timers,
--- a/crankchute/platform/forwarding_test.py
+++ b/crankchute/platform/forwarding_test.py
@@ -62,6 +62,7 @@
             EngineOrders(client, self.loop.timers),
             self.loop.timers,
             Metrics(),
+            FakeJournal(),
             'instance-boot',
         )
         chooser = EngineChooser(self._make_parts(reservations))
