Release memory until it must be free, and give back what nobody uses

Cause: a reservation thought of its orders as if each arrived at once and in order. Ruled out: the reservations' own state (released and renewed are exclusive, at every end of an attempt); a lost cancel (the fakes show it at each end); longer holds, which a lost instance would leave behind. Change: core/lease.py holds one engine's memory from the first order to its end. It releases, with patience of 4 s for each order and further ones meanwhile, until one was answered that went out when no earlier order was unsettled, and for 12 s after an order that was left unanswered, or until the memory lapses. An attempt whose memory shows no use within the platform's limit, less a hold and 0.3 s, ends as silent. The limit is the platform's idle_max_ms. One test is replaced: three releases at most was the fault itself; it now asks for the releases that the 3.7 s of a hold allow, and none after them.

--- a/crankchute/adapters/sockets_test.py
+++ b/crankchute/adapters/sockets_test.py
@@ -6,7 +6,7 @@
 
 from crankchute.adapters.loop import Loop
 from crankchute.adapters.sockets import ConnectionHub
-from crankchute.core.reservations import HOLD_MS
+from crankchute.core.lease import HOLD_MS
 
 _LOOPBACK = '127.0.0.1'
 
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -179,7 +179,7 @@
         A timer for each event would cost more than the event; one timer is
         set again when it ends and finds that the server may still be silent.
         """
-        until_ms = self._desk.silent_until_ms(self._flow, self)
+        until_ms = self._silent_until_ms()
         may_be_overdue = not self.started and not self._is_overdue
         if until_ms is None and not may_be_overdue:
             return
@@ -196,6 +196,18 @@
         else:
             self._end_silence()
 
+    def _silent_until_ms(self):
+        """Return until when the server may be silent, or None.
+
+        Memory that is set aside must be used or given back: engines that hung
+        had it kept at their helpers until the caller left, for over 10 s.
+        """
+        until_ms = self._desk.silent_until_ms(self._flow, self)
+        if self._reservation is None or self.started:
+            return until_ms
+        unused_ms = self._reservation.unused_until_ms
+        return unused_ms if until_ms is None else min(until_ms, unused_ms)
+
     def _note_overdue(self):
         """Suspect a server whose first event should have come long ago."""
         self._is_overdue = True
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -24,7 +24,7 @@
 _WINDOW_MS = 10_000
 _FIRST_PORT = 7000
 _CONNECTIONS = 64
-#: How long SlowOrders wait for an answer, in milliseconds.
+#: How long SlowOrders wait until memory is set aside, in milliseconds.
 _ORDER_MS = 250
 _USUAL_SIZE = PromptSize(prompt=5000, answer=1000)  # noqa: WPS432
 
@@ -90,7 +90,7 @@
         """See ReservationPort."""
         self.asked.append((helper, on_done))
 
-    def release(self, helper, on_done):
+    def release(self, helper, patience_ms, on_done):
         """See ReservationPort."""
         self.released.append(helper.ticket)
         on_done(self.answers_release)
@@ -136,14 +136,18 @@
             until_ms = self._timers.clock.now_ms() + hold_ms
             self.held_until_ms[helper.ticket] = until_ms
 
-        self._send(arrive, lambda is_answered: on_done(is_answered or None))
+        def take(is_answered):
+            on_done(is_answered or None)
 
-    def release(self, helper, on_done):
+        self._send(arrive, _ORDER_MS, take)
+
+    def release(self, helper, patience_ms, on_done):
         """See ReservationPort."""
-        self._send(
-            lambda: self.held_until_ms.pop(helper.ticket, None),
-            on_done,
-        )
+
+        def arrive():
+            self.held_until_ms.pop(helper.ticket, None)
+
+        self._send(arrive, patience_ms, on_done)
 
     def is_held(self, ticket):
         """Tell whether memory is set aside.
@@ -154,12 +158,12 @@
         until_ms = self.held_until_ms.get(ticket, 0)
         return until_ms > self._timers.clock.now_ms()
 
-    def _send(self, arrive, on_done):
+    def _send(self, arrive, patience_ms, on_done):
         delay_ms = self.delay_ms
         if delay_ms is not None:
             self._timers.after(delay_ms, arrive)
-        is_answered = delay_ms is not None and delay_ms < _ORDER_MS
-        waited_ms = delay_ms if is_answered else _ORDER_MS
+        is_answered = delay_ms is not None and delay_ms < patience_ms
+        waited_ms = delay_ms if is_answered else patience_ms
         self._timers.after(waited_ms, lambda: on_done(is_answered))
 
 
--- a/crankchute/core/forward_flow_test.py
+++ b/crankchute/core/forward_flow_test.py
@@ -200,14 +200,20 @@
     assert world.reservations.asked == []
 
 
-def test_release_without_an_answer_is_asked_again():
+def test_release_without_an_answer_is_asked_again_until_memory_lapses():
+    """It lapses 3.7 s after the engine was last told to keep it."""
     world = ForwardWorld()
-    world.reservations.answers_release = False
     world.chooser.helpers = (Helper(world.backends[1], 'ticket-1', 100),)
     flow, _sink = world.submit(repeat=RESUME, is_stream=True)
+    world.reservations.answer(is_done=True)
+    world.reservations.answers_release = False
     flow.cancel()
-    world.timers.advance(5000)
-    assert world.reservations.released == ['ticket-1', 'ticket-1', 'ticket-1']
+    counts = []
+    for _ in range(6):
+        world.timers.advance(1000)
+        counts.append(len(world.reservations.released))
+    assert counts == [3, 4, 6, 7, 7, 7]
+    assert set(world.reservations.released) == {'ticket-1'}
 
 
 def test_silent_server_is_given_up_and_one_that_speaks_is_not():
--- a/crankchute/core/reservations.py
+++ b/crankchute/core/reservations.py
@@ -2,25 +2,20 @@
 
 A reservation has one user, the attempt it was made for, and is released when
 that ends.  An engine keeps it for a short time only and it is renewed while
-it is used, so that what a lost instance left, or an order that was carried
-out late, frees itself soon.
+it is used, so that what a lost instance left frees itself soon.  How orders
+about one engine's memory may go wrong is the matter of core/lease.py.
 """
 
 import abc
 import itertools
-from functools import partial
 
-#: The names of the two orders, as logs tell them.
-RESERVE = 'reserve'
-RELEASE = 'release'
+from crankchute.core.lease import HOLD_MS, Lease
 
-#: How long an engine keeps a reservation that is not renewed.  Shorter than
-#: the four seconds after which unused memory counts as lost, and longer than
-#: two renewals, so that one lost renewal does no harm.
-HOLD_MS = 3700
 _RENEW_MS = 1200
-_RELEASE_TRIES = 3
-_RELEASE_PAUSE_MS = 300
+#: How long memory may be set aside unused where a deployment does not tell.
+_MOST_UNUSED_MS = 9000
+#: What is kept free of that for orders that are late, in milliseconds.
+_UNUSED_MARGIN_MS = 300
 
 
 class ReservationPort(abc.ABC):
@@ -34,32 +29,39 @@
           helper: A Helper with a ticket.
           hold_ms: Milliseconds from the order's arrival.
           on_done: A function of True (set aside), False (refused) or None
-            (no answer: it may be set aside, now or later).
+            (no answer: it may be set aside, now or seconds later).
         """
 
     @abc.abstractmethod
-    def release(self, helper, on_done):
+    def release(self, helper, patience_ms, on_done):
         """Free what was set aside.
 
         Args:
           helper: A Helper with a ticket.
+          patience_ms: How long the order and its answer may take.
           on_done: A function of a bool, whether the engine answered.
         """
 
 
 class Reservation:
-    """The tickets of one attempt."""
+    """The memory of one attempt, at all its engines or at none.
+
+    Attributes:
+      unused_until_ms: Until when the attempt may keep it without a sign that
+        it is used, on this process's clock.
+    """
 
     __slots__ = (
         '_desk',
         '_ended',
-        '_helpers',
+        '_leases',
         '_on_done',
         '_refused',
         '_renewal',
         '_request_id',
         '_start_ms',
         '_waiting',
+        'unused_until_ms',
     )
 
     def __init__(self, desk, request_id, helpers, on_done):
@@ -74,47 +76,46 @@
         """
         self._desk = desk
         self._request_id = request_id
-        self._helpers = helpers
+        self._leases = [Lease(desk, request_id, one) for one in helpers]
         self._on_done = on_done
         self._waiting = len(helpers)
         self._refused = []
         self._renewal = None
         self._start_ms = desk.now_ms()
         self._ended = False
+        self.unused_until_ms = self._start_ms + desk.unused_ms
 
     def start(self):
         """Ask every engine at once."""
-        for helper in self._helpers:
-            self._ask(helper)
+        for lease in self._leases:
+            self._ask(lease)
 
     def release(self):
-        """Free all of it; what is not answered is asked again."""
+        """Free all of it."""
         if self._ended:
             return
         self._ended = True
         if self._renewal is not None:
             self._renewal.cancel()
-        for helper in self._helpers:
-            self._desk.release(self._request_id, helper)
+        for lease in self._leases:
+            lease.release()
 
-    def _ask(self, helper):
+    def _ask(self, lease):
         def take(is_reserved):
             self._waiting -= 1
-            self._note_answer(helper, is_reserved)
             if not is_reserved:
-                self._refused.append(helper)
+                self._refused.append(lease.helper)
             if not self._waiting and not self._ended:
                 self._finish()
 
-        self._desk.port.reserve(helper, HOLD_MS, take)
+        lease.reserve(take)
 
     def _finish(self):
-        took_ms = self._desk.now_ms() - self._start_ms
         self._desk.journal.log_set_aside(
             self._request_id,
-            self._helpers,
+            [lease.helper for lease in self._leases],
             self._refused,
-            took_ms,
+            self._desk.now_ms() - self._start_ms,
         )
         if self._refused:
             self.release()
@@ -123,22 +124,13 @@
         self._on_done(self._refused)
 
     def _renew(self):
-        for helper in self._helpers:
-            self._desk.port.reserve(
-                helper,
-                HOLD_MS,
-                partial(self._note_renewed, helper),
-            )
-
-    def _note_renewed(self, helper, is_renewed):
-        self._note_answer(helper, is_renewed)
+        for lease in self._leases:
+            lease.reserve(self._note_renewed)
+
+    def _note_renewed(self, is_renewed):
         if not is_renewed:
             self._desk.metrics.count('renewals_lost')
 
-    def _note_answer(self, helper, is_reserved):
-        if is_reserved is None:
-            self._desk.note_unanswered(RESERVE, self._request_id, helper)
-
 
 class ReservationDesk:
     """Makes the reservations of one instance.
@@ -148,6 +140,8 @@
       timers: A TimerService.
       metrics: A Metrics port.
       journal: A ForwardJournal, which logs what became of the memory.
+      unused_ms: How long an attempt may keep memory without a sign that it
+        is used, in milliseconds.
     """
 
     def __init__(self, port, timers, metrics, journal, owner):
@@ -166,11 +160,22 @@
         self.journal = journal
         self._owner = owner
         self._numbers = itertools.count()
+        self.change_limits(_MOST_UNUSED_MS)
 
     def now_ms(self):
         """Return the time on this process's clock."""
         return self.timers.clock.now_ms()
 
+    def change_limits(self, most_unused_ms):
+        """Take another limit for what is set aside from now on.
+
+        Args:
+          most_unused_ms: How long memory may be set aside while no request
+            uses it, in milliseconds.
+        """
+        # If this instance is lost, what it set aside lapses within the limit.
+        self.unused_ms = most_unused_ms - HOLD_MS - _UNUSED_MARGIN_MS
+
     def new_ticket(self):
         """Return the id of a new ticket, never used before."""
         return f'{self._owner}-{next(self._numbers)}'
@@ -188,36 +193,3 @@
         reservation = Reservation(self, request_id, helpers, on_done)
         reservation.start()
         return reservation
-
-    def release(self, request_id, helper, tries=1):
-        """Free one ticket; ask again if there is no answer.
-
-        Args:
-          request_id: The id of the request it was for, for logs.
-          helper: A Helper with a ticket.
-          tries: Which try this is, from 1.
-        """
-
-        def take(is_answered):
-            if is_answered:
-                self.journal.log_released(request_id, helper, tries)
-                return
-            self.note_unanswered(RELEASE, request_id, helper)
-            if tries < _RELEASE_TRIES:
-                self.timers.after(
-                    _RELEASE_PAUSE_MS,
-                    lambda: self.release(request_id, helper, tries + 1),
-                )
-
-        self.port.release(helper, take)
-
-    def note_unanswered(self, order, request_id, helper):
-        """Note that an engine left an order unanswered.
-
-        Args:
-          order: RESERVE or RELEASE.
-          request_id: The id of the request it was for.
-          helper: A Helper with a ticket.
-        """
-        self.metrics.count('orders_unanswered', order)
-        self.journal.log_order_unanswered(order, request_id, helper)
--- a/crankchute/core/reservations_test.py
+++ b/crankchute/core/reservations_test.py
@@ -16,7 +16,8 @@
 from crankchute.core.forward_fakes import FakeJournal, ForwardWorld, SlowOrders
 from crankchute.core.forward_job import Helper, Repeat
 from crankchute.core.fakes import ManualTimers
-from crankchute.core.reservations import RELEASE, RESERVE, ReservationDesk
+from crankchute.core.lease import RELEASE, RESERVE
+from crankchute.core.reservations import ReservationDesk
 from crankchute.ports.metrics import Metrics
 
 #: Within what time memory must be free after its last use, and how long it
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -83,21 +83,24 @@
       retries: RetryLimits of all instances together.
       address_ttl_ms: How long callers may keep an address answer.
       grace_ms: How long stopping may take.
+      unused_ms: How long an engine's memory may be set aside unused.
     """
 
-    __slots__ = ('address_ttl_ms', 'grace_ms', 'retries')
+    __slots__ = ('address_ttl_ms', 'grace_ms', 'retries', 'unused_ms')
 
-    def __init__(self, *, retries, address_ttl_ms, grace_ms):
+    def __init__(self, *, retries, address_ttl_ms, grace_ms, unused_ms):
         """Create the limits.
 
         Args:
           retries: RetryLimits.
           address_ttl_ms: Milliseconds.
           grace_ms: Milliseconds.
+          unused_ms: Milliseconds.
         """
         self.retries = retries
         self.address_ttl_ms = address_ttl_ms
         self.grace_ms = grace_ms
+        self.unused_ms = unused_ms
 
 
 class ForwardNode:
@@ -150,6 +153,7 @@
             self.journal,
             f'{identity.instance}-{identity.boot}',
         )
+        self._reservations.change_limits(limits.unused_ms)
         ports = ForwardPorts(
             forward=wiring.port,
             timers=self.timers,
@@ -187,6 +191,7 @@
         """
         self._limits = limits
         self.desk.change_limits(limits.retries)
+        self._reservations.change_limits(limits.unused_ms)
         self.peers.change_seeds(seeds)
 
     def stop(self):
--- a/crankchute/entry/forward_node_test.py
+++ b/crankchute/entry/forward_node_test.py
@@ -26,6 +26,7 @@
 
 _TICK_S = 0.001
 _TTL_MS = 10
+_UNUSED_MS = 9000
 _GRACE_MS = 60_000
 
 
@@ -49,6 +50,7 @@
             retries=retries,
             address_ttl_ms=_TTL_MS,
             grace_ms=_GRACE_MS,
+            unused_ms=_UNUSED_MS,
         )
         wiring = ForwardWiring(
             port=self.port,
--- a/crankchute/platform/engine_orders.py
+++ b/crankchute/platform/engine_orders.py
@@ -9,9 +9,9 @@
 from crankchute.platform.wire import ORDER_PATH
 from crankchute.ports.http import WholeResponse
 
-#: How long an order may go unanswered; zones are a millisecond apart.
+#: How long memory may take to be set aside; zones are a millisecond apart, and
+#: a request waits for it.
 _ORDER_MS = 250
-_CONNECT_MS = 200
 _IDLE_MS = 8000
 _DONE = frozenset((HTTPStatus.OK, HTTPStatus.ACCEPTED))
 
@@ -37,18 +37,19 @@
             'token-count': helper.tokens,
             'hold-ms': hold_ms,
         }
-        self._order(helper, document, on_done)
+        self._order(helper, document, _ORDER_MS, on_done)
 
-    def release(self, helper, on_done):
+    def release(self, helper, patience_ms, on_done):
         """See ReservationPort."""
         document = {'op': 'release', 'id': helper.ticket}
         self._order(
             helper,
             document,
+            patience_ms,
             lambda is_done: on_done(is_done is not None),
         )
 
-    def _order(self, helper, document, on_done):
+    def _order(self, helper, document, patience_ms, on_done):
         """Send an order and tell one end: done, refused, or no answer."""
         pending = _Pending(on_done)
         address = helper.backend.listed.address
@@ -63,8 +64,8 @@
             lambda status, _body: pending.end(status in _DONE),
             lambda _exc: pending.end(None),
         )
-        options = CallOptions(idle_ms=_IDLE_MS, connect_ms=_CONNECT_MS)
-        pending.guard = self._timers.after(_ORDER_MS, pending.time_out)
+        options = CallOptions(idle_ms=_IDLE_MS, connect_ms=patience_ms)
+        pending.guard = self._timers.after(patience_ms, pending.time_out)
         pending.call = self._client.send(address, payload, sink, options)
 
 
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -266,4 +266,5 @@
         retries=retries,
         address_ttl_ms=ADDRESS_TTL_MS,
         grace_ms=bounds.grace_ms,
+        unused_ms=bounds.unused_ms,
     )
--- a/crankchute/platform/settings.py
+++ b/crankchute/platform/settings.py
@@ -69,6 +69,7 @@
       retry_slack: Retries beyond that in any window.
       retry_window_ms: That window.
       hold_ms: The longest time that an engine sets memory aside.
+      unused_ms: How long memory may be set aside while no request uses it.
       is_revocation_strict: Whether a revoked key must be refused also where
         its revocation could not be heard of, a bool.
     """
@@ -84,6 +85,7 @@
         'retry_slack',
         'retry_window_ms',
         'revoke_ms',
+        'unused_ms',
     )
 
     def __init__(self, **fields):
@@ -263,5 +265,6 @@
     ('retry_slack', 'retry-slack', float, 10),
     ('retry_window_ms', 'retry-window-s', _read_seconds, 10_000),
     ('hold_ms', 'max-hold-ms', float, 0),
+    ('unused_ms', 'idle_max_ms', float, 9000),
     ('is_revocation_strict', 'strict-revocation', _read_flag, True),
 )
