--- a/crankchute/core/fakes.py
+++ b/crankchute/core/fakes.py
@@ -137,6 +137,7 @@
       generating: FakeGenerations that have not ended.
       asked: Functions of a bool that answer a hold or a segment.
       held: Pairs of engine id and group that hold memory.
+      lost_releases: How many of the next releases never arrive, an int.
     """
 
     def __init__(self):
@@ -144,6 +145,7 @@
         self.generating = []
         self.asked = []
         self.held = set()
+        self.lost_releases = 0
 
     def generate(self, backend, order, listener):
         """See EnginePort."""
@@ -163,6 +165,9 @@
 
     def release(self, backend, group):
         """See EnginePort."""
+        if self.lost_releases:
+            self.lost_releases -= 1
+            return
         self.held.discard((backend.identity, group))
 
     def prefill(self, backend, order, on_done):
