Ask engines to free a group's memory until they answer

Cause: the release of a group's hold was sent once and its answer dropped. Before: the listed test fails with one or three lost releases. The two mutations of holds name the new lines.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -126,14 +126,14 @@
         'a group keeps its holds',
         _COMPLETIONS,
         _GROUP,
-        '            self._desk.engines.release(member.backend, self._group)\n',
+        '            self._release(member.backend, self._group)\n',
         '            member.held = False\n',
     ),
     Mutation(
         'a hold that comes too late is kept',
         _COMPLETIONS,
         _GROUP,
-        '                self._desk.engines.release(member.backend, group)\n',
+        '                self._release(member.backend, group)\n',
         '                member.held = False\n',
     ),
     Mutation(
--- a/crankchute/adapters/engine_http.py
+++ b/crankchute/adapters/engine_http.py
@@ -113,9 +113,12 @@
         )
         self._post(backend, '/v1/holds', document, sink)
 
-    def release(self, backend, group):
+    def release(self, backend, group, on_done):
         """See EnginePort."""
-        sink = WholeResponse(_ignore, _ignore)
+        sink = WholeResponse(
+            lambda _status, _body: on_done(True),
+            lambda _exc: on_done(False),
+        )
         document = {'group': group}
         self._post(backend, '/v1/holds/release', document, sink)
 
@@ -173,7 +176,3 @@
         'index': export.index,
         'carry': export.carry,
     }
-
-
-def _ignore(*_args):
-    """Take an answer that changes nothing."""
--- a/crankchute/core/fakes.py
+++ b/crankchute/core/fakes.py
@@ -163,12 +163,13 @@
 
         self.asked.append(answer)
 
-    def release(self, backend, group):
+    def release(self, backend, group, on_done):
         """See EnginePort."""
         if self.lost_releases:
             self.lost_releases -= 1
             return
         self.held.discard((backend.identity, group))
+        on_done(True)
 
     def prefill(self, backend, order, on_done):
         """See EnginePort."""
--- a/crankchute/core/group_flow.py
+++ b/crankchute/core/group_flow.py
@@ -10,6 +10,7 @@
 import math
 
 from crankchute.core.forward_job import Placement
+from crankchute.core.hold_release import release_hold
 from crankchute.core.single_flow import SingleFlow
 from crankchute.ports.engines import HoldOrder, SegmentOrder
 
@@ -154,7 +155,7 @@
 
         def take(held):
             if self.ended or current != self._round:
-                self._desk.engines.release(member.backend, group)
+                self._release(member.backend, group)
             elif held:
                 member.held = True
                 on_held()
@@ -207,7 +208,7 @@
     def _replace(self, member):
         """Put a spare in a lost member's place; only its segment is redone."""
         self._avoided.add(member.backend.identity)
-        self._desk.engines.release(member.backend, self._group)
+        self._release(member.backend, self._group)
         member.backend.serving_long -= 1
         used = {other.backend.identity for other in self._members}
         spare = self._desk.choose_spare(self.job, used | self._avoided)
@@ -238,12 +239,16 @@
         self._release_all()
         super()._end(outcome, code)
 
+    def _release(self, backend, group):
+        until_ms = self.job.deadline_ms + _DEADLINE_SLACK_MS
+        release_hold(self._desk, backend, group, until_ms)
+
     def _release_all(self):
         members = self._members
         self._note_long(-1)
         self._members = []
         for member in members:
-            self._desk.engines.release(member.backend, self._group)
+            self._release(member.backend, self._group)
 
 
 def cut_prompt(prompt, count):
--- a/crankchute/ports/engines.py
+++ b/crankchute/ports/engines.py
@@ -170,12 +170,13 @@
         """
 
     @abc.abstractmethod
-    def release(self, backend, group):
-        """Free what a group holds on an engine; nothing is told.
+    def release(self, backend, group, on_done):
+        """Free what a group holds on an engine.
 
         Args:
           backend: A Backend.
           group: The group's id.
+          on_done: A function of a bool, whether the engine answered.
         """
 
     @abc.abstractmethod
