Show all servers that drain in the state dump, and drop settings that nobody reads

- servers_drained in the dump listed only what the others are told, the last 15 s; it lists all servers that are known to drain (test extended).
- WatchPace.choose_pause_ms was a function of a constant; it is a number, pause_ms.
- drain_ms, contact_ms, hold_ms, address_ttl_ms, region and regions of the settings were read and used by nobody.
A wrong value there is no finding any more.
- Seven mutations take out the guards of leases, of unused memory, of the loop and of releases of holds.
One survived ("a release before an order that is under way is the last"), since no renewal of the test was under way at its release; with a row of 200 ms it is found.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -19,6 +19,7 @@
 _COMPLETIONS = 'crankchute/core/completion_machine_test.py'
 _CALLS = 'crankchute/core/once_machine_test.py'
 _FORWARD = 'crankchute/core/forward_flow.py'
+_MEMORY = 'crankchute/core/reservations_test.py'
 _GROUP = 'crankchute/core/group_flow.py'
 
 
@@ -136,6 +137,55 @@
         '                self._release(member.backend, group)\n',
         '                member.held = False\n',
     ),
+    Mutation(
+        'a release before an order that is under way is the last',
+        _MEMORY,
+        'crankchute/core/lease.py',
+        'is_last=not self._unsettled',
+        'is_last=True',
+    ),
+    Mutation(
+        'an order carried out late is not looked for',
+        _MEMORY,
+        'crankchute/core/lease.py',
+        'self._late_until_ms = now_ms + _LATE_MS',
+        'self._late_until_ms = now_ms',
+    ),
+    Mutation(
+        'a release without an answer is not sent again',
+        _MEMORY,
+        'crankchute/core/lease.py',
+        'if self._unsettled or self._desk.now_ms() < until_ms:',
+        'if self._unsettled:',
+    ),
+    Mutation(
+        'memory is renewed without use',
+        _MEMORY,
+        'crankchute/core/reservations.py',
+        'if self._is_late_start() and not self._is_used:',
+        'if self._ended:',
+    ),
+    Mutation(
+        'an attempt keeps memory that it does not use',
+        _MEMORY,
+        'crankchute/core/forward_attempt.py',
+        'if self._reservation is None or self.started:',
+        'if self._reservation is None or not self.started:',
+    ),
+    Mutation(
+        'late timers go before what arrived',
+        'crankchute/adapters/timers_test.py',
+        'crankchute/adapters/timers.py',
+        'if self._reads_first():',
+        'if self._reads_first() is None:',
+    ),
+    Mutation(
+        'a lost release of a hold is not sent again',
+        'crankchute/core/group_flow_test.py',
+        'crankchute/core/hold_release.py',
+        'if desk.now_ms() < until_ms:',
+        'if desk.now_ms() > until_ms:',
+    ),
     Mutation(
         'a gap in a stream is passed over',
         _COMPLETIONS,
--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -61,6 +61,10 @@
         """Return the ids of all servers, a set."""
         return set(self._backends)
 
+    def list_drained(self):
+        """Return the ids of all servers that are known to drain, a list."""
+        return list(self._drained_ms)
+
     def drained(self):
         """Return the ids that were noted as draining lately, a list.
 
--- a/crankchute/core/forward_fleet_test.py
+++ b/crankchute/core/forward_fleet_test.py
@@ -52,6 +52,10 @@
     world.fleet.put(make_listed('a'))
     assert world.members() == {'b'}
     assert world.fleet.drained() == ['a']
+    # The others are told for a while only; that it drains is for good.
+    world.timers.advance(20_000)
+    assert world.fleet.drained() == []
+    assert world.fleet.list_drained() == ['a']
 
 
 @pytest.mark.parametrize('may_lapse', [False, True])
--- a/crankchute/core/reservations_test.py
+++ b/crankchute/core/reservations_test.py
@@ -143,7 +143,7 @@
     assert not kept.is_held()
 
 
-@pytest.mark.parametrize('late_ms', [100, 1000, 5000])
+@pytest.mark.parametrize('late_ms', [100, 200, 1000, 5000])
 def test_renewal_that_arrives_after_the_release_keeps_nothing(late_ms):
     """An order may be overtaken, or be carried out seconds later."""
     kept = Kept()
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -31,7 +31,7 @@
             _dump_member(one) for one in node.peers.membership.all_members()
         ],
         'servers': [_dump_server(node, one) for one in node.fleet],
-        'servers_drained': node.fleet.drained(),
+        'servers_drained': node.fleet.list_drained(),
         'servers_gone': node.fleet.gone(),
         'requests_in_progress': node.desk.in_progress,
         'counters': _dump_counters(node.metrics.counts),
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -186,7 +186,7 @@
         pace = WatchPace(
             wait_ms=_WAIT_MS,
             is_needed=is_needed,
-            choose_pause_ms=lambda: _PAUSE_MS,
+            pause_ms=_PAUSE_MS,
             choose_retry_ms=self._choose_retry_ms,
         )
         return StoreWatch(self, prefix, listener, pace)
--- a/crankchute/platform/settings.py
+++ b/crankchute/platform/settings.py
@@ -60,26 +60,18 @@
     """The times and limits that the platform holds the system to.
 
     Attributes:
-      drain_ms: How long a leaving backend server still takes requests.
       grace_ms: How long a process may take to stop.
       revoke_ms: Within what time a revoked key must be refused everywhere.
-      address_ttl_ms: The longest time an address answer counts.
-      contact_ms: How long a cut must have ended for bounds to hold again.
       retry_ratio: Retries for each request, all instances together.
       retry_slack: Retries beyond that in any window.
       retry_window_ms: That window.
-      hold_ms: The longest time that an engine sets memory aside.
       unused_ms: How long memory may be set aside while no request uses it.
       is_revocation_strict: Whether a revoked key must be refused also where
         its revocation could not be heard of, a bool.
     """
 
     __slots__ = (
-        'address_ttl_ms',
-        'contact_ms',
-        'drain_ms',
         'grace_ms',
-        'hold_ms',
         'is_revocation_strict',
         'retry_ratio',
         'retry_slack',
@@ -104,8 +96,6 @@
     Attributes:
       instance: The id of this instance.
       data_centre: Where it runs.
-      region: The region of its data centre.
-      regions: A map from data centre to region.
       listeners: Listeners.
       seeds: Addresses of other instances for peers, pairs of IP and port.
       peer_ports: The first and last port for messages between instances.
@@ -122,8 +112,6 @@
         'listeners',
         'millicores',
         'peer_ports',
-        'region',
-        'regions',
         'seeds',
         'store',
     )
@@ -195,8 +183,6 @@
     settings = InstanceSettings(
         instance=reader.take('node-name', str),
         data_centre=reader.take('zone', str),
-        region=reader.take('region', str, ''),
-        regions=reader.take('zones', dict, {}),
         listeners=_read_listeners(reader),
         seeds=reader.take('seeds', _read_addresses, ()),
         peer_ports=reader.take('internal-port-range', _read_range),
@@ -256,15 +242,11 @@
 #: Attributes of Bounds: the wire's name, its reader, and what holds where a
 #: deployment does not tell it.
 _BOUNDS = (
-    ('drain_ms', 'drain-ms', float, 2000),
     ('grace_ms', 'grace-s', _read_seconds, 8000),
     ('revoke_ms', 'revoke-ms', float, 5000),
-    ('address_ttl_ms', 'ttl_max_s', _read_seconds, 5000),
-    ('contact_ms', 'contact-ms', float, 3000),
     ('retry_ratio', 'retry-budget-ratio', float, 0.1),
     ('retry_slack', 'retry-slack', float, 10),
     ('retry_window_ms', 'retry-window-s', _read_seconds, 10_000),
-    ('hold_ms', 'max-hold-ms', float, 0),
     ('unused_ms', 'idle_max_ms', float, 9000),
     ('is_revocation_strict', 'strict-revocation', _read_flag, True),
 )
--- a/crankchute/platform/settings_test.py
+++ b/crankchute/platform/settings_test.py
@@ -55,6 +55,15 @@
     assert place in {finding.place for finding in caught.value.findings}
 
 
+@pytest.mark.parametrize(
+    ('told', 'unused_ms'),
+    [({}, 9000), ({'idle_max_ms': 7000}, 7000)],
+)
+def test_bound_of_unused_memory_is_read(told, unused_ms):
+    settings = read_settings({**DOCUMENT, 'bounds': told})
+    assert settings.bounds.unused_ms == unused_ms
+
+
 @pytest.mark.parametrize('text', [None, 'node-name = '])
 def test_file_that_cannot_be_read_is_a_finding(tmp_path, text):
     path = tmp_path / 'settings.toml'
--- a/crankchute/platform/store.py
+++ b/crankchute/platform/store.py
@@ -77,13 +77,13 @@
       wait_ms: How long a watch waits for a change.
       is_needed: A function that tells whether this instance has to ask the
         store itself; a watch that is not needed rests.
-      choose_pause_ms: A function that returns how long to do without a watch
-        after a change, so that changes that come together are one call.
+      pause_ms: How long to do without a watch after a change, so that
+        changes that come together are one call.
       choose_retry_ms: A function that returns the longest pause between
         calls that fail.
     """
 
-    __slots__ = ('choose_pause_ms', 'choose_retry_ms', 'is_needed', 'wait_ms')
+    __slots__ = ('choose_retry_ms', 'is_needed', 'pause_ms', 'wait_ms')
 
     def __init__(self, **fields):
         """Create the pace.
@@ -201,7 +201,7 @@
 
         def take(page):
             self._at = max(self._at, page.at)
-            pause_ms = self._pace.choose_pause_ms() if page.entries else 0
+            pause_ms = self._pace.pause_ms if page.entries else 0
             self._listener.on_changes(page.entries, asked_ms)
             if pause_ms:
                 self._timers.after(pause_ms, self._go_on)
--- a/crankchute/platform/store_test.py
+++ b/crankchute/platform/store_test.py
@@ -39,16 +39,15 @@
         self.store = ('127.0.0.1', 1)
         self.calls = []
         self.told = []
-        self.pause_ms = 0
         self.retry_ms = 800
         self.is_needed = True
-        pace = WatchPace(
+        self.pace = WatchPace(
             wait_ms=1000,
             is_needed=lambda: self.is_needed,
-            choose_pause_ms=lambda: self.pause_ms,
+            pause_ms=0,
             choose_retry_ms=lambda: self.retry_ms,
         )
-        self.watch = StoreWatch(self, PREFIX, self, pace)
+        self.watch = StoreWatch(self, PREFIX, self, self.pace)
         self.watch.start()
 
     def send(self, address, payload, sink, options):
@@ -217,7 +216,7 @@
 def test_changes_that_come_together_are_one_call():
     """Only a change is followed by a pause; nothing in it is missed."""
     world = World()
-    world.pause_ms = 700
+    world.pace.pause_ms = 700
     world.list_all(at=5)
     events = [make_item('servers/b')]
     world.calls[-1].answer({'events': events, 'at': 7})
