--- a/crankchute/core/reservations.py
+++ b/crankchute/core/reservations.py
@@ -14,10 +14,9 @@
 _RENEW_MS = 1200
 #: How long memory may be set aside unused where a deployment does not tell.
 _MOST_UNUSED_MS = 9000
-#: What is kept free of that for orders that are late, in milliseconds.
-_LATE_ORDER_MS = 300
-#: The same for a release and two more of it.
-_RELEASE_MS = 1000
+#: What is kept free of that for orders that are on their way, in milliseconds:
+#: packets have waited for 1.4 s at the link of an instance.
+_WAY_MS = 1500
 
 
 class ReservationPort(abc.ABC):
@@ -192,10 +191,10 @@
           most_unused_ms: How long memory may be set aside while no request
             uses it, in milliseconds.
         """
-        self.unused_ms = most_unused_ms - _RELEASE_MS
+        self.unused_ms = most_unused_ms - _WAY_MS
         # What was renewed last lapses within the limit by itself, so that it
         # does not matter whether this instance lives to release it.
-        self.renewed_unused_ms = most_unused_ms - HOLD_MS - _LATE_ORDER_MS
+        self.renewed_unused_ms = self.unused_ms - HOLD_MS
 
     def new_ticket(self):
         """Return the id of a new ticket, never used before."""
