--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -139,12 +139,12 @@
         )
 
     def log_released(self, request_id, helper, tries):
-        """Log that an engine answered that memory is free.
+        """Log that memory must be free: released for sure, or lapsed.
 
         Args:
           request_id: The id of the request that the memory was for.
           helper: The Helper with its ticket.
-          tries: How often it was asked.
+          tries: How often its engine was asked.
         """
         log_change(
             'memory_released',
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -108,14 +108,13 @@
 
 
 class SlowOrders(ReservationPort):
-    """Engines' memory, behind a way on which orders are late or lost.
+    """Engines' memory, over a network on which orders are late or lost.
 
-    An order is answered when it arrives, unless it is on its way for longer
-    than orders are waited for: then it counts as unanswered, and arrives all
-    the same.
+    An order is answered when it arrives, unless it takes longer than it is
+    waited for: then it counts as unanswered, and arrives all the same.
 
     Attributes:
-      delay_ms: How long orders are on their way, or None if they are lost.
+      delay_ms: How long orders take to arrive, or None if they are lost.
       held_until_ms: A map from ticket to when its memory frees itself.
     """
 
--- a/crankchute/core/lease_machine_test.py
+++ b/crankchute/core/lease_machine_test.py
@@ -1,4 +1,4 @@
-"""A state machine of memory at engines, behind a way that changes.
+"""A state machine of memory at engines, over a network that changes.
 
 Orders arrive at once, late, seconds later or never; requests begin to use
 their memory or do not, and end at any moment.
@@ -24,15 +24,15 @@
 
 #: How long memory may be set aside unused, in milliseconds.
 _MOST_UNUSED_MS = 9000
-#: Within what time memory is free over a way that is good: the pause between
-#: releases that look for orders carried out late, and their way.
+#: Within what time memory is free over a network that is good: the pause between
+#: releases that look for orders carried out late, and their delay.
 _FREE_MS = 2000
 _GOOD_MS = 1
 _STEP_MS = 100
 _HELPERS = 2
 #: How long orders take over a link that is full.
 _FULL_MS = 1400
-_WAYS = st.sampled_from([_GOOD_MS, _GOOD_MS, 100, 240, _FULL_MS, 6000, None])
+_DELAYS = st.sampled_from([_GOOD_MS, _GOOD_MS, 100, 240, _FULL_MS, 6000, None])
 
 
 class User:
@@ -50,7 +50,7 @@
 
 
 class LeaseMachine(RuleBasedStateMachine):
-    """Requests, their memory at two engines each, and the way there."""
+    """Requests, their memory at two engines each, and the network."""
 
     def __init__(self):
         super().__init__()
@@ -70,10 +70,10 @@
         self.bad_until_ms = 0
         self.lost_until_ms = 0
 
-    @rule(delay_ms=_WAYS)
-    def change_way(self, delay_ms):
+    @rule(delay_ms=_DELAYS)
+    def change_delay(self, delay_ms):
         """Let the next orders take longer, or be lost."""
-        self._note_way()
+        self._note_delay()
         self.orders.delay_ms = delay_ms
 
     @rule()
@@ -106,12 +106,12 @@
         """Let time pass, and look at all memory meanwhile."""
         for _ in range(steps):
             self.timers.advance(_STEP_MS)
-            self._note_way()
+            self._note_delay()
             for user in self.users:
                 self._check(user)
 
-    def _note_way(self):
-        """Note until when orders of a way that is not good may arrive."""
+    def _note_delay(self):
+        """Note until when orders that are late by now may arrive."""
         delay_ms = self.orders.delay_ms
         until_ms = self._now_ms() + (delay_ms or 0)
         if delay_ms != _GOOD_MS:
@@ -125,7 +125,7 @@
         held = [one for one in user.tickets if self.orders.is_held(one)]
         for ticket in user.tickets:
             self._check_unused(user, ticket, is_held=ticket in held)
-        if user.ended_ms is not None and self._is_way_good(user.ended_ms):
+        if user.ended_ms is not None and self._is_network_good(user.ended_ms):
             assert not held
         if user.is_used and user.ended_ms is None and not self.bad_until_ms:
             assert len(held) == _HELPERS
@@ -150,7 +150,7 @@
         is_over = self._now_ms() >= user.reservation.unused_until_ms
         return is_over and not user.is_used
 
-    def _is_way_good(self, ended_ms):
+    def _is_network_good(self, ended_ms):
         """Tell whether every order before the last releases has arrived."""
         if self.orders.delay_ms != _GOOD_MS:
             return False
--- a/crankchute/core/reservations.py
+++ b/crankchute/core/reservations.py
@@ -14,9 +14,9 @@
 _RENEW_MS = 1200
 #: How long memory may be set aside unused where a deployment does not tell.
 _MOST_UNUSED_MS = 9000
-#: What is kept free of that for orders that are on their way, in milliseconds:
+#: What is kept free of that for orders that are under way, in milliseconds:
 #: packets have waited for 1.4 s at the link of an instance.
-_WAY_MS = 1500
+_PATH_MS = 1500
 
 
 class ReservationPort(abc.ABC):
@@ -191,7 +191,7 @@
           most_unused_ms: How long memory may be set aside while no request
             uses it, in milliseconds.
         """
-        self.unused_ms = most_unused_ms - _WAY_MS
+        self.unused_ms = most_unused_ms - _PATH_MS
         # What was renewed last lapses within the limit by itself, so that it
         # does not matter whether this instance lives to release it.
         self.renewed_unused_ms = self.unused_ms - HOLD_MS
--- a/crankchute/core/reservations_test.py
+++ b/crankchute/core/reservations_test.py
@@ -106,7 +106,7 @@
 
 
 class Kept:
-    """Memory at one engine, used by a run, behind a slow way."""
+    """Memory at one engine, used by a run, over a slow network."""
 
     def __init__(self):
         self.timers = ManualTimers()
@@ -182,11 +182,11 @@
     assert kept.is_held() == is_held
 
 
-@pytest.mark.parametrize('way_ms', [1, 1400])
-def test_unused_memory_is_free_in_time_over_a_full_link(way_ms):
+@pytest.mark.parametrize('delay_ms', [1, 1400])
+def test_unused_memory_is_free_in_time_over_a_full_link(delay_ms):
     """The last renewal and the release are as late as all other packets."""
     kept = Kept()
-    kept.orders.delay_ms = way_ms
+    kept.orders.delay_ms = delay_ms
     kept.timers.advance(kept.reservation.unused_until_ms)
     kept.reservation.release()
     kept.timers.advance(MOST_UNUSED_MS - kept.reservation.unused_until_ms)
