Take a server that starts again under its id for another one, and foreign entries for none

Cause: the id of a server was taken for its incarnation, so a server that was started again under its id inherited what was known of the earlier start: that it drained (for two minutes) or was gone, suspicion, an open breaker, work and memory on the board, resting connections.

Ruled out: a table of starts beside the ids (every part that goes by id would have to ask it); a special case for each part. Now the identity of a server is its id and its start, so every part that goes by identity forgets by itself; the later start counts, whoever tells it first (store, another instance, its own report), and an older word changes nothing. Attempts at the earlier start end at once, since their connections may stay silent until they are probed, after 2.5 s. The id alone goes to the server as the target.

What is refused is logged once for each revision and passed on as gone, so that nobody carries it. Servers that do not tell a start are taken as before.

--- a/crankchute/adapters/http_client.py
+++ b/crankchute/adapters/http_client.py
@@ -279,6 +279,15 @@
         """
         return self._idle.rests_at(address)
 
+    def close_idle(self, address):
+        """Close all connections to an address that rest.
+
+        Args:
+          address: A pair of IP number and port.
+        """
+        for sock in self._idle.list_at(address):
+            self.discard(sock)
+
     def attach(self, call):
         """Route the bytes of a call's connection to it."""
         self._calls[call.sock] = call
--- a/crankchute/adapters/idle_connections.py
+++ b/crankchute/adapters/idle_connections.py
@@ -78,6 +78,10 @@
         """Tell whether any connection to an address is kept."""
         return bool(self._by_address.get(address))
 
+    def list_at(self, address):
+        """Return the sockets to an address that are kept, a list."""
+        return list(self._by_address.get(address, ()))
+
     def take(self, address, idle_ms=None):
         """Take out a connection that may be used.
 
--- a/crankchute/core/engine_board.py
+++ b/crankchute/core/engine_board.py
@@ -327,6 +327,14 @@
         """Note that work ended."""
         self.state(engine).end(key, self._now_ms())
 
+    def forget(self, engine):
+        """Forget all work at an engine that is no more.
+
+        Args:
+          engine: The engine's id.
+        """
+        self._states.pop(engine, None)
+
     def works_of(self, origin):
         """Return the Works that an instance sent, a list.
 
--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -21,14 +21,24 @@
 
 
 class Listed:
-    """One instance as the platform lists it."""
+    """One instance as the platform lists it.
+
+    Attributes:
+      listed_id: The id under which it is listed and to which it answers.  It
+        may start again under the same id, and then knows nothing of before.
+      born: When it started, a Unix millisecond, or None if it does not tell.
+      identity: What tells this start of it from all others; everything that
+        is known or believed of it is kept by this.
+    """
 
     __slots__ = (
         'address',
+        'born',
         'data_centre',
         'identity',
         'kind',
         'labels',
+        'listed_id',
         'state',
     )
 
@@ -37,15 +47,58 @@
 
         Args:
           document: A map with `id`, `kind`, `address` ("IP:port"),
-            `data_centre`, `labels` and `state`.
+            `data_centre`, `labels` and `state`; `born` where it tells.
         """
-        self.identity = document['id']
+        self.listed_id = document['id']
+        self.born = document.get('born')
+        self.identity = name_start(self.listed_id, self.born)
         self.kind = document['kind']
         self.address = parse_address(document['address'])
         self.data_centre = document['data_centre']
         self.labels = document.get('labels', {})
         self.state = document.get('state', LIVE)
 
+    def restarted(self, born):
+        """Return the record of a later start of the same instance.
+
+        Args:
+          born: When that was, a Unix millisecond.
+        """
+        host, port = self.address
+        return Listed(
+            {
+                'id': self.listed_id,
+                'kind': self.kind,
+                'address': f'{host}:{port}',
+                'data_centre': self.data_centre,
+                'labels': self.labels,
+                'state': self.state,
+                'born': born,
+            }
+        )
+
+    def is_older(self, other):
+        """Tell whether this is an earlier start of the same instance.
+
+        Args:
+          other: A Listed with the same listed id.
+        """
+        if self.born is None or other.born is None:
+            return False
+        return self.born < other.born
+
+
+def name_start(listed_id, born):
+    """Return what one start of an instance is known by.
+
+    Args:
+      listed_id: The id under which the instance is listed.
+      born: When it started, a Unix millisecond, or None if it does not tell.
+    Returns:
+      A string.
+    """
+    return listed_id if born is None else f'{listed_id}@{born}'
+
 
 def parse_address(text):
     """Read an address.
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -95,6 +95,29 @@
         self._call.cancel()
         return self._call.sent
 
+    def end_lost(self, backend):
+        """End the attempt since a server that it needs started again.
+
+        Its connection may stay silent until it is probed, after 2.5 s.
+
+        Args:
+          backend: The Backend that is over.
+        """
+        if not self._close():
+            return
+        if self._call is None:
+            parts = (self.placement, *self.placement.helpers)
+            lost = [one for one in parts if one.backend is backend]
+            self._flow.on_attempt_unreserved(self, lost)
+            return
+        self.backend.breaker.note_abandoned()
+        self._call.cancel()
+        text = f'{backend.identity} started again'
+        self._flow.on_attempt_failed(
+            self,
+            BackendError(text, sent=self._call.sent),
+        )
+
     def on_head(self, head):
         """See AttemptListener."""
         if self._is_over:
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -74,6 +74,17 @@
         for budget in self._budgets.values():
             budget.note_instances(known)
 
+    def note_restarted(self, backend):
+        """Note that a server started again, and runs nothing of before.
+
+        Args:
+          backend: The Backend of the start that is over.
+        """
+        for flow in tuple(self._flows):
+            attempt = flow.attempt
+            if attempt is not None and attempt.placement.uses(backend):
+                attempt.end_lost(backend)
+
     def change_limits(self, limits):
         """Take other retry limits; what was used stays used.
 
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -58,11 +58,13 @@
 
     Attributes:
       calls: The FakeCalls, a list.
+      forgotten: The ids of servers whose connections were closed, a list.
     """
 
     def __init__(self):
         """Create without calls."""
         self.calls = []
+        self.forgotten = []
 
     def send(self, job, placement, attempt, listener):
         """See ForwardPort."""
@@ -70,6 +72,10 @@
         self.calls.append(call)
         return call
 
+    def forget(self, backend):
+        """See ForwardPort."""
+        self.forgotten.append(backend.identity)
+
 
 class FakeReservations(ReservationPort):
     """Keeps orders until a test answers them.
--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -5,6 +5,10 @@
 its entry is back: entries lapse while the store is away, and the servers
 behind them mostly live.  Around trouble with the store, such entries are kept
 for a while.
+
+A server may start again under its id.  Then it holds and knows nothing of
+before, so everything here goes by its start (Listed.identity), and the later
+of two starts is the one that counts, in whatever order they are heard of.
 """
 
 from crankchute.core.fleet import LEAVING, Backend
@@ -37,6 +41,8 @@
         """
         self._timers = timers
         self._pool_label = pool_label
+        self._on_restarted = []
+        self._newest = {}
         self._backends = {}
         self._drained_ms = {}
         self._gone_ms = {}
@@ -54,12 +60,16 @@
         return iter(self._backends.values())
 
     def get(self, identity):
-        """Return the Backend with an id, or None."""
+        """Return the Backend of one start of a server, or None."""
         return self._backends.get(identity)
 
-    def identities(self):
-        """Return the ids of all servers, a set."""
-        return set(self._backends)
+    def subscribe_restarted(self, callback):
+        """Be told of servers that started again.
+
+        Args:
+          callback: A function of the Backend of the start that is over.
+        """
+        self._on_restarted.append(callback)
 
     def list_drained(self):
         """Return the ids of all servers that are known to drain, a list."""
@@ -121,41 +131,61 @@
         return backend.listed.labels[self._pool_label]
 
     def put(self, listed):
-        """Take the entry of a server.
+        """Take the entry of a server; one of an earlier start changes nothing.
 
         Args:
           listed: A Listed.
         """
-        self._lapsing.pop(listed.identity, None)
-        self._gone_ms.pop(listed.identity, None)
-        self._listed_ms[listed.identity] = self._now_ms()
-        backend = self._backends.get(listed.identity)
-        if backend is None or backend.listed.address != listed.address:
-            backend = Backend(listed)
-            self._backends[listed.identity] = backend
-        backend.listed = listed
-        self._pools = {}
-        if listed.state == LEAVING:
-            self.note_drained(listed.identity)
+        newest = self._newest.get(listed.listed_id, listed)
+        if newest.born is not None and listed.born is None:
+            # Servers that tell their start always do: this is not theirs.
+            self.remove(listed.listed_id, may_lapse=False)
+        elif not listed.is_older(newest):
+            self._put_newest(listed)
+            if newest.identity != listed.identity:
+                self._end_start(newest.identity)
+
+    def find_reporting(self, backend, born):
+        """Return the Backend that a server's own word is about, or None.
 
-    def remove(self, identity, *, may_lapse):
+        A server may say of itself that it started again before its entry does.
+
+        Args:
+          backend: The Backend that was asked.
+          born: When it says that it started, or None if it does not tell.
+        """
+        asked = backend.listed
+        if born is None or asked.born in {None, born}:
+            return backend
+        said = asked.restarted(born)
+        if said.is_older(asked) or asked.state == LEAVING:
+            return None
+        self.put(said)
+        return self._backends.get(said.identity)
+
+    def remove(self, listed_id, *, may_lapse):
         """Take the end of a server's entry.
 
         Args:
-          identity: The server's id.
+          listed_id: The id under which the server was listed.
           may_lapse: Whether the entry may have ended only because the store
             was away.
+        Returns:
+          True if there was such a server.
         """
-        if identity not in self._backends:
-            return
+        newest = self._newest.get(listed_id)
+        if newest is None or newest.identity not in self._backends:
+            return False
+        identity = newest.identity
         if may_lapse and identity not in self._drained_ms:
             if identity not in self._lapsing:
                 self._lapsing[identity] = self._timers.after(
                     _LAPSE_MS,
-                    lambda: self._end_lapse(identity),
+                    lambda: self._drop(identity),
                 )
-            return
-        self._drop(identity)
+        else:
+            self._drop(identity)
+        return True
 
     def replace(self, listed, *, may_lapse):
         """Take all entries at once.
@@ -164,12 +194,12 @@
           listed: A list of Listed.
           may_lapse: See remove().
         """
-        present = {record.identity for record in listed}
+        present = {record.listed_id for record in listed}
         for record in listed:
             self.put(record)
-        for identity in tuple(self._backends):
-            if identity not in present:
-                self.remove(identity, may_lapse=may_lapse)
+        for backend in tuple(self._backends.values()):
+            if backend.listed.listed_id not in present:
+                self.remove(backend.listed.listed_id, may_lapse=may_lapse)
 
     def note_drained(self, identity):
         """Note that a server drains; it gets no new request any more.
@@ -203,11 +233,35 @@
         gone_ms = self._gone_ms.get(identity)
         return gone_ms is None or self._now_ms() - gone_ms > _GONE_MS
 
-    def _end_lapse(self, identity):
-        if self._lapsing.pop(identity, None) is not None:
+    def _put_newest(self, listed):
+        self._cancel_lapse(listed.identity)
+        self._gone_ms.pop(listed.identity, None)
+        self._listed_ms[listed.identity] = self._now_ms()
+        backend = self._backends.get(listed.identity)
+        if backend is None or backend.listed.address != listed.address:
+            backend = Backend(listed)
+            self._backends[listed.identity] = backend
+        backend.listed = listed
+        self._newest[listed.listed_id] = listed
+        self._pools = {}
+        if listed.state == LEAVING:
+            self.note_drained(listed.identity)
+
+    def _end_start(self, identity):
+        """Forget a server's earlier start, and tell that it is over."""
+        backend = self._backends.get(identity)
+        if backend is not None:
             self._drop(identity)
+            for callback in self._on_restarted:
+                callback(backend)
+
+    def _cancel_lapse(self, identity):
+        timer = self._lapsing.pop(identity, None)
+        if timer is not None:
+            timer.cancel()
 
     def _drop(self, identity):
+        self._cancel_lapse(identity)
         self._backends.pop(identity, None)
         self._listed_ms.pop(identity, None)
         self._gone_ms[identity] = self._now_ms()
@@ -220,3 +274,9 @@
             for identity, since_ms in tuple(times.items()):
                 if since_ms < oldest_ms and identity not in self._backends:
                     times.pop(identity)
+        self._newest = {
+            listed_id: listed
+            for listed_id, listed in self._newest.items()
+            if listed.identity in self._backends
+            or listed.identity in self._gone_ms
+        }
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -18,6 +18,7 @@
 
     Attributes:
       job: The ForwardJob.
+      attempt: The Attempt in progress, or None.
       attempts: How many times the request was sent, an int.
       delivered: The id of the last event that the caller has, or None.
       passed: How many events were passed on, an int.
@@ -27,7 +28,6 @@
     unfinished_hint_ms = None
 
     __slots__ = (
-        '_attempt',
         '_avoided',
         '_cause',
         '_desk',
@@ -36,6 +36,7 @@
         '_sink',
         '_streaming',
         '_timer',
+        'attempt',
         'attempts',
         'delivered',
         'ended',
@@ -53,7 +54,7 @@
         """
         self._desk = desk
         self._sink = sink
-        self._attempt = None
+        self.attempt = None
         self._avoided = set()
         self._cause = None
         self._last_answer = None
@@ -116,13 +117,13 @@
 
     def on_attempt_unreserved(self, attempt, refused):
         """Choose anew when engines set no memory aside."""
-        self._attempt = None
+        self.attempt = None
         self._avoided.update(one.backend.identity for one in refused)
         self._try_next('no_memory')
 
     def on_attempt_end(self, attempt, head, body):
         """End with the server's answer, or try again after its failure."""
-        self._attempt = None
+        self.attempt = None
         self._desk.note_attempt_end(self, attempt, str(head.status))
         if self.job.is_stream and head.is_success:
             if not self._expire_if_late():
@@ -143,7 +144,7 @@
 
     def on_attempt_not_run(self, attempt, rejection):
         """Try elsewhere after a server that did not start."""
-        self._attempt = None
+        self.attempt = None
         self._desk.note_attempt_end(self, attempt, rejection.code)
         self._desk.note_rejection(self, attempt, rejection)
         faulty = attempt.placement.find_faulty(rejection.at_server)
@@ -166,7 +167,7 @@
             self._give_up('backend_failed', str(exc))
 
     def _note_failed(self, attempt, exc):
-        self._attempt = None
+        self.attempt = None
         self._desk.note_attempt_end(self, attempt, str(exc))
         self._avoided.add(attempt.backend.identity)
         self._maybe_ran = self._maybe_ran or exc.sent
@@ -179,8 +180,8 @@
             self._give_up(choice.code, choice.text, choice.retry_after_ms)
             return
         self._cause = cause
-        self._attempt = Attempt(self, self._desk, choice)
-        self._attempt.start()
+        self.attempt = Attempt(self, self._desk, choice)
+        self.attempt.start()
 
     def _finish_stream(self, head):
         if not self._streaming:
@@ -215,8 +216,8 @@
 
     def _cancel_attempt(self):
         """Give up the attempt, and tell whether it had been sent."""
-        attempt = self._attempt
-        self._attempt = None
+        attempt = self.attempt
+        self.attempt = None
         if attempt is None or not attempt.cancel():
             return False
         self._desk.note_attempt_end(self, attempt, 'cancelled')
--- a/crankchute/core/forward_flow_test.py
+++ b/crankchute/core/forward_flow_test.py
@@ -248,3 +248,45 @@
     world.port.calls[0].listener.on_not_run(rejection)
     again = world.port.calls[1].placement.backend
     assert again.identity == next_server
+
+
+@pytest.mark.parametrize(
+    ('repeat', 'sent', 'calls', 'seen'),
+    [
+        (AGAIN, True, 2, []),
+        (ONCE, False, 2, []),
+        (ONCE, True, 1, [UNKNOWN]),
+    ],
+)
+def test_attempt_ends_when_its_server_started_again(repeat, sent, calls, seen):
+    """Its connection may stay silent; the request goes on elsewhere at once."""
+    world = ForwardWorld()
+    _flow, sink = world.submit(repeat=repeat)
+    call = world.port.calls[0]
+    call.sent = sent
+    world.desk.note_restarted(call.placement.backend)
+    assert call.cancelled
+    assert len(world.port.calls) == calls
+    assert sink.seen == seen
+
+
+def test_helper_that_started_again_ends_the_attempt():
+    world = ForwardWorld()
+    world.chooser.helpers = (Helper(world.backends[2]),)
+    world.submit(repeat=RESUME, is_stream=True)
+    first = world.port.calls[0].placement
+    world.desk.note_restarted(first.helpers[0].backend)
+    assert len(world.port.calls) == 2
+    assert not first.backend.suspicion.chance(0)
+
+
+def test_other_servers_that_start_again_change_nothing():
+    world = ForwardWorld()
+    _flow, sink = world.submit(repeat=AGAIN)
+    other = next(
+        one
+        for one in world.backends
+        if one is not world.port.calls[0].placement.backend
+    )
+    world.desk.note_restarted(other)
+    assert (len(world.port.calls), sink.seen) == (1, [])
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -246,10 +246,21 @@
         """
         for helper in self.helpers:
             host, port = helper.backend.listed.address
-            if at_server in {helper.backend.identity, f'{host}:{port}'}:
+            listed_id = helper.backend.listed.listed_id
+            if at_server in {listed_id, f'{host}:{port}'}:
                 return helper.backend
         return self.backend
 
+    def uses(self, backend):
+        """Tell whether the attempt needs a server, as a helper or otherwise.
+
+        Args:
+          backend: A Backend.
+        """
+        if backend is self.backend:
+            return True
+        return any(backend is one.backend for one in self.helpers)
+
     @property
     def tickets(self):
         """The helpers at which memory is set aside, a list of Helper."""
--- a/crankchute/core/group_flow.py
+++ b/crankchute/core/group_flow.py
@@ -105,7 +105,7 @@
 
     def on_attempt_not_run(self, attempt, rejection):
         """Replace what the last engine could not import, or start over."""
-        self._attempt = None
+        self.attempt = None
         self._desk.note_attempt_end(self, attempt, rejection.code)
         self._desk.metrics.count('engine_refusals', rejection.code)
         lost = [member for member in self._members if self._is_lost(member)]
--- a/crankchute/core/seen_load.py
+++ b/crankchute/core/seen_load.py
@@ -13,18 +13,21 @@
     Attributes:
       requests: How many requests it had, running or waiting, an int.
       age_ms: How long ago that was, in milliseconds.
+      born: When it says that it started, a Unix millisecond, or None.
     """
 
-    __slots__ = ('age_ms', 'requests')
+    __slots__ = ('age_ms', 'born', 'requests')
 
-    def __init__(self, requests):
+    def __init__(self, requests, born=None):
         """Create the record of what a server has now.
 
         Args:
           requests: An int.
+          born: See the class.
         """
         self.requests = requests
         self.age_ms = 0
+        self.born = born
 
 
 #: What a server told this long ago is no longer compared with what it tells.
--- a/crankchute/core/single_flow.py
+++ b/crankchute/core/single_flow.py
@@ -194,7 +194,7 @@
 
     def on_attempt_not_run(self, attempt, rejection):
         """Wait and try again after an engine that did not start."""
-        self._attempt = None
+        self.attempt = None
         self._desk.note_attempt_end(self, attempt, rejection.code)
         self._desk.note_rejection(self, attempt, rejection)
         self._desk.requeue(self)
@@ -208,8 +208,8 @@
             self._give_up(_FAILED, str(exc))
 
     def _launch(self, placement):
-        self._attempt = Attempt(self, self._desk, placement)
-        self._attempt.start()
+        self.attempt = Attempt(self, self._desk, placement)
+        self.attempt.start()
 
     def _try_next(self, cause):
         """Wait for a turn; the queue calls run()."""
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -168,6 +168,8 @@
             self.random,
             self._note_report,
         )
+        self._forget_connections = wiring.port.forget
+        self.fleet.subscribe_restarted(self._on_restarted)
         self.peers = ForwardPeers(loop, self, wiring)
         self.holder.subscribe(self._on_config)
         self._add_gauges()
@@ -287,9 +289,19 @@
         return self.fleet.members_of(self.fleet.pool_of(backend))
 
     def _note_report(self, backend, load):
-        chooser = self._chooser_of(self.fleet.pool_of(backend))
+        reporting = self.fleet.find_reporting(backend, load.born)
+        if reporting is None:
+            return
+        chooser = self._chooser_of(self.fleet.pool_of(reporting))
         if chooser is not None:
-            chooser.note_report(backend, load)
+            chooser.note_report(reporting, load)
+
+    def _on_restarted(self, backend):
+        """Drop what goes by the earlier start of a server."""
+        log_change('server_restarted', server=backend.identity)
+        self.desk.note_restarted(backend)
+        self.board.forget(backend.identity)
+        self._forget_connections(backend)
 
     def _on_config(self, config):
         self._choosers = {
--- a/crankchute/entry/forward_node_test.py
+++ b/crankchute/entry/forward_node_test.py
@@ -3,8 +3,8 @@
 import pytest
 
 from bench.ports import LOOPBACK, pick_ports
-from crankchute.core.engine_fakes import FakeReports
 from crankchute.adapters.loop import Loop
+from crankchute.core.engine_fakes import FakeReports
 from crankchute.core.fleet import Listed
 from crankchute.core.forward_config import ForwardConfig, PoolConfig
 from crankchute.core.forward_fakes import (
@@ -15,6 +15,7 @@
     make_figures,
     make_job,
 )
+from crankchute.core.seen_load import SeenLoad
 from crankchute.core.sliding_budget import RetryLimits
 from crankchute.entry.forward_node import (
     ForwardLimits,
@@ -85,7 +86,8 @@
         listener.on_head(AnswerHead(200))
         listener.on_end()
 
-    def _publish(self, figures):
+    def list_server(self, born):
+        """Take the entry of the server, as it started at some time."""
         self.node.fleet.put(
             Listed(
                 {
@@ -94,9 +96,13 @@
                     'address': f'{LOOPBACK}:1',
                     'data_centre': 'here',
                     'labels': {'pool': POOL},
+                    'born': born,
                 }
             )
         )
+
+    def _publish(self, figures):
+        self.list_server(100)
         config = ForwardConfig(1, [], [PoolConfig(POOL, 8, figures)])
         self.node.holder.offer(config, b'')
         self.node.note_listed()
@@ -125,4 +131,32 @@
     assert not world.reports.asked
     world.submit()
     world.submit()
-    assert world.reports.asked == ['s1']
+    assert world.reports.asked == ['s1@100']
+
+
+def test_restart_of_a_server_ends_all_that_went_by_its_earlier_start():
+    world = World(make_figures())
+    sink = world.submit()
+    state = world.node.board.state('s1@100')
+    assert state.works
+    world.list_server(200)
+    first, again = world.port.calls
+    assert first.cancelled
+    assert again.placement.backend.identity == 's1@200'
+    assert world.port.forgotten == ['s1@100']
+    assert not world.node.board.state('s1@100').works
+    assert len(world.node.board.state('s1@200').works) == 1
+    world.port.calls.pop(0)
+    world.answer()
+    assert sink.seen == [('answer', 200)]
+    assert not world.node.board.state('s1@200').works
+
+
+def test_report_may_tell_first_that_an_engine_started_again():
+    world = World(make_figures())
+    load = SeenLoad(3, born=200)
+    world.reports.loads['s1@100'] = load
+    world.submit()
+    assert world.node.fleet.get('s1@100') is None
+    state = world.node.board.state('s1@200')
+    assert state.count_requests(world.node.now_ms(), 1000) >= 2
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -162,12 +162,16 @@
         """See ForwardPort."""
         return self._client.rests_at(backend.listed.address)
 
+    def forget(self, backend):
+        """See ForwardPort."""
+        self._client.close_idle(backend.listed.address)
+
 
 def _write_own_headers(job, placement, attempt):
     remaining_ms = max(int(attempt.remaining_ms), 1)
     headers = [
         (DEADLINE_MS, str(remaining_ms)),
-        (TARGET_INCARNATION, placement.backend.identity),
+        (TARGET_INCARNATION, placement.backend.listed.listed_id),
     ]
     if job.account is not None:
         headers.append((ACCOUNT, job.account))
--- a/crankchute/platform/documents.py
+++ b/crankchute/platform/documents.py
@@ -1,9 +1,8 @@
-"""The documents of the platform's store, decoded into the core's types."""
+"""The operator's configuration in the platform's store, decoded."""
 
 import orjson
 
 from crankchute.core.engine_model import EngineFigures
-from crankchute.core.fleet import LEAVING, LIVE, Listed
 from crankchute.core.forward_config import (
     ForwardConfig,
     IntakeConfig,
@@ -17,7 +16,6 @@
 _PLACE = 'op/config'
 _DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 _STREAMING = 'streaming'
-_DRAINING = 'draining'
 _MS_PER_SECOND = 1000
 _LOWEST_PRIORITY = 9
 _DEFAULT_CONNECTIONS = 64
@@ -25,9 +23,6 @@
 #: Tokens of a usual prompt and its answer where a pool does not publish them.
 _USUAL_PROMPT = 9000
 _USUAL_ANSWER = 1200
-#: The label of a backend server that names its pool.
-POOL_LABEL = 'pool'
-BACKEND_KIND = 'backend'
 
 
 def read_config(payload, stall_ms=_DEFAULT_STALL_MS):
@@ -49,35 +44,6 @@
         raise ConfigError([finding]) from exc
 
 
-def read_server(identity, payload):
-    """Return a backend server's entry.
-
-    Args:
-      identity: The id of its incarnation, the last part of the entry's key.
-      payload: The bytes of the entry.
-    Returns:
-      A Listed.
-    Raises:
-      ConfigError: If it cannot be read.
-    """
-    try:
-        document = orjson.loads(payload)
-        state = LEAVING if document.get('state') == _DRAINING else LIVE
-        return Listed(
-            {
-                'id': identity,
-                'kind': BACKEND_KIND,
-                'address': document['address'],
-                'data_centre': document.get('zone', ''),
-                'labels': {POOL_LABEL: document['service']},
-                'state': state,
-            }
-        )
-    except _DECODE_ERRORS as exc:
-        finding = Finding(identity, f'{type(exc).__name__}: {exc}')
-        raise ConfigError([finding]) from exc
-
-
 def _read_document(document, stall_ms):
     routes = [_read_route(one) for one in document.get('routes', ())]
     pools = [_read_pool(one, stall_ms) for one in document.get('services', ())]
--- a/crankchute/platform/documents_test.py
+++ b/crankchute/platform/documents_test.py
@@ -5,10 +5,9 @@
 import orjson
 import pytest
 
-from crankchute.core.fleet import LEAVING, LIVE
 from crankchute.core.forward_job import Repeat
 from crankchute.errors import ConfigError
-from crankchute.platform.documents import read_config, read_server
+from crankchute.platform.documents import read_config
 
 ROUTE = MappingProxyType(
     {
@@ -119,22 +118,3 @@
     with pytest.raises(ConfigError) as caught:
         read_config(payload)
     assert caught.value.findings[0].place == 'op/config'
-
-
-@pytest.mark.parametrize(
-    ('state', 'expected'),
-    [('ready', LIVE), ('draining', LEAVING), (None, LIVE)],
-)
-def test_server(state, expected):
-    document = {'service': 'llm', 'address': '10.0.0.1:80', 'zone': 'z'}
-    listed = read_server('i-1', orjson.dumps({**document, 'state': state}))
-    assert listed.identity == 'i-1'
-    assert listed.address == ('10.0.0.1', 80)
-    assert listed.state == expected
-
-
-@pytest.mark.parametrize('payload', [b'', b'{}', b'{"service": "x"}', b'7'])
-def test_bad_server_is_a_finding(payload):
-    with pytest.raises(ConfigError) as caught:
-        read_server('i-1', payload)
-    assert caught.value.findings[0].place == 'i-1'
--- a/crankchute/platform/engine_reports.py
+++ b/crankchute/platform/engine_reports.py
@@ -47,13 +47,26 @@
       body: The bytes of the answer.
     """
     try:
-        document = orjson.loads(body)
-        return SeenLoad(document['running'] + document['waiting'])
+        return _read_load(orjson.loads(body))
     except (KeyError, TypeError, ValueError) as exc:
         log_change('report_refused', reason=f'{type(exc).__name__}: {exc}')
         return None
 
 
+def _read_load(document):
+    requests = _read_count(document, 'running')
+    requests += _read_count(document, 'waiting')
+    born = _read_count(document, 'born') if 'born' in document else None
+    return SeenLoad(requests, born)
+
+
+def _read_count(document, name):
+    found = document[name]
+    if type(found) is not int or found < 0:  # noqa: WPS516  (no bool)
+        raise TypeError(f'{name} is no whole number')
+    return found
+
+
 def read_told_load(text):
     """Return the SeenLoad that an answer's header tells, or None.
 
--- a/crankchute/platform/engine_reports_test.py
+++ b/crankchute/platform/engine_reports_test.py
@@ -32,6 +32,11 @@
         (b'{"running":12,"waiting":1,"kv-used":41000}', 13),
         (b'{"running":1,"waiting":0}', 1),
         (b'{"running":1}', None),
+        (b'{"running":"1","waiting":"2"}', None),
+        (b'{"running":true,"waiting":0}', None),
+        (b'{"running":1,"waiting":0,"born":1788242912000}', 1),
+        (b'{"running":1,"waiting":0,"born":"1788242912000"}', None),
+        (b'{"running":1,"waiting":0,"born":null}', None),
         (b'{}', None),
         (b'[]', None),
         (b'no json', None),
@@ -39,3 +44,14 @@
 )
 def test_report_of_an_engine(body, requests):
     assert count_requests(read_report(body)) == requests
+
+
+@pytest.mark.parametrize(
+    ('body', 'born'),
+    [
+        (b'{"running":1,"waiting":0,"born":1788242912000}', 1788242912000),
+        (b'{"running":1,"waiting":0}', None),
+    ],
+)
+def test_report_tells_when_the_engine_started(body, born):
+    assert read_report(body).born == born
--- a/crankchute/platform/forwarding_test.py
+++ b/crankchute/platform/forwarding_test.py
@@ -37,6 +37,8 @@
 HUGE = PromptSize(30_000, 100)
 _MEMORY = 10_000
 _TICK_S = 0.001
+#: How long a request may be on its way to an engine before that starts again.
+_RESTART_MS = 50
 #: Far beyond what releases and their repetition take.
 _GIVE_UP_MS = 20_000
 WHOLE = (
@@ -140,6 +142,7 @@
                 'address': engine.address,
                 'data_centre': 'one',
                 'labels': {'pool': POOL},
+                'born': engine.born,
             }
         )
     )
@@ -195,6 +198,39 @@
     assert not world.engines[1].runs
 
 
+def test_engine_that_started_again_under_its_id_begins_anew():
+    """A stream that hung there goes on elsewhere, and new ones run there."""
+    world = World(engines=2)
+    engine, before = world.engines[1], world.backends[1]
+    engine.next_behaviours.append(Behaviour.SILENT)
+    engine.restart()
+
+    def tell_restart():
+        world.backends[1] = _list_engine(engine)
+        world.desk.note_restarted(before)
+
+    world.loop.timers.after(_RESTART_MS, tell_restart)
+    assert world.submit() == WHOLE
+    assert [len(one.runs) for one in world.engines] == [1, 1]
+    again = world.backends[1]
+    assert again.identity != before.identity
+    assert again.in_flight == before.in_flight == 0
+    world.backends[0].breaker.note_start()
+    world.backends.pop(0)
+    assert world.submit() == WHOLE
+    assert len(engine.runs) == 2
+
+
+def test_memory_of_before_is_not_there_after_a_restart():
+    """What an engine set aside before it started again is set aside anew."""
+    world = World()
+    helper = world.engines[0]
+    helper.tickets['of-before'] = _MEMORY
+    helper.restart()
+    assert world.submit(HUGE, goal_ms=60_000) == WHOLE
+    world.wait_free()
+
+
 def test_prompt_beyond_one_memory_is_held_by_several_engines():
     """Each ticket is used once and free when the request has ended."""
     world = World()
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -19,11 +19,11 @@
 from crankchute.platform.answers import ExchangeAnswer
 from crankchute.platform.backend_calls import BackendCalls
 from crankchute.platform.directory import Directory, Readiness
-from crankchute.platform.documents import POOL_LABEL
 from crankchute.platform.engine_orders import EngineOrders
 from crankchute.platform.engine_reports import EngineReports
 from crankchute.platform.published import PublishedConfig, PublishedServers
 from crankchute.platform.requests import RequestReader
+from crankchute.platform.server_entries import POOL_LABEL
 from crankchute.platform.store import StoreWatch, WatchPace
 from crankchute.platform.wire import (
     CONFIG_KEY,
--- a/crankchute/platform/published.py
+++ b/crankchute/platform/published.py
@@ -3,11 +3,15 @@
 from crankchute.adapters.log import log_change
 from crankchute.core.replica import ChangeSet, Entry
 from crankchute.errors import ConfigError
-from crankchute.platform.documents import read_config, read_server
+from crankchute.platform.documents import read_config
+from crankchute.platform.server_entries import read_server
 from crankchute.platform.wire import CONFIG_KEY, SERVERS_PREFIX
 
 #: Entries that vanish this soon after trouble with the store may have lapsed.
 _TROUBLE_MS = 6000
+#: How many entries that name no server are remembered, so that each is logged
+#: once and not whenever the list is read.
+_MOST_REFUSED = 256
 
 
 class PublishedConfig:
@@ -47,7 +51,11 @@
 
 
 class PublishedServers:
-    """Hands the backend servers' entries to the fleet, whoever told them."""
+    """Hands the backend servers' entries to the fleet, whoever told them.
+
+    An entry that names no server is passed on as one that is gone: nobody has
+    to carry, read or log what another writer left there.
+    """
 
     def __init__(self, node, clock):
         """Create the listener of a watch; `watches` are set afterwards.
@@ -60,6 +68,7 @@
         self._fleet = node.fleet
         self._servers = node.servers
         self._clock = clock
+        self._refused = {}
         self.watches = ()
 
     def on_entries(self, entries, asked_ms, at):
@@ -72,8 +81,9 @@
                 )
                 for entry in entries
             }
+            listed = self._sift(found)
             self._servers.take_all(found, at)
-            self._list_all(found)
+            self._list_all(found, listed)
         if asked_ms is not None:
             self._servers.prove(self._servers.revision, asked_ms)
 
@@ -106,45 +116,61 @@
         known = self._servers.revision
         if changes.revision <= known or changes.since > known:
             return False
+        listed = self._sift(changes.entries)
         self._servers.take(changes)
         if changes.since:
             for identity, entry in changes.entries.items():
-                self._take_one(identity, entry)
+                self._take_one(identity, entry, listed.get(identity))
         else:
-            self._list_all(changes.entries)
+            self._list_all(changes.entries, listed)
         return True
 
-    def _list_all(self, entries):
-        listed = [
-            self._read(identity, entry)
-            for identity, entry in entries.items()
-            if entry.payload is not None
-        ]
-        present = [record for record in listed if record is not None]
+    def _sift(self, entries):
+        """Read entries, and empty those that name no server.
+
+        Args:
+          entries: A map from id to Entry; changed where needed.
+        Returns:
+          A map from id to Listed.
+        """
+        listed = {}
+        for identity, entry in entries.items():
+            if entry.payload is None:
+                continue
+            try:
+                listed[identity] = read_server(identity, entry.payload)
+            except ConfigError as exc:
+                self._log_refused(identity, entry.revision, exc)
+                entry.payload = None
+        return listed
+
+    def _list_all(self, entries, listed):
         may_lapse = any(entry.may_lapse for entry in entries.values())
         self._fleet.replace(
-            present,
+            list(listed.values()),
             may_lapse=may_lapse or self._is_troubled(),
         )
-        log_change('servers_listed', servers=len(present))
+        log_change('servers_listed', servers=len(listed))
         self._on_listed()
 
-    def _take_one(self, identity, entry):
-        if entry.payload is None:
-            self._fleet.remove(identity, may_lapse=entry.may_lapse)
-            log_change('server_gone', server=identity)
-            return
-        record = self._read(identity, entry)
+    def _take_one(self, identity, entry, record):
         if record is not None:
             self._fleet.put(record)
-            log_change('server_listed', server=identity, state=record.state)
+            log_change(
+                'server_listed',
+                server=record.identity,
+                state=record.state,
+            )
+        elif self._fleet.remove(identity, may_lapse=entry.may_lapse):
+            log_change('server_gone', server=identity)
 
-    def _read(self, identity, entry):
-        try:
-            return read_server(identity, entry.payload)
-        except ConfigError as exc:
-            log_change('server_refused', findings=str(exc))
-            return None
+    def _log_refused(self, identity, revision, exc):
+        if self._refused.get(identity) == revision:
+            return
+        if len(self._refused) >= _MOST_REFUSED:
+            self._refused.pop(next(iter(self._refused)))
+        self._refused[identity] = revision
+        log_change('server_refused', findings=str(exc))
 
     def _is_troubled(self):
         """Tell whether any watch of the store failed lately."""
--- a/crankchute/platform/published_test.py
+++ b/crankchute/platform/published_test.py
@@ -7,22 +7,26 @@
 from crankchute.core.forward_fleet import ForwardFleet
 from crankchute.core.replica import ChangeSet, Entry
 from crankchute.core.server_list import ServerList
-from crankchute.platform.documents import POOL_LABEL
 from crankchute.platform.published import PublishedServers
+from crankchute.platform.server_entries import POOL_LABEL
 from crankchute.platform.store import StoreEntry
 from crankchute.platform.wire import SERVERS_PREFIX
 
 POOL = 'pool-a'
 
 
-def write_server(state='ready'):
+def write_server(state='ready', **changes):
     document = {
         'service': POOL,
         'address': '127.0.0.1:7001',
         'zone': 'one',
+        'version': 'v1',
+        'slots': 8,
         'state': state,
+        'cold-remaining-ms': 0,
+        'sequence': 1,
     }
-    return orjson.dumps(document)
+    return orjson.dumps({**document, **changes})
 
 
 def make_entry(identity, revision, payload):
@@ -144,3 +148,70 @@
     assert follower.members() == {'a', 'b'}
     follower.timers.advance(1900)
     assert follower.members() == {'b'}
+
+
+SPOILED = (b'', b'no json', b'{}', b'\xff', write_server(zone=None))
+
+
+@pytest.mark.parametrize('payload', SPOILED)
+@pytest.mark.parametrize('is_whole', [True, False])
+def test_entry_of_another_writer_names_nobody_and_hides_nobody(
+    payload, is_whole
+):
+    world = World()
+    other = World()
+    found = [
+        make_entry('a', 8, payload),
+        make_entry('b', 3, write_server()),
+        make_entry('c', 7, write_server()),
+        make_entry('x', 9, payload),
+    ]
+    if is_whole:
+        world.published.on_entries(found, 100, 9)
+    else:
+        world.published.on_changes(found, 100)
+    assert world.members() == {'b', 'c'}
+    # Others get neither the entry nor the work of reading it.
+    changes = world.servers.changes_since(5)
+    assert changes.entries['x'].payload is None
+    assert other.published.take(changes)
+    assert other.members() == {'b', 'c'}
+    world.published.on_changes([make_entry('a', 10, write_server())], 200)
+    assert world.members() == {'a', 'b', 'c'}
+
+
+def test_entry_of_another_writer_is_logged_once(monkeypatch):
+    world = World()
+    lines = []
+    monkeypatch.setattr(
+        'crankchute.platform.published.log_change',
+        lambda name, **fields: lines.append(name),
+    )
+    found = [make_entry('x', 6, b'{}'), make_entry('a', 3, write_server())]
+    for at in (6, 7, 8):
+        world.published.on_entries(found, 100, at)
+    assert lines.count('server_refused') == 1
+    world.published.on_changes([make_entry('x', 9, b'7')], 100)
+    assert lines.count('server_refused') == 2
+    assert 'server_gone' not in lines
+
+
+@pytest.mark.parametrize('tell', ['store', 'instance', 'list'])
+def test_server_that_started_again_is_another_one_by_every_way(tell):
+    """Its id and its address are those of before."""
+    world = World()
+    entry = write_server(born=100)
+    world.published.on_changes([make_entry('a', 6, entry)], 50)
+    world.fleet.note_drained('a@100')
+    again = write_server(born=200)
+    if tell == 'store':
+        world.published.on_changes([make_entry('a', 7, again)], 60)
+    elif tell == 'instance':
+        world.published.take(ChangeSet(6, 7, {'a': Entry(7, again)}))
+    else:
+        world.published.on_entries([make_entry('a', 7, again)], 60, 7)
+    assert 'a@200' in world.members()
+    # An older word that arrives late changes nothing.
+    late = ChangeSet(7, 8, {'a': Entry(8, write_server('draining', born=100))})
+    world.published.take(late)
+    assert 'a@200' in world.members()
--- a/crankchute/platform/standin_engine.py
+++ b/crankchute/platform/standin_engine.py
@@ -27,6 +27,8 @@
     TOKEN_USAGE,
 )
 
+#: When the engines started first, a Unix millisecond.
+_FIRST_START = 1_788_242_912_000
 _LOOPBACK = '127.0.0.1'
 _IDLE_MS = 60_000
 #: How many events an answer has, unless a test says otherwise.
@@ -93,7 +95,8 @@
     """One engine on loopback.
 
     Attributes:
-      identity: The id of its incarnation.
+      identity: The id to which it answers; a restart keeps it.
+      born: When it started, a Unix millisecond.
       memory_tokens: How many tokens of KV memory it has.
       tickets: A map from the ids of memory set aside to tokens.
       runs: Runs, a list.
@@ -121,6 +124,7 @@
         self._sequence = 0
         self._used = set()
         self.identity = identity
+        self.born = _FIRST_START
         self.memory_tokens = memory_tokens
         self.tickets = {}
         self.runs = []
@@ -133,6 +137,13 @@
         """Where it listens, "IP:port"."""
         return f'{_LOOPBACK}:{self._server.port}'
 
+    def restart(self):
+        """Start again under the same id, and know nothing of before."""
+        self.born += 1
+        self._sequence = 0
+        self._used = set()
+        self.tickets = {}
+
     def use(self, ticket):
         """Take memory that was set aside into use.
 
@@ -164,6 +175,9 @@
 
     def _report(self):
         return {
+            'born': self.born,
+            'waiting': 0,
+            'running': len(self._used),
             'sequence': self._sequence,
             'kv-used': sum(self.tickets.values()),
             'kv-total': self.memory_tokens,
--- a/crankchute/platform/standin_store.py
+++ b/crankchute/platform/standin_store.py
@@ -91,7 +91,11 @@
                 'service': 'pool',
                 'address': f'127.0.0.1:{_FIRST_PORT + number}',
                 'zone': 'z0',
+                'version': 'v1',
+                'slots': 8,
                 'state': 'ready',
+                'cold-remaining-ms': 0,
+                'sequence': 1,
             },
         )
         for number in range(_SERVERS)
--- a/crankchute/platform/store.py
+++ b/crankchute/platform/store.py
@@ -297,5 +297,15 @@
     key = document['tls-key']
     if document.get('gone'):
         return StoreEntry(key, None, document['revision'])
-    payload = base64.b64decode(document['value'])
-    return StoreEntry(key, payload, document['revision'])
+    return StoreEntry(key, _read_value(document), document['revision'])
+
+
+def _read_value(document):
+    """Return the bytes of an item, empty if they cannot be read.
+
+    One item that another writer spoiled must not hide all others.
+    """
+    try:
+        return base64.b64decode(document['value'])
+    except (KeyError, TypeError, ValueError):
+        return b''
--- a/crankchute/platform/store_test.py
+++ b/crankchute/platform/store_test.py
@@ -7,7 +7,7 @@
 
 from crankchute.core.fakes import ManualTimers
 from crankchute.errors import BackendError
-from crankchute.platform.store import StoreWatch, WatchPace
+from crankchute.platform.store import StoreWatch, WatchPace, read_page
 
 PREFIX = 'servers/'
 
@@ -227,3 +227,26 @@
     assert 'after=7' in world.calls[-1].path
     world.calls[-1].answer({'events': [], 'at': 9})
     assert 'after=9' in world.calls[-1].path
+
+
+@pytest.mark.parametrize(
+    'spoiled',
+    [
+        {},
+        {'value': None},
+        {'value': 7},
+        {'value': ['a']},
+        {'value': 'not base64!'},
+        {'value': 'YQ='},
+        {'value': '\u00fc'},
+    ],
+)
+def test_item_that_cannot_be_read_hides_no_other(spoiled):
+    found = [
+        {'tls-key': 'servers/a', 'revision': 3, **spoiled},
+        {'tls-key': 'servers/b', 'revision': 4, 'value': 'YQ=='},
+    ]
+    page = read_page(orjson.dumps({'items': found, 'at': 5}))
+    assert [one.key for one in page.entries] == ['servers/a', 'servers/b']
+    assert page.entries[1].payload == b'a'
+    assert page.entries[0].payload is not None
--- a/crankchute/ports/forwarding.py
+++ b/crankchute/ports/forwarding.py
@@ -143,6 +143,13 @@
         """
         return False
 
+    def forget(self, _backend):
+        """Close the connections that rest at a server that is no more.
+
+        Args:
+          _backend: A Backend.
+        """
+
 
 class AnswerSink(abc.ABC):
     """Where the answer of a forwarded request goes; one end is told."""
