Refuse a prompt that takes more from others than it gains its caller

Cause: every prompt was placed, at the least harm, however great that was. With engines full of writers each read makes several of them late, and a long prompt that several engines read nearly all.

Ruled out: rank 8 at engines (no gain).

--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -37,6 +37,7 @@
         sends.
       new_ticket: A function that returns the id of a new ticket.
       data_centre: Where this instance runs.
+      hints: The ReturnHints for callers that are refused.
       is_connected: A function of a Backend that tells whether a connection
         to it is open and rests.
       heard_ms_ago: A function that returns how long ago another instance was
@@ -47,6 +48,7 @@
         'board',
         'data_centre',
         'heard_ms_ago',
+        'hints',
         'is_connected',
         'members',
         'new_ticket',
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -26,8 +26,13 @@
     weigh_job,
 )
 from crankchute.core.engine_shortlist import Shortlist
-from crankchute.core.length_demand import LONG_PROMPTS
 from crankchute.core.forward_job import Beliefs, Helper, Placement
+from crankchute.core.length_demand import LONG_PROMPTS
+from crankchute.core.prompt_admission import (
+    Prospect,
+    PromptAdmission,
+    refuse_crowded,
+)
 
 #: The name of the chooser in the registry.
 PREDICTED = 'predicted'
@@ -69,6 +74,7 @@
         self._board = parts.board
         self._write_ms = estimate_write_ms(parts.pool.figures)
         self._shortlist = Shortlist(parts)
+        self._admission = PromptAdmission()
         self._sent = 0
 
     def choose(self, job, avoided):
@@ -79,18 +85,13 @@
         usable = self.usable(avoided, stretch) or self.usable(avoided)
         if not usable:
             return self.refuse()
-        longest = self._figures.usual_prompt * LONG_PROMPTS
-        is_long = job.size.prompt > longest
-        candidates = self._make_candidates(usable, is_long=is_long)
-        if is_long:
-            plans = self._plan_jointly(job, candidates)
-        else:
-            read_ms = estimate_read_ms(self._figures, job.size.prompt)
-            plans = [
-                self._plan(job, (one,), read_ms, self._cost_alone(job, one))
-                for one in candidates
-            ]
-        return self._place(job, min(plans, key=_cost_of))
+        plan = min(self._list_plans(job, usable), key=_cost_of)
+        # What was begun for a caller is gone on with.
+        is_new = not avoided and job.resume_after is None
+        if is_new and not self._sends(job, plan):
+            remaining_ms = job.remaining_ms(self.now_ms())
+            return refuse_crowded(self._parts.hints, remaining_ms)
+        return self._place(job, plan)
 
     def silent_until_ms(self, job, attempt):
         """See Chooser.
@@ -151,6 +152,19 @@
             self._board.end(work.engine, work.key)
             self._parts.news(Change.ENDED, work)
 
+    def _list_plans(self, job, usable):
+        """Return the Plans that are worth comparing."""
+        longest = self._figures.usual_prompt * LONG_PROMPTS
+        is_long = job.size.prompt > longest
+        candidates = self._make_candidates(usable, is_long=is_long)
+        if is_long:
+            return self._plan_jointly(job, candidates)
+        read_ms = estimate_read_ms(self._figures, job.size.prompt)
+        return [
+            self._plan(job, (one,), read_ms, self._cost_alone(job, one))
+            for one in candidates
+        ]
+
     def _make_candidates(self, usable, *, is_long):
         """Return a Candidate for each engine to compare, in random order."""
         shortlist = self._shortlist
@@ -186,12 +200,7 @@
     def _cost_alone(self, job, candidate):
         cost = _LONG_PART_COST if candidate.is_kept else 0
         cost += self._shortlist.weigh_way(candidate.backend) * _SECOND_COST
-        return cost + self._cost_of_memory(job.size.memory, candidate)
-
-    def _cost_of_memory(self, memory, candidate):
-        needed = candidate.state.memory + memory
-        lacks = needed > self._figures.memory_tokens * _USABLE_MEMORY
-        return _NO_MEMORY_COST if lacks else 0
+        return cost + _cost_of_memory(self._figures, job.size.memory, candidate)
 
     def _plan_jointly(self, job, candidates):
         """Return the best plan for each number of engines."""
@@ -219,34 +228,48 @@
         ranked = sorted(candidates, key=rank)[:parts]
         writer = min(
             ranked,
-            key=lambda one: self._cost_of_memory(memory, one),
+            key=lambda one: _cost_of_memory(self._figures, memory, one),
         )
         others = [one for one in ranked if one is not writer]
-        cost = self._cost_of_memory(memory, writer) + parts * _PART_COST
+        cost = (
+            _cost_of_memory(self._figures, memory, writer) + parts * _PART_COST
+        )
         return self._plan(job, (writer, *others), read_ms, cost)
 
     def _plan(self, job, chosen, read_ms, cost):
         first_ms = max(one.first_ms(read_ms) for one in chosen)
-        cost += weigh_harm(
+        harm = weigh_harm(
             work
             for one in chosen
             for work in one.list_harmed(read_ms, goes_first=len(chosen) > 1)
         )
         risk = sum(one.risk for one in chosen)
-        late = self._lateness(job, first_ms) + grade_lateness(
+        late = grade_lateness(first_ms / max(self._left_ms(job), 1))
+        late += grade_lateness(
             chosen[0].pass_ms / (job.gap_ms or job.goal_ms),
         )
-        cost += weigh_job(self._figures, job) * (late + risk)
+        cost += harm + weigh_job(self._figures, job) * (late + risk)
         cost += first_ms / _MS_PER_SECOND * _SECOND_COST
-        return Plan(chosen, read_ms, first_ms, cost)
+        return Plan(
+            chosen,
+            read_ms=read_ms,
+            first_ms=first_ms,
+            cost=cost,
+            harm=harm,
+        )
+
+    def _sends(self, job, plan):
+        prospect = Prospect(
+            plan.first_ms,
+            self._left_ms(job),
+            worth=weigh_job(self._figures, job),
+            harm=plan.harm,
+        )
+        return self._admission.sends(prospect, self.now_ms())
 
     def _left_ms(self, job):
         return job.goal_ms - (self.now_ms() - job.arrived_ms)
 
-    def _lateness(self, job, first_ms):
-        """Return how likely a first event is to be late, from 0 to 1."""
-        return grade_lateness(first_ms / max(self._left_ms(job), 1))
-
     def _place(self, job, plan):
         self._sent += 1
         key = f'{job.request_id}-{self._sent}'
@@ -313,3 +336,9 @@
 
 def _cost_of(plan):
     return plan.cost
+
+
+def _cost_of_memory(figures, memory, candidate):
+    needed = candidate.state.memory + memory
+    lacks = needed > figures.memory_tokens * _USABLE_MEMORY
+    return _NO_MEMORY_COST if lacks else 0
--- a/crankchute/core/engine_plans.py
+++ b/crankchute/core/engine_plans.py
@@ -98,21 +98,23 @@
 class Plan:
     """A way to place a job, and its cost in worth."""
 
-    __slots__ = ('chosen', 'cost', 'first_ms', 'read_ms')
+    __slots__ = ('chosen', 'cost', 'first_ms', 'harm', 'read_ms')
 
-    def __init__(self, chosen, read_ms, first_ms, cost):
+    def __init__(self, chosen, *, read_ms, first_ms, cost, harm):
         """Create the plan.
 
         Args:
           chosen: Candidates, the writer first.
           read_ms: How long each of them reads.
           first_ms: When the last part is predicted to be read.
-          cost: A float.
+          cost: A float, the harm to others included.
+          harm: What others lose by it, a float.
         """
         self.chosen = chosen
         self.read_ms = read_ms
         self.first_ms = first_ms
         self.cost = cost
+        self.harm = harm
 
 
 def weigh_harm(works):
@@ -154,3 +156,13 @@
       part: The predicted by the allowed time.
     """
     return min(max((part - _SURE_PART) / (1 - _SURE_PART), 0), 1)
+
+
+def is_surely_in_time(first_ms, left_ms):
+    """Tell whether a first event is hardly ever late.
+
+    Args:
+      first_ms: When it is predicted.
+      left_ms: What is left until the goal, in milliseconds.
+    """
+    return first_ms <= left_ms * _SURE_PART
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -13,6 +13,7 @@
     PromptSize,
     Repeat,
 )
+from crankchute.core.return_hints import ReturnHints
 from crankchute.core.reservations import ReservationDesk, ReservationPort
 from crankchute.core.sliding_budget import RetryLimits
 from crankchute.ports.forwarding import AnswerSink, ForwardPort
@@ -403,6 +404,7 @@
         board=EngineBoard(timers.clock.now_ms),
         news=news or _ignore,
         heard_ms_ago=_ignore,
+        hints=ReturnHints(_NoChance()),
         data_centre='',
         is_connected=_ignore,
         new_ticket=lambda: f'ticket-{next(tickets)}',
@@ -450,6 +452,10 @@
         """Return the first number."""
         return 0
 
+    def uniform(self, low, high):
+        """Return the middle."""
+        return (low + high) / 2
+
 
 def _ignore(*_args):
     """Take news that nobody waits for."""
--- a/crankchute/core/service_flow.py
+++ b/crankchute/core/service_flow.py
@@ -192,6 +192,7 @@
             news=None,
             new_ticket=None,
             heard_ms_ago=None,
+            hints=None,
             data_centre=None,
             is_connected=self._services.is_connected,
         )
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -19,6 +19,7 @@
 from crankchute.core.forward_fleet import ForwardFleet
 from crankchute.core.load_survey import LoadSurvey
 from crankchute.core.reservations import ReservationDesk
+from crankchute.core.return_hints import ReturnHints
 from crankchute.core.server_list import ServerList
 from crankchute.entry.forward_peers import ForwardPeers
 
@@ -140,6 +141,7 @@
         self.fleet = ForwardFleet(loop.timers, wiring.pool_label)
         self.servers = ServerList()
         self.board = EngineBoard(self.now_ms)
+        self._hints = ReturnHints(self.random)
         self._limits = limits
         self._is_connected = wiring.port.is_connected
         self._choosers = {}
@@ -319,6 +321,7 @@
             timers=self.timers,
             random=self.random,
             board=self.board,
+            hints=self._hints,
             news=self._note_work,
             new_ticket=self._reservations.new_ticket,
             heard_ms_ago=self.peers.sharing.heard_ms_ago,
--- a/crankchute/platform/forwarding_test.py
+++ b/crankchute/platform/forwarding_test.py
@@ -26,6 +26,7 @@
 from crankchute.core.forward_job import PromptSize, Repeat
 from crankchute.core.outcomes import Outcome
 from crankchute.core.reservations import ReservationDesk
+from crankchute.core.return_hints import ReturnHints
 from crankchute.core.sliding_budget import RetryLimits
 from crankchute.platform.backend_calls import BackendCalls
 from crankchute.platform.engine_orders import EngineOrders
@@ -127,6 +128,7 @@
             board=EngineBoard(timers.clock.now_ms),
             news=lambda _change, _work: None,
             heard_ms_ago=lambda: None,
+            hints=ReturnHints(random.Random(1)),
             data_centre='',
             is_connected=lambda _backend: False,
             new_ticket=reservations.new_ticket,
