Let callers that full servers refused come back apart

Cause: who was refused since servers were full, or none took requests, was told 300 or 500 ms, always the same, so callers that were refused together came back together.

Change: the desk chooses that hint for all, by ReturnHints: 300 ms, a quarter either way, within what the caller has left. Kept since the test shows 20 callers at more than ten moments where it was one, and one place chooses in the place of four.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -209,6 +209,7 @@
             metrics=Metrics(),
             journal=journal,
             reservations=reservations,
+            hints=parts.hints,
             chooser_of={POOL: chosen}.get,
         )
         limits = RetryLimits(ratio=0.2, slack=100, window_ms=_WINDOW_MS)
--- a/crankchute/core/attempt_desk.py
+++ b/crankchute/core/attempt_desk.py
@@ -1,9 +1,23 @@
 """What an attempt tells the desk that made it, where a desk need not care."""
 
+#: When to come back after a server took nothing, in milliseconds: about what
+#: the oldest of its requests still takes.
+USUAL_HINT_MS = 300
+
 
 class AttemptDesk:
     """A desk of attempts; its defaults take what nobody asks for."""
 
+    def choose_hint_ms(self, _job):
+        """Return when the caller of a job that did not run may come back.
+
+        Args:
+          _job: A ForwardJob.
+        Returns:
+          Milliseconds.
+        """
+        return USUAL_HINT_MS
+
     def overdue_at_ms(self, flow, attempt):
         """Return when an attempt without any answer is a sign of a fault.
 
--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -11,7 +11,6 @@
 #: The name of the chooser of plain services.
 LEAST_BUSY = 'least-busy'
 
-_HINT_MS = 300
 #: A server of a plain service is asked anew elsewhere after this many times
 #: the time within which an answer has its full worth.
 _SILENCE_FACTOR = 3
@@ -159,7 +158,6 @@
         return refuse_not_run(
             'no_backend',
             'no backend server of the pool takes requests now',
-            _HINT_MS,
         )
 
 
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -5,14 +5,12 @@
 baselines that experiments compare them with.
 """
 
-from crankchute.core.attempt_desk import AttemptDesk
+from crankchute.core.attempt_desk import USUAL_HINT_MS, AttemptDesk
 from crankchute.core.forward_flow import ForwardFlow
 from crankchute.core.forward_job import Placement
 from crankchute.core.outcomes import Outcome, refuse_not_run
 from crankchute.core.sliding_budget import SlidingBudget
 
-_NO_BACKEND_MS = 500
-
 
 class ForwardDesk(AttemptDesk):
     """Serves forwarded requests and knows those in progress.
@@ -38,6 +36,7 @@
         self._budgets = {}
         self._instances = 1
         self._flows = set()
+        self._hints = ports.hints
         self._reservations = ports.reservations
         self.port = ports.forward
         self.metrics = ports.metrics
@@ -103,6 +102,11 @@
         """Run a callback later; see TimerService."""
         return self._timers.after(delay_ms, callback)
 
+    def choose_hint_ms(self, job):
+        """See AttemptDesk; who is refused together comes back apart."""
+        remaining_ms = job.remaining_ms(self.now_ms())
+        return self._hints.choose_ms(remaining_ms, USUAL_HINT_MS)
+
     def choose(self, flow, avoided):
         """Choose where a request's next attempt runs.
 
@@ -117,7 +121,6 @@
             return refuse_not_run(
                 'no_pool',
                 f'there is no pool {flow.job.pool!r}',
-                _NO_BACKEND_MS,
             )
         choice = chooser.choose(flow.job, avoided)
         if isinstance(choice, Placement):
@@ -162,7 +165,9 @@
 
     def note_freed(self, flow, placement):
         """Note that a job is no longer where it was placed."""
-        self._tell(flow, 'note_end', placement)
+        chooser = self._chooser_of(flow.job.pool)
+        if chooser is not None:
+            chooser.note_end(flow.job, placement)
 
     def note_attempt(self, flow, attempt, cause):
         """Note that a request is sent to a server."""
@@ -171,13 +176,14 @@
     def note_first(self, flow, attempt):
         """Note that a server began to answer with an event."""
         placement = attempt.placement
-        self._tell(flow, 'note_first', placement)
+        chooser = self._chooser_of(flow.job.pool)
+        if chooser is not None:
+            chooser.note_first(flow.job, placement)
         if flow.job.size is None or placement.first_ms is None:
             return
         seen_ms = attempt.first_ms - attempt.sent_ms
         error_ms = seen_ms - placement.first_ms
         self.metrics.observe_prediction(flow.job.size.prompt, error_ms)
-        chooser = self._chooser_of(flow.job.pool)
         if chooser is not None:
             chooser.note_pace(placement, seen_ms)
 
@@ -209,11 +215,6 @@
             self.metrics.count('refusals', code)
         self.journal.log_end(flow, outcome, code)
 
-    def _tell(self, flow, method, placement):
-        chooser = self._chooser_of(flow.job.pool)
-        if chooser is not None:
-            getattr(chooser, method)(flow.job, placement)
-
     def _budget(self, job):
         account = job.account if self._limits.per_account else None
         key = (account, job.pool)
@@ -231,6 +232,7 @@
     __slots__ = (
         'chooser_of',
         'forward',
+        'hints',
         'journal',
         'metrics',
         'reservations',
@@ -243,8 +245,8 @@
         Args:
           fields: `forward`, a ForwardPort; `timers`, a TimerService;
             `metrics`, a Metrics port; `journal`, a ForwardJournal;
-            `reservations`, a ReservationDesk; `chooser_of`, a function from
-            a pool's name to a Chooser or None.
+            `reservations`, a ReservationDesk; `hints`, ReturnHints;
+            `chooser_of`, a function from a pool's name to a Chooser or None.
         """
         for name in self.__slots__:
             setattr(self, name, fields[name])
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -1,5 +1,7 @@
 """Small fakes of the ports of forwarding, for tests and embedders."""
 
+from random import Random
+
 from crankchute.core.choosers import Chooser, ChooserParts
 from crankchute.core.engine_board import EngineBoard
 from crankchute.core.engine_model import EngineFigures
@@ -178,11 +180,13 @@
 
     Attributes:
       seen: A list of pairs of a word and what came with it.
+      hint_ms: When it was told to come back, in milliseconds, or None.
     """
 
     def __init__(self):
         """Create without an answer."""
         self.seen = []
+        self.hint_ms = None
 
     def on_answer(self, head, body):
         """See AnswerSink."""
@@ -203,6 +207,7 @@
     def on_refused(self, refusal):
         """See AnswerSink."""
         self.seen.append(('refused', refusal.outcome))
+        self.hint_ms = refusal.retry_after_ms
 
 
 class FakeJournal:
@@ -321,6 +326,7 @@
             metrics=metrics,
             journal=self.journal,
             reservations=self.reservation_desk,
+            hints=ReturnHints(Random(1)),
             chooser_of={POOL: self.chooser}.get,
         )
         limits = RetryLimits(ratio=0, slack=slack, window_ms=_WINDOW_MS)
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -10,8 +10,6 @@
 from crankchute.core.forward_attempt import FIRST_SERVER_ERROR, Attempt
 from crankchute.core.outcomes import Outcome, Refusal, refuse_not_run
 
-_HINT_MS = 300
-
 
 class ForwardFlow:
     """Serves one job; its sink is told exactly one end.
@@ -234,7 +232,7 @@
             self._end(Outcome.FAILED, str(head.status))
             return
         if retry_after_ms is None:
-            retry_after_ms = _HINT_MS
+            retry_after_ms = self._desk.choose_hint_ms(self.job)
         if self._maybe_ran:
             may_repeat = self.job.may_repeat
             refusal = Refusal(
--- a/crankchute/core/forward_flow_test.py
+++ b/crankchute/core/forward_flow_test.py
@@ -290,3 +290,18 @@
     )
     world.desk.note_restarted(other)
     assert (len(world.port.calls), sink.seen) == (1, [])
+
+
+@pytest.mark.parametrize('servers', [0, 3])
+def test_callers_that_are_refused_together_come_back_apart(servers):
+    """Servers that are full, or none at all."""
+    world = ForwardWorld(servers=servers)
+    hints = set()
+    for _ in range(20):
+        _flow, sink = world.submit(max_attempts=1)
+        if servers:
+            world.port.calls[-1].listener.on_not_run(FULL)
+        assert sink.seen == [NOT_RUN]
+        assert 200 <= sink.hint_ms <= 400
+        hints.add(round(sink.hint_ms))
+    assert len(hints) > 10
--- a/crankchute/core/service_flow.py
+++ b/crankchute/core/service_flow.py
@@ -9,6 +9,7 @@
 from crankchute.core.choosers import LEAST_BUSY, ChooserParts, choosers
 from crankchute.core.forward_desk import ForwardDesk, ForwardPorts
 from crankchute.core.forward_job import ForwardJob, Repeat
+from crankchute.core.return_hints import ReturnHints
 from crankchute.core.sliding_budget import RetryLimits
 from crankchute.ports.forwarding import AnswerSink
 
@@ -135,6 +136,7 @@
                 metrics=ports.metrics,
                 journal=journal,
                 reservations=None,
+                hints=ReturnHints(ports.random),
                 chooser_of=self._chooser_of,
             ),
             _RETRIES,
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -162,6 +162,7 @@
             metrics=self.metrics,
             journal=self.journal,
             reservations=self._reservations,
+            hints=self._hints,
             chooser_of=self._chooser_of,
         )
         self.desk = ForwardDesk(ports, limits.retries)
--- a/crankchute/platform/forwarding_test.py
+++ b/crankchute/platform/forwarding_test.py
@@ -75,6 +75,7 @@
             metrics=Metrics(),
             journal=FakeJournal(),
             reservations=reservations,
+            hints=ReturnHints(random.Random(1)),
             chooser_of=lambda _pool: chooser,
         )
         limits = RetryLimits(ratio=0, slack=100, window_ms=10_000)
