Leave out servers at whose address another one answers

Cause: servers that start again under another id leave their old entries until these lapse. A request sent there is rejected at once (421), and since such a server has no work it seemed the best of all: each request was rejected by two of them and refused.

Change: a rejection by another server at the address takes the server out for 8 s or until its entry changes, also if the entry is fresh, and others are told as of any entry that went.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -210,6 +210,7 @@
             journal=journal,
             reservations=reservations,
             hints=parts.hints,
+            note_moved=None,
             chooser_of={POOL: chosen}.get,
         )
         limits = RetryLimits(ratio=0.2, slack=100, window_ms=_WINDOW_MS)
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -10,6 +10,7 @@
 from crankchute.core.forward_job import Placement
 from crankchute.core.outcomes import Outcome, refuse_not_run
 from crankchute.core.sliding_budget import SlidingBudget
+from crankchute.ports.forwarding import MOVED
 
 
 class ForwardDesk(AttemptDesk):
@@ -37,6 +38,7 @@
         self._instances = 1
         self._flows = set()
         self._hints = ports.hints
+        self._note_moved = ports.note_moved
         self._reservations = ports.reservations
         self.port = ports.forward
         self.metrics = ports.metrics
@@ -200,6 +202,9 @@
     def note_rejection(self, flow, attempt, rejection):
         """Note that a server did not take a request."""
         self.metrics.count('engine_refusals', rejection.code)
+        if rejection.code == MOVED:
+            placement = attempt.placement
+            self._note_moved(placement.find_faulty(rejection.at_server))
 
     def note_dropped(self, flow, attempt):
         """Count an event that the caller had already."""
@@ -235,6 +240,7 @@
         'hints',
         'journal',
         'metrics',
+        'note_moved',
         'reservations',
         'timers',
     )
@@ -246,7 +252,9 @@
           fields: `forward`, a ForwardPort; `timers`, a TimerService;
             `metrics`, a Metrics port; `journal`, a ForwardJournal;
             `reservations`, a ReservationDesk; `hints`, ReturnHints;
-            `chooser_of`, a function from a pool's name to a Chooser or None.
+            `chooser_of`, a function from a pool's name to a Chooser or None;
+            `note_moved`, a function of a Backend that is no more at its
+            address, as whoever is there now says.
         """
         for name in self.__slots__:
             setattr(self, name, fields[name])
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -295,6 +295,7 @@
       chooser: A FirstChooser.
       desk: The ForwardDesk.
       journal: A FakeJournal.
+      moved: The Backends that were not at their addresses, a list.
     """
 
     def __init__(self, servers=3, slack=100):
@@ -305,6 +306,7 @@
           slack: The slack of the retry budget.
         """
         self.timers = ManualTimers()
+        self.moved = []
         self.port = FakePort()
         self.reservations = FakeReservations()
         self.journal = FakeJournal()
@@ -327,6 +329,7 @@
             journal=self.journal,
             reservations=self.reservation_desk,
             hints=ReturnHints(Random(1)),
+            note_moved=self.moved.append,
             chooser_of={POOL: self.chooser}.get,
         )
         limits = RetryLimits(ratio=0, slack=slack, window_ms=_WINDOW_MS)
--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -211,18 +211,29 @@
         self._pools = {}
         self._forget_old()
 
-    def note_gone(self, identity):
-        """Note that another instance saw a server's entry go.
+    def note_gone(self, identity, *, is_seen=False):
+        """Note that a server is gone, however its own entry is.
+
+        Another server that answers at its address is as sure a sign as can
+        be.  That one answers at once and seems idle, so that all requests
+        went to such servers: after a fifth of 18 engines had started again
+        under other ids, each request was rejected by two of them and refused,
+        for five seconds.
 
         Args:
           identity: The server's id.
+          is_seen: Whether another server answered at its address; else an
+            instance told that the entry went, which may be older than it.
         """
         now_ms = self._now_ms()
         listed_ms = self._listed_ms.get(identity)
         is_fresh = listed_ms is not None and now_ms - listed_ms < _FRESH_MS
-        if not is_fresh:
+        if is_seen:
+            self._gone_ms[identity] = now_ms
+        elif not is_fresh:
+            # Those that tell it again do not know it any better.
             self._gone_ms.setdefault(identity, now_ms)
-            self._pools = {}
+        self._pools = {}
 
     def _now_ms(self):
         return self._timers.clock.now_ms()
--- a/crankchute/core/forward_fleet_test.py
+++ b/crankchute/core/forward_fleet_test.py
@@ -92,6 +92,22 @@
     assert world.members() == {'a', 'b'}
 
 
+def test_server_that_moved_is_out_until_its_entry_changes():
+    """Its entry may be as fresh as can be; others hear of it too."""
+    world = World()
+    world.fleet.note_gone('a', is_seen=True)
+    assert world.members() == {'b'}
+    assert world.fleet.gone() == ['a']
+    world.timers.advance(7000)
+    assert world.members() == {'b'}
+    world.timers.advance(2000)
+    assert world.members() == {'a', 'b'}
+    world.fleet.note_gone('a', is_seen=True)
+    assert world.members() == {'b'}
+    world.fleet.put(make_listed('a', port=7009))
+    assert world.members() == {'a', 'b'}
+
+
 def test_lapsed_entry_is_kept_for_a_while():
     world = World()
     world.fleet.remove('a', may_lapse=True)
--- a/crankchute/core/forward_flow_test.py
+++ b/crankchute/core/forward_flow_test.py
@@ -8,7 +8,12 @@
 from crankchute.core.forward_job import Helper, Repeat
 from crankchute.core.outcomes import Outcome
 from crankchute.errors import BackendError
-from crankchute.ports.forwarding import AnswerHead, Rejection, StreamEvent
+from crankchute.ports.forwarding import (
+    MOVED,
+    AnswerHead,
+    Rejection,
+    StreamEvent,
+)
 
 ONCE = Repeat.ONCE
 AGAIN = Repeat.AGAIN
@@ -248,6 +253,17 @@
     world.port.calls[0].listener.on_not_run(rejection)
     again = world.port.calls[1].placement.backend
     assert again.identity == next_server
+    assert not world.moved
+
+
+def test_server_that_is_not_at_its_address_is_told_of():
+    world = ForwardWorld()
+    world.chooser.helpers = (Helper(world.backends[2]),)
+    for at_server in (None, 'server-02'):
+        world.submit(repeat=RESUME, is_stream=True)
+        rejection = Rejection(MOVED, at_server)
+        world.port.calls[-1].listener.on_not_run(rejection)
+    assert world.moved == [world.backends[0], world.backends[2]]
 
 
 @pytest.mark.parametrize(
--- a/crankchute/core/service_flow.py
+++ b/crankchute/core/service_flow.py
@@ -137,6 +137,7 @@
                 journal=journal,
                 reservations=None,
                 hints=ReturnHints(ports.random),
+                note_moved=_ignore,
                 chooser_of=self._chooser_of,
             ),
             _RETRIES,
@@ -202,3 +203,7 @@
     def _list_members(self, pool):
         members = list_members(self.config, self._fleet, pool)
         return [one for one in members if not one.is_leaving]
+
+
+def _ignore(_backend):
+    """Take what the list of instances will tell."""
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -163,6 +163,7 @@
             journal=self.journal,
             reservations=self._reservations,
             hints=self._hints,
+            note_moved=self._on_moved,
             chooser_of=self._chooser_of,
         )
         self.desk = ForwardDesk(ports, limits.retries)
@@ -299,6 +300,10 @@
         if chooser is not None:
             chooser.note_report(reporting, load)
 
+    def _on_moved(self, backend):
+        log_change('server_moved', server=backend.identity)
+        self.fleet.note_gone(backend.identity, is_seen=True)
+
     def _on_restarted(self, backend):
         """Drop what goes by the earlier start of a server."""
         log_change('server_restarted', server=backend.identity)
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -21,7 +21,12 @@
     TOLD_LOAD,
     drop_connection_headers,
 )
-from crankchute.ports.forwarding import AnswerHead, ForwardPort, Rejection
+from crankchute.ports.forwarding import (
+    MOVED,
+    AnswerHead,
+    ForwardPort,
+    Rejection,
+)
 from crankchute.ports.http import ResponseSink
 
 #: How long opening a connection may take; zones are a millisecond apart.
@@ -194,7 +199,7 @@
 def _read_rejection(status, headers):
     """Return the Rejection that a head is, or None."""
     if status == HTTPStatus.MISDIRECTED_REQUEST:
-        return Rejection('moved', headers.get(FAULTY_SERVER))
+        return Rejection(MOVED, headers.get(FAULTY_SERVER))
     if NOT_RUN in headers:
         full = status == HTTPStatus.SERVICE_UNAVAILABLE
         code = 'full' if full else 'rejected'
--- a/crankchute/platform/forwarding_test.py
+++ b/crankchute/platform/forwarding_test.py
@@ -54,6 +54,7 @@
 
     def __init__(self, engines=4):
         self.loop = Loop()
+        self.moved = []
         client = HttpClient(timers=self.loop.timers).register(self.loop)
         by_address = {}
         self.engines = [
@@ -76,6 +77,7 @@
             journal=FakeJournal(),
             reservations=reservations,
             hints=ReturnHints(random.Random(1)),
+            note_moved=self.moved.append,
             chooser_of=lambda _pool: chooser,
         )
         limits = RetryLimits(ratio=0, slack=100, window_ms=10_000)
@@ -199,6 +201,7 @@
     world.engines[1].identity = 'i-new'
     assert world.submit() == WHOLE
     assert not world.engines[1].runs
+    assert world.moved == [world.backends[1]]
 
 
 def test_engine_that_started_again_under_its_id_begins_anew():
--- a/crankchute/ports/forwarding.py
+++ b/crankchute/ports/forwarding.py
@@ -8,6 +8,10 @@
 import abc
 
 
+#: The code of a rejection by another server that has the address now.
+MOVED = 'moved'
+
+
 class AnswerHead:
     """The head of a backend server's answer.
 
