--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -128,6 +128,12 @@
     'if goes_first:',
     'if goes_first and not self:',
 )
+_leave_out(
+    'refusals for harm',
+    f'{_CORE}/prompt_admission.py',
+    'is_sent = is_rare or is_worth_sending(prospect)',
+    'is_sent = True',
+)
 _leave_out(
     'suspicion',
     f'{_CORE}/suspicion.py',
