Take a prompt of untold size for a usual one

Cause: a request to a pool of engines without its size raised AttributeError where an engine is chosen ('NoneType' object has no attribute 'prompt', shown by a call of the chooser), and its caller heard nothing until it left. Found by reading.

Ruled out: refusing it, since a request need not tell its size to be proper. Change: the usual prompt and answer that the pool publishes stand in for it. The new test of four cases had one red before.

--- a/crankchute/platform/requests.py
+++ b/crankchute/platform/requests.py
@@ -150,7 +150,7 @@
             is_stream=route.is_stream,
             is_keyed=owner is not None,
             account=None if owner is None else owner.account,
-            size=_read_size(exchange),
+            size=_read_size(exchange) or self._guess_size(pool),
             priority=priority,
             arrived_ms=exchange.arrived_ms,
             deadline_ms=exchange.arrived_ms + allowed_ms,
@@ -161,6 +161,17 @@
             payload=_read_payload(exchange),
         )
 
+    def _guess_size(self, pool):
+        """Return the usual PromptSize of a pool, or None for plain services.
+
+        A prompt of which no size is told can be placed by nothing else.
+        """
+        found = self._holder.config.pools.get(pool)
+        if found is None or found.figures is None:
+            return None
+        usual = found.figures
+        return PromptSize(usual.usual_prompt, usual.usual_answer)
+
 
 def _read_key(exchange):
     text = exchange.header(AUTHORIZATION) or ''
--- a/crankchute/platform/requests_test.py
+++ b/crankchute/platform/requests_test.py
@@ -10,7 +10,9 @@
     ForwardConfig,
     ForwardConfigHolder,
     KeyOwner,
+    PoolConfig,
 )
+from crankchute.core.forward_fakes import make_figures
 from crankchute.core.forward_job import Repeat
 from crankchute.core.return_hints import ReturnHints
 from crankchute.core.route_table import PoolShare, Route
@@ -63,7 +65,9 @@
 class World:
     """A reader over one configuration."""
 
-    def __init__(self, *, keys=True, config=True, proof_ms=_PROOF_MS):
+    def __init__(
+        self, *, keys=True, config=True, proof_ms=_PROOF_MS, engines=False
+    ):
         self.clock = ManualClock()
         self.holder = ForwardConfigHolder()
         routes = [
@@ -71,8 +75,10 @@
             make_route('/open/', is_open=True),
         ]
         owners = {'key-1': KeyOwner('acc', 1)} if keys else None
+        pools = [PoolConfig('pool', 8, make_figures() if engines else None)]
         if config:
-            self.holder.offer(ForwardConfig(1, routes, [], keys=owners), b'')
+            found = ForwardConfig(1, routes, pools, keys=owners)
+            self.holder.offer(found, b'')
             self.holder.prove(1, 0)
         admission = KeyAdmission(proof_ms)
         self.reader = RequestReader(
@@ -190,3 +196,20 @@
 def test_without_accounts_no_key_is_asked_for():
     exchange = FakeExchange(authorization=None)
     assert World(keys=False).reader.read(exchange).account is None
+
+
+@pytest.mark.parametrize(
+    ('engines', 'told', 'prompt'),
+    [
+        (True, '1460,80', 1460),
+        # Engines are chosen by size, so an untold one is the usual.
+        (True, None, 9000),
+        (False, '1460,80', 1460),
+        (False, None, None),
+    ],
+)
+def test_size_of_a_prompt(engines, told, prompt):
+    world = World(engines=engines)
+    exchange = FakeExchange(x_crankchute_token_usage=told)
+    size = world.reader.read(exchange).size
+    assert (size and size.prompt) == prompt
