--- a/crankchute/adapters/http_test.py
+++ b/crankchute/adapters/http_test.py
@@ -115,12 +115,12 @@
 
 def test_resting_connections_to_a_server_that_is_no_more_are_closed():
     """The next call opens one of its own."""
-    bench = _Bench(lambda exchange: exchange.reply_json(HTTPStatus.OK, {}))
-    bench.ask()
-    bench.ask()
+    bench = _Bench(_fail)
+    first = bench.ask()
+    assert bench.ask() == first
     assert bench.client.opened == 1
     assert bench.client.rests_at(bench.address)
     bench.client.close_idle(bench.address)
     assert not bench.client.rests_at(bench.address)
-    assert bench.ask()[0] == HTTPStatus.OK
+    assert bench.ask() == first
     assert bench.client.opened == 2
