Try a call of the store again soon after a single failure

A third of the instances are cut off from the store from 1 s on.

Change: the first failure is followed by a call after 200 ms, as before; only further ones wait 1.5 and 3 s.

Open: if all readers are cut off at once, others notice that after 3 s, which is more than a deployment with 2 s allows (docs/FINDINGS.md).

--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -52,11 +52,11 @@
 #: and the loss of two at once leaves one.  A quiet day of 195 instances took
 #: 2,259 calls, and 5,529 when each read for itself (one play each).
 _READERS = 3
-#: The first and the longest pause between calls of the store that fail, at a
+#: The second and the longest pause between calls of the store that fail, at a
 #: reader and at others.  What the readers get again the others are told within
 #: a second; while the store turned everybody away for 5 s, 72 instances that
-#: began with 200 ms made some 500 calls in vain.
-_READER_RETRIES_MS = (200, 800)
+#: doubled their pauses from 200 ms on made some 500 calls in vain.
+_READER_RETRIES_MS = (400, 800)
 _RETRIES_MS = (1500, 3000)
 #: How long a request may wait for the first answers of the store, in
 #: milliseconds; they take some ten.
--- a/crankchute/platform/store.py
+++ b/crankchute/platform/store.py
@@ -19,6 +19,7 @@
 #: How long an answer may be late before the call is given up.
 _SLACK_MS = 900
 _CONNECT_MS = 500
+#: After a single failure, which may be a connection that rested and was closed.
 _FIRST_RETRY_MS = 200
 
 
@@ -81,8 +82,8 @@
         changes that come together are one call.
       is_told: A function that tells whether other instances told lately what
         this watch would.
-      choose_retries: A function that returns the first and the longest pause
-        between calls that fail, a pair of milliseconds.
+      choose_retries: A function that returns the second and the longest pause
+        between calls that fail, a pair of milliseconds; the first is short.
     """
 
     __slots__ = (
@@ -282,15 +283,18 @@
         if not self._is_failing:
             self._is_failing = True
             log_change('store_lost', prefix=self._prefix, reason=reason)
-        first_ms, longest_ms = self._pace.choose_retries()
+        second_ms, longest_ms = self._pace.choose_retries()
         resume = self._go_on
         if self._at is None:
             # Whoever knows nothing yet can serve nobody.
-            first_ms = _FIRST_RETRY_MS
+            second_ms = _FIRST_RETRY_MS * 2
             resume = self._start_unless_told
-        pause_ms = min(self._retry_ms or first_ms, longest_ms)
+        pause_ms = _FIRST_RETRY_MS
+        if self._retry_ms is not None:
+            doubled_ms = self._retry_ms * 2
+            pause_ms = min(max(doubled_ms, second_ms), longest_ms)
         self._timers.after(pause_ms, resume)
-        self._retry_ms = pause_ms * 2
+        self._retry_ms = pause_ms
 
     def _start_unless_told(self):
         """Read all, or rest if others told it while calls failed.
