Ask the store sooner where versions must be in force sooner

Cause: instances that do not read for others ask the store themselves when the last proof is 3 s old. If all readers are cut off at once, a version that is acknowledged meanwhile is in force up to 3.25 s later, and small deployments grant 2 s.

Change: the age from which on a proof is too old follows config-apply-ms, from 2.05 to 3 s. Deployments that grant 3 s are as before.

--- a/crankchute/core/proof.py
+++ b/crankchute/core/proof.py
@@ -1,5 +1,23 @@
 """How long ago something was proved to be the newest of its kind."""
 
+#: By way of a reader and a home a proof is up to two seconds old.
+_USUAL_MS = 2050
+#: A keyed request needs one younger than 4.3 s where revocation is strict.
+_LONGEST_MS = 3000
+
+
+def choose_stale_ms(in_force_ms):
+    """Return how old a proof is when the platform has to be asked for a new one.
+
+    All who read the platform for others may be cut off from it at once, while
+    a version is published that must be in force soon.
+
+    Args:
+      in_force_ms: Within what time a version must be in force, in
+        milliseconds.
+    """
+    return min(max(in_force_ms, _USUAL_MS), _LONGEST_MS)
+
 
 class Proof:
     """The newest moment at which it was proved, on this process's clock.
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -6,6 +6,7 @@
 from crankchute.adapters.http_intake import IntakeLimits
 from crankchute.adapters.operator_pages import OperatorPages
 from crankchute.core.admission import make_key_admission
+from crankchute.core.proof import choose_stale_ms
 from crankchute.core.return_hints import ReturnHints
 from crankchute.core.sliding_budget import RetryLimits
 from crankchute.entry.forward_node import (
@@ -40,10 +41,7 @@
 #: How long a reader does without a watch after a change: servers register by
 #: the dozen when a day begins.
 _PAUSE_MS = 150
-#: An instance that is told nothing newer than this asks the store itself.  By
-#: way of a reader and a home a proof is up to 2.0 s old, and a keyed request
-#: needs one younger than 4.3 s where revocation is strict.
-_STALE_MS = 3000
+#: How often an instance looks whether it is told nothing new for too long.
 _CHECK_MS = 250
 #: How long a process that starts does not watch, since until it knows the
 #: others it would take itself for a reader.
@@ -183,17 +181,24 @@
             age_ms = proof_age_ms(now_ms)
             if age_ms is None:
                 age_ms = now_ms - self._start_ms
-            return self._is_reader() or age_ms > _STALE_MS
+            return self._is_reader() or age_ms > self._stale_ms()
+
+        def is_told():
+            age_ms = proof_age_ms(self.timers.clock.now_ms())
+            return age_ms is not None and age_ms <= self._stale_ms()
 
         pace = WatchPace(
             wait_ms=_WAIT_MS,
             is_needed=is_needed,
             pause_ms=_PAUSE_MS,
-            is_told=lambda: _is_fresh(proof_age_ms(self.timers.clock.now_ms())),
+            is_told=is_told,
             choose_retries=self._choose_retries,
         )
         return StoreWatch(self, prefix, listener, pace)
 
+    def _stale_ms(self):
+        return choose_stale_ms(self.settings.bounds.in_force_ms)
+
     def _is_reader(self):
         return self.node.peers.sharing.is_among_first(_READERS)
 
@@ -248,11 +253,6 @@
         self._server.is_closing = True
 
 
-def _is_fresh(age_ms):
-    """Tell whether a proof is young enough to ask the store for nothing."""
-    return age_ms is not None and age_ms <= _STALE_MS
-
-
 def _read_identity(settings):
     return InstanceIdentity(
         settings.instance,
--- a/crankchute/platform/settings.py
+++ b/crankchute/platform/settings.py
@@ -61,6 +61,7 @@
 
     Attributes:
       grace_ms: How long a process may take to stop.
+      in_force_ms: Within what time a new version must be in force.
       revoke_ms: Within what time a revoked key must be refused everywhere.
       retry_ratio: Retries for each request, all instances together.
       retry_slack: Retries beyond that in any window.
@@ -72,6 +73,7 @@
 
     __slots__ = (
         'grace_ms',
+        'in_force_ms',
         'is_revocation_strict',
         'retry_ratio',
         'retry_slack',
@@ -243,6 +245,7 @@
 #: deployment does not tell it.
 _BOUNDS = (
     ('grace_ms', 'grace-s', _read_seconds, 8000),
+    ('in_force_ms', 'config-apply-ms', float, 3000),
     ('revoke_ms', 'revoke-ms', float, 5000),
     ('retry_ratio', 'retry-budget-ratio', float, 0.1),
     ('retry_slack', 'retry-slack', float, 10),
--- a/crankchute/platform/settings_test.py
+++ b/crankchute/platform/settings_test.py
@@ -55,6 +55,15 @@
     assert place in {finding.place for finding in caught.value.findings}
 
 
+@pytest.mark.parametrize(
+    ('told', 'in_force_ms'),
+    [({}, 3000), ({'config-apply-ms': 2000}, 2000)],
+)
+def test_bound_of_new_versions_is_read(told, in_force_ms):
+    settings = read_settings({**DOCUMENT, 'bounds': told})
+    assert settings.bounds.in_force_ms == in_force_ms
+
+
 @pytest.mark.parametrize(
     ('told', 'unused_ms'),
     [({}, 9000), ({'idle_max_ms': 7000}, 7000)],
