Show in a test that few instances stay active beside the others, red

Cause: an instance that is not among the active ones by its own choice takes the list that another one told. Among instances that knew only each other when all began, each is named by another of them, so they keep the list alive among themselves, though each sees the strong ones for itself.

--- a/crankchute/core/sharing_test.py
+++ b/crankchute/core/sharing_test.py
@@ -30,6 +30,7 @@
         self.members = make_members(names)
         self.by_name = {one.identity: one for one in self.members}
         self.cut = set()
+        self.known = {}
         self.stopping = set()
         self.ages = {}
         self.heard = []
@@ -37,6 +38,10 @@
         self.boards = {}
         self.instances = {name: self._make(name) for name in names}
 
+    def known_by(self, name):
+        """Return the names of the instances that one has heard of."""
+        return self.known.get(name, self.by_name)
+
     def active_at(self, name):
         chosen = self.instances[name].choose_addresses('a')
         return [member.identity for member in chosen]
@@ -65,9 +70,9 @@
         parts = SharingParts(
             timers=self.timers,
             random=random.Random(1),
-            members=lambda: self.members,
+            members=lambda: [self.by_name[one] for one in self.known_by(name)],
             get=lambda wanted: self.by_name.get(wanted),
-            version=lambda: 1,
+            version=lambda: len(self.known_by(name)),
             is_serving=lambda: name not in self.stopping,
             proof_age_ms=lambda: self.ages.get(name, 10),
             board=self.boards[name],
@@ -442,3 +447,25 @@
     world.ages.clear()
     world.timers.advance(3000)
     assert {tuple(world.active_at(name)) for name in names} == {tuple(before)}
+
+
+@pytest.mark.parametrize('count', [24, 72])
+@pytest.mark.parametrize('seed', range(3))
+def test_few_that_knew_only_each_other_find_the_others(count, seed):
+    """All start together, and some hear of each other first.
+
+    Three instances took each other for the active ones, told each other so
+    again and again, and believed it more than what they saw for themselves:
+    on a day without faults an eighth of the prompts went to them, unknown to
+    the active ones, and short ones came 3.66 times later than predicted at the
+    90th percentile, 1.23 times where that did not happen.
+    """
+    names = [f'{"abc"[number % 3]}{number}' for number in range(count)]
+    world = World(names)
+    few = random.Random(seed).sample(names, 3)
+    world.known = dict.fromkeys(few, few)
+    world.timers.advance(1000)
+    world.known = {}
+    world.timers.advance(8000)
+    answers = {tuple(world.active_at(name)) for name in names}
+    assert len(answers) == 1
