Let no instance take itself for active on the word of those it would not choose

Ruled out: asking those that were left out more often (the three do not take them for lost; they never look at their own choice), and shorter trust in what was told (it is renewed every half second).

Change: an instance that is told that it is active itself believes it only from one that it would choose by what it sees. All others take lists as before.

--- a/crankchute/core/active_instances.py
+++ b/crankchute/core/active_instances.py
@@ -57,6 +57,7 @@
         self._wishers = {}
         self._ranking = Ranking(())
         self._ranked_version = None
+        self._own_choice = frozenset()
         self._told = ()
         self._told_ms = float('-inf')
         self.chosen = []
@@ -99,6 +100,7 @@
             or ranking.choose(count, self._is_sound)
             or ranking.choose(count, _accept)
         )
+        self._own_choice = frozenset(one.identity for one in own_choice)
         self.chosen = own_choice
         if not self.includes_own:
             self.chosen = self._list_told() or own_choice
@@ -121,6 +123,13 @@
         elif briefing.digest == self.digest:
             told = self.chosen
         is_active = any(one.identity == briefing.instance for one in told)
+        if self._own in {one.identity for one in told}:
+            # Whoever is active by others' word only believes it from those
+            # that it would choose itself.  Three instances that had heard of
+            # each other first kept each other active for a whole day, and
+            # first events of short prompts came 3.66 times later than
+            # predicted (90th percentile), else 1.23.
+            is_active = is_active and briefing.instance in self._own_choice
         if is_active or (is_answer and briefing.active):
             self._told = tuple(told)
         if is_active:
