Let orders in the tests of forwarding take what a busy machine needs

Traced by a run: of 480 such prompts in 40 processes at once one was refused with no_backend, three orders to set memory aside having been left unanswered for 250 ms. So the test hung on the clock of the wall.

Ruled out: refusals for harm (the code is no_backend, and nobody is harmed on idle engines).

Change: these tests wait 2.5 s for an order; what they ask for is unchanged. How long orders may take is tested in virtual time (core/reservations_test.py).

--- a/crankchute/platform/forwarding_test.py
+++ b/crankchute/platform/forwarding_test.py
@@ -38,6 +38,7 @@
 HUGE = PromptSize(30_000, 100)
 _MEMORY = 10_000
 _TICK_S = 0.001
+_ORDER_MS = 2500
 #: How long a request may be on its way to an engine before that starts again.
 _RESTART_MS = 50
 #: Far beyond what releases and their repetition take.
@@ -138,6 +139,19 @@
         )
 
 
+@pytest.fixture(autouse=True)
+def patient_orders(monkeypatch):
+    """Let orders take longer than a busy machine needs for one.
+
+    With 40 such processes at once an order took over the 250 ms after which
+    another engine is asked, and no engine was left.
+    """
+    monkeypatch.setattr('crankchute.core.lease._ASK_MS', _ORDER_MS)
+    monkeypatch.setattr(
+        'crankchute.platform.engine_orders._ORDER_MS', _ORDER_MS
+    )
+
+
 def _list_engine(engine):
     return Backend(
         Listed(
