Log what servers say of themselves in their answers

Cause looked for: requests went on to servers whose answers had said that they leave, and to servers that had asked for rest with a 503; logs did not tell what an answer said, so 'nobody reads it' and 'it is read and overridden' looked alike. Change: all calls of servers (requests, orders, reports) go through ServerCalls, which reads the head of each answer; a line server_said tells it. Nothing acts on it yet, so nothing else changes.

--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -118,6 +118,20 @@
             fingerprints=[write_fingerprint(one) for one in fingerprints],
         )
 
+    def log_notice(self, backend, notice):
+        """Log what a server said of itself in an answer.
+
+        Args:
+          backend: The Backend.
+          notice: A ServerNotice.
+        """
+        log_change(
+            'server_said',
+            server=backend.identity,
+            leaving=notice.is_leaving,
+            rest_ms=_round(notice.rest_ms),
+        )
+
     def log_set_aside(self, request_id, helpers, refused, took_ms):
         """Log that engines were asked to set memory aside.
 
--- /dev/null
+++ b/crankchute/core/server_notice.py
@@ -0,0 +1,44 @@
+"""What a backend server says of itself in an answer, whatever was asked."""
+
+
+class ServerNotice:
+    """A server's word about the requests that it wants from now on.
+
+    Attributes:
+      is_leaving: Whether it leaves, and wants no new request, a bool.
+      rest_ms: For how long from now on it wants nothing from this instance,
+        in milliseconds; 0 if it said nothing of that.
+    """
+
+    __slots__ = ('is_leaving', 'rest_ms')
+
+    def __init__(self, *, is_leaving=False, rest_ms=0):
+        """Create the notice.
+
+        Args:
+          is_leaving: See the class.
+          rest_ms: See the class.
+        """
+        self.is_leaving = is_leaving
+        self.rest_ms = rest_ms
+
+
+class ServerNotices:
+    """Takes what servers say of themselves."""
+
+    def __init__(self, journal):
+        """Create the part.
+
+        Args:
+          journal: A ForwardJournal.
+        """
+        self._journal = journal
+
+    def take(self, backend, notice):
+        """Take a server's word.
+
+        Args:
+          backend: The Backend that was asked.
+          notice: Its ServerNotice.
+        """
+        self._journal.log_notice(backend, notice)
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -135,23 +135,25 @@
 class BackendCalls(ForwardPort):
     """Sends jobs to backend servers over HTTP."""
 
-    def __init__(self, client):
+    def __init__(self, client, calls):
         """Create the adapter.
 
         Args:
           client: An HttpClient.
+          calls: The ServerCalls on that client.
         """
         self._client = client
+        self._calls = calls
 
     def send(self, job, placement, attempt, listener):
         """See ForwardPort."""
         payload = job.payload
         headers = list(payload.headers)
         headers.extend(_write_own_headers(job, placement, attempt))
-        address = placement.backend.listed.address
+        backend = placement.backend
         request = build_request(
             payload.method,
-            address,
+            backend.listed.address,
             payload.target,
             payload.body,
             headers,
@@ -160,7 +162,7 @@
         idle_ms = _ONCE_IDLE_MS if may_start_once else _REPEATABLE_IDLE_MS
         options = CallOptions(idle_ms=idle_ms, connect_ms=_CONNECT_MS)
         reader = AnswerReader(job, listener)
-        reader.call = self._client.send(address, request, reader, options)
+        reader.call = self._calls.send(backend, request, reader, options)
         return reader.call
 
     def is_connected(self, backend):
--- a/crankchute/platform/backend_calls_test.py
+++ b/crankchute/platform/backend_calls_test.py
@@ -16,6 +16,7 @@
 from crankchute.core.forward_job import AttemptOrder, Helper, Placement, Repeat
 from crankchute.platform.backend_calls import BackendCalls
 from crankchute.platform.requests import RequestPayload
+from crankchute.platform.server_calls import ServerCalls
 from crankchute.ports.forwarding import AttemptListener
 
 _LOOPBACK = '127.0.0.1'
@@ -62,7 +63,7 @@
     def __init__(self):
         self.loop = Loop()
         self.client = HttpClient(timers=self.loop.timers).register(self.loop)
-        self.calls = BackendCalls(self.client)
+        self.calls = BackendCalls(self.client, ServerCalls(self.client))
         self.listening = socket.create_server((_LOOPBACK, 0))
         self.listening.setblocking(False)
         port = self.listening.getsockname()[1]
--- a/crankchute/platform/ending_requests_test.py
+++ b/crankchute/platform/ending_requests_test.py
@@ -42,6 +42,7 @@
 from crankchute.platform.engine_orders import EngineOrders
 from crankchute.platform.engine_reports import EngineReports
 from crankchute.platform.requests import RequestPayload
+from crankchute.platform.server_calls import ServerCalls
 from crankchute.platform.standin_engine import StandinEngine
 
 _TICK_S = 0.001
@@ -80,10 +81,11 @@
         number = len(self.nodes)
         client = HttpClient(f'hub-{number}', timers=self.loop.timers)
         client.register(self.loop)
+        calls = ServerCalls(client)
         wiring = ForwardWiring(
-            port=BackendCalls(client),
-            reservations=EngineOrders(client, self.loop.timers),
-            reports=EngineReports(client),
+            port=BackendCalls(client, calls),
+            reservations=EngineOrders(calls, self.loop.timers),
+            reports=EngineReports(calls),
             take_config=lambda _payload: None,
             take_servers=lambda _changes: False,
             pool_label='pool',
--- a/crankchute/platform/engine_orders.py
+++ b/crankchute/platform/engine_orders.py
@@ -19,14 +19,14 @@
 class EngineOrders(ReservationPort):
     """Sends orders over HTTP."""
 
-    def __init__(self, client, timers):
+    def __init__(self, calls, timers):
         """Create the adapter.
 
         Args:
-          client: An HttpClient.
+          calls: ServerCalls.
           timers: A TimerService.
         """
-        self._client = client
+        self._calls = calls
         self._timers = timers
 
     def reserve(self, helper, hold_ms, on_done):
@@ -52,10 +52,9 @@
     def _order(self, helper, document, patience_ms, on_done):
         """Send an order and tell one end: done, refused, or no answer."""
         pending = _Pending(on_done)
-        address = helper.backend.listed.address
         payload = build_request(
             'POST',
-            address,
+            helper.backend.listed.address,
             ORDER_PATH,
             orjson.dumps(document),
             (('Content-Type', 'application/json'),),
@@ -66,7 +65,12 @@
         )
         options = CallOptions(idle_ms=_IDLE_MS, connect_ms=patience_ms)
         pending.guard = self._timers.after(patience_ms, pending.time_out)
-        pending.call = self._client.send(address, payload, sink, options)
+        pending.call = self._calls.send(
+            helper.backend,
+            payload,
+            sink,
+            options,
+        )
 
 
 class _Pending:
--- a/crankchute/platform/engine_reports.py
+++ b/crankchute/platform/engine_reports.py
@@ -16,13 +16,13 @@
 class EngineReports(ReportPort):
     """Asks for reports over HTTP."""
 
-    def __init__(self, client):
+    def __init__(self, calls):
         """Create the adapter.
 
         Args:
-          client: An HttpClient.
+          calls: ServerCalls.
         """
-        self._client = client
+        self._calls = calls
 
     def ask(self, backend, on_load):
         """See ReportPort."""
@@ -32,8 +32,8 @@
             if load is not None:
                 on_load(load)
 
-        self._client.send(
-            backend.listed.address,
+        self._calls.send(
+            backend,
             build_request('GET', backend.listed.address, REPORT_PATH),
             WholeResponse(take, _log_failure),
             CallOptions(idle_ms=_IDLE_MS, connect_ms=_CONNECT_MS),
--- a/crankchute/platform/forwarding_test.py
+++ b/crankchute/platform/forwarding_test.py
@@ -32,6 +32,7 @@
 from crankchute.platform.backend_calls import BackendCalls
 from crankchute.platform.engine_orders import EngineOrders
 from crankchute.platform.requests import RequestPayload
+from crankchute.platform.server_calls import ServerCalls
 from crankchute.platform.standin_engine import EVENTS, Behaviour, StandinEngine
 from crankchute.ports.metrics import Metrics
 
@@ -58,6 +59,7 @@
         self.loop = Loop()
         self.moved = []
         client = HttpClient(timers=self.loop.timers).register(self.loop)
+        calls = ServerCalls(client)
         by_address = {}
         self.engines = [
             StandinEngine(self.loop, f'i-{number}', by_address, _MEMORY)
@@ -65,7 +67,7 @@
         ]
         self.backends = [_list_engine(one) for one in self.engines]
         reservations = ReservationDesk(
-            EngineOrders(client, self.loop.timers),
+            EngineOrders(calls, self.loop.timers),
             self.loop.timers,
             Metrics(),
             FakeJournal(),
@@ -73,7 +75,7 @@
         )
         chooser = EngineChooser(self._make_parts(reservations))
         ports = ForwardPorts(
-            forward=BackendCalls(client),
+            forward=BackendCalls(client, calls),
             timers=self.loop.timers,
             metrics=Metrics(),
             journal=FakeJournal(),
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -8,6 +8,7 @@
 from crankchute.core.admission import make_key_admission
 from crankchute.core.proof import choose_stale_ms
 from crankchute.core.return_hints import ReturnHints
+from crankchute.core.server_notice import ServerNotices
 from crankchute.core.sliding_budget import RetryLimits
 from crankchute.entry.forward_node import (
     ForwardLimits,
@@ -24,6 +25,7 @@
 from crankchute.platform.engine_reports import EngineReports
 from crankchute.platform.published import PublishedConfig, PublishedServers
 from crankchute.platform.requests import RequestReader
+from crankchute.platform.server_calls import ServerCalls
 from crankchute.platform.server_entries import POOL_LABEL
 from crankchute.platform.store import StoreWatch, WatchPace
 from crankchute.platform.wire import (
@@ -88,10 +90,11 @@
         self._sockets = sockets
         self._start_ms = loop.timers.clock.now_ms()
         self.http_client = HttpClient(timers=loop.timers).register(loop)
+        calls = ServerCalls(self.http_client)
         wiring = ForwardWiring(
-            port=BackendCalls(self.http_client),
-            reservations=EngineOrders(self.http_client, loop.timers),
-            reports=EngineReports(self.http_client),
+            port=BackendCalls(self.http_client, calls),
+            reservations=EngineOrders(calls, loop.timers),
+            reports=EngineReports(calls),
             take_config=self._take_config,
             take_servers=self._take_servers,
             pool_label=POOL_LABEL,
@@ -102,6 +105,7 @@
             _read_limits(settings.bounds),
             wiring,
         )
+        calls.on_notice = ServerNotices(self.node.journal).take
         self._published = PublishedConfig(self.node.holder)
         self._published_servers = PublishedServers(
             self.node,
--- a/crankchute/platform/wire.py
+++ b/crankchute/platform/wire.py
@@ -16,6 +16,10 @@
 FAULTY_SERVER = 'at-server'
 #: Requests running, requests waiting and slots of the answering server.
 TOLD_LOAD = 'x-crankchute-server-load'
+#: Set to 1 in every answer of a server that leaves.
+LEAVING = 'server-leaving'
+#: With a 503: for how many seconds the server wants nothing from the asker.
+RETRY_AFTER = 'retry-after'
 LAST_EVENT = 'last-event-id'
 HELPERS = 'helpers'
 PRIORITY = 'priority'
