Take whole instances and engines for tests out of one test

The next tests need the same instances and engines, and engines that speak of themselves in their answers; nothing that a test asks for has changed.

--- a/crankchute/platform/standin_engine.py
+++ b/crankchute/platform/standin_engine.py
@@ -18,10 +18,12 @@
     FAULTY_SERVER,
     HELPERS,
     LAST_EVENT,
+    LEAVING,
     NOT_RUN,
     ORDER_PATH,
     REPORT_PATH,
     REQUEST_ID,
+    RETRY_AFTER,
     SIGNATURE,
     TARGET_INCARNATION,
     TOKEN_USAGE,
@@ -104,6 +106,10 @@
       answers_orders: Whether it answers orders, a bool.
       ends_on: Bodies of requests under which its process ends, a set.
       is_up: Whether its process runs, a bool.
+      is_leaving: Whether it says in all its answers that it leaves, a bool.
+      rest: What it says in Retry-After as it turns everything away, a string,
+        or None while it takes what comes.
+      arrivals: How many requests reached it, an int.
     """
 
     def __init__(self, loop, identity, engines, memory_tokens):
@@ -134,6 +140,9 @@
         self.answers_orders = True
         self.ends_on = set()
         self.is_up = True
+        self.is_leaving = False
+        self.rest = None
+        self.arrivals = 0
         engines[self.address] = self
 
     @property
@@ -176,11 +185,29 @@
 
     def _on_request(self, exchange):
         if exchange.target == ORDER_PATH:
-            self._take_order(exchange)
+            take = self._take_order
         elif exchange.target == REPORT_PATH:
-            exchange.reply_json(HTTPStatus.OK, self._report())
+            take = self._take_question
         else:
-            self._take_work(exchange)
+            take = self._take_work
+            self.arrivals += 1
+        if self.rest is None:
+            take(exchange)
+        else:
+            self._reject(exchange, HTTPStatus.SERVICE_UNAVAILABLE, self)
+
+    def _take_question(self, exchange):
+        self._answer(exchange, HTTPStatus.OK, self._report())
+
+    def _say(self):
+        """Return the headers in which it speaks of itself."""
+        said = [(LEAVING, '1')] if self.is_leaving else []
+        if self.rest is not None:
+            said.append((RETRY_AFTER, self.rest))
+        return said
+
+    def _answer(self, exchange, status, document):
+        exchange.reply_json(status, document, self._say())
 
     def _report(self):
         return {
@@ -202,16 +229,16 @@
         order = orjson.loads(exchange.body)
         if order['op'] == 'release':
             self.tickets.pop(order['id'], None)
-            exchange.reply_json(HTTPStatus.OK, {})
+            self._answer(exchange, HTTPStatus.OK, {})
             return
         tokens = order['token-count']
         renewed = self.tickets.get(order['id'], 0)
         free = self.memory_tokens + renewed - sum(self.tickets.values())
         if tokens > free:
-            exchange.reply_json(HTTPStatus.CONFLICT, {})
+            self._answer(exchange, HTTPStatus.CONFLICT, {})
             return
         self.tickets[order['id']] = tokens
-        exchange.reply_json(HTTPStatus.OK, {'free': free - tokens})
+        self._answer(exchange, HTTPStatus.OK, {'free': free - tokens})
 
     def _take_work(self, exchange):
         if exchange.header(TARGET_INCARNATION) not in {None, self.identity}:
@@ -242,8 +269,7 @@
         Returns:
           The engine that lacks what the request needs, or None.
         """
-        prompt, answer = exchange.header(TOKEN_USAGE).split(',')
-        needed = int(prompt) + int(answer)
+        needed = _count_tokens(exchange.header(TOKEN_USAGE))
         lent = 0
         for share in shares:
             helper = self._engines.get(share.address)
@@ -259,9 +285,10 @@
 
     def _reject(self, exchange, status, faulty):
         headers = [
-            (REQUEST_ID, exchange.header(REQUEST_ID)),
+            (REQUEST_ID, exchange.header(REQUEST_ID) or ''),
             (NOT_RUN, 'true'),
             (FAULTY_SERVER, faulty.address),
+            *self._say(),
         ]
         exchange.reply(status, b'', headers)
 
@@ -291,6 +318,7 @@
             (REQUEST_ID, exchange.header(REQUEST_ID)),
             (SIGNATURE, self.identity),
             ('Content-Type', 'text/event-stream'),
+            *self._say(),
         ]
         exchange.start(HTTPStatus.OK, headers)
         is_broken = behaviour == Behaviour.BREAK_OFF
@@ -303,5 +331,10 @@
             exchange.finish()
 
 
+def _count_tokens(text):
+    """Return how much memory a request needs; one of a plain server none."""
+    return sum(int(part) for part in text.split(',')) if text else 0
+
+
 def _read_shares(text):
     return [] if text is None else [Share(one) for one in text.split(',')]
--- /dev/null
+++ b/crankchute/platform/standin_world.py
@@ -0,0 +1,197 @@
+"""Whole instances and servers on one loop, for tests without the bench.
+
+The instances share what they learn over real connections; the servers are
+stand-ins that speak the wire.  Nobody plays the store: it is as if it were away
+but for what a test tells the instances.
+"""
+
+from bench.ports import LOOPBACK, pick_ports
+from crankchute.adapters.http_client import HttpClient
+from crankchute.adapters.loop import Loop
+from crankchute.core.fleet import Listed
+from crankchute.core.forward_config import ForwardConfig, PoolConfig
+from crankchute.core.forward_fakes import (
+    POOL,
+    FakeSink,
+    make_figures,
+    make_job,
+)
+from crankchute.core.forward_job import PromptSize, Repeat
+from crankchute.core.hashing import make_fingerprint
+from crankchute.core.server_notice import ServerNotices
+from crankchute.core.sliding_budget import RetryLimits
+from crankchute.entry.forward_node import (
+    ForwardLimits,
+    ForwardNode,
+    ForwardWiring,
+    InstanceIdentity,
+)
+from crankchute.platform.backend_calls import BackendCalls
+from crankchute.platform.engine_orders import EngineOrders
+from crankchute.platform.engine_reports import EngineReports
+from crankchute.platform.requests import RequestPayload
+from crankchute.platform.server_calls import ServerCalls
+from crankchute.platform.standin_engine import StandinEngine
+
+_TICK_S = 0.001
+_MEMORY = 100_000
+_DEADLINE_MS = 60_000
+_CONNECTIONS = 64
+_PROMPT = PromptSize(prompt=2000, answer=100)  # noqa: WPS432
+_UNUSED_MS = 9000
+_RETRIES = RetryLimits(ratio=0, slack=100, window_ms=1000)
+
+
+class StandinWorld:
+    """Instances that share what they learn, and servers of one pool.
+
+    Attributes:
+      loop: The Loop.
+      engines: The StandinEngines, a list.
+      nodes: The ForwardNodes, a list.
+    """
+
+    def __init__(self, instances=3, engines=12, *, is_plain=False):
+        """Start the processes, and wait until the instances know each other.
+
+        Args:
+          instances: How many instances.
+          engines: How many servers.
+          is_plain: Whether the pool is one of plain servers, not of engines.
+        """
+        self.loop = Loop()
+        self._by_address = {}
+        figures = make_figures(memory_tokens=_MEMORY)
+        self._figures = None if is_plain else figures
+        self.engines = []
+        self.nodes = []
+        self._peer_ports = pick_ports(instances + 1)
+        for _ in range(instances):
+            self.start_instance()
+        for _ in range(engines):
+            self.start_engine()
+        self.loop.run_until(self._know_each_other, _TICK_S)
+
+    def start_instance(self):
+        """Start one more instance, which is told of the servers only."""
+        number = len(self.nodes)
+        identity = InstanceIdentity(
+            f'entry-{number}',
+            'here',
+            peer_address=(LOOPBACK, self._peer_ports[number]),
+            caller_address=(LOOPBACK, 1),
+            seeds=[(LOOPBACK, self._peer_ports[0])],
+        )
+        limits = ForwardLimits(
+            retries=_RETRIES,
+            address_ttl_ms=1000,
+            grace_ms=_DEADLINE_MS,
+            unused_ms=_UNUSED_MS,
+        )
+        client = HttpClient(f'hub-{number}', timers=self.loop.timers)
+        calls = ServerCalls(client.register(self.loop))
+        node = ForwardNode(
+            self.loop,
+            identity,
+            limits,
+            self._wire(client, calls),
+        )
+        calls.on_notice = ServerNotices(node.journal).take
+        self.nodes.append(node)
+        pools = [PoolConfig(POOL, _CONNECTIONS, self._figures)]
+        node.holder.offer(ForwardConfig(1, [], pools), b'')
+        for engine in self.engines:
+            if engine.is_up:
+                node.fleet.put(list_engine(engine))
+        node.note_listed()
+        return node
+
+    def start_engine(self):
+        """Start a server, of which all instances are told."""
+        engine = StandinEngine(
+            self.loop,
+            f'i-{len(self.engines)}',
+            self._by_address,
+            _MEMORY,
+        )
+        self.engines.append(engine)
+        for node in self.nodes:
+            node.fleet.put(list_engine(engine))
+        return engine
+
+    def wait(self, delay_ms):
+        """Let the loop run for a while."""
+        over = []
+        self.loop.timers.after(delay_ms, lambda: over.append(True))
+        self.loop.run_until(lambda: bool(over), _TICK_S)
+
+    def submit(self, node, body, **fields):
+        """Submit a request.
+
+        Args:
+          node: The ForwardNode that takes it.
+          body: Its bytes.
+          fields: See make_job.
+        Returns:
+          Its FakeSink, and a function that waits for its end and returns it.
+        """
+        now_ms = node.now_ms()
+        request_id = f'r-{now_ms}'
+        headers = [('X-Crankchute-Request-Id', request_id)]
+        kind = {'repeat': Repeat.AGAIN, 'size': None}
+        if self._figures is not None:
+            headers.append(('X-Crankchute-Token-Usage', '2000,100'))
+            kind = {
+                'repeat': Repeat.RESUME,
+                'is_stream': True,
+                'size': _PROMPT,
+            }
+        job = make_job(
+            request_id=request_id,
+            fingerprint=make_fingerprint(body),
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + _DEADLINE_MS,
+            payload=RequestPayload('POST', '/p/', headers, body),
+            **{**kind, **fields},
+        )
+        sink = FakeSink()
+        flow = node.desk.submit(job, sink)
+
+        def finish():
+            self.loop.run_until(lambda: flow.ended, _TICK_S)
+            return sink.seen[-1]
+
+        return sink, finish
+
+    def ask(self, node, body, **fields):
+        """Return the end of a request, as its caller sees it."""
+        _sink, finish = self.submit(node, body, **fields)
+        return finish()
+
+    def _wire(self, client, calls):
+        return ForwardWiring(
+            port=BackendCalls(client, calls),
+            reservations=EngineOrders(calls, self.loop.timers),
+            reports=EngineReports(calls),
+            take_config=lambda _payload: None,
+            take_servers=lambda _changes: False,
+            pool_label='pool',
+        )
+
+    def _know_each_other(self):
+        count = len(self.nodes)
+        return all(len(one.peers.membership) == count for one in self.nodes)
+
+
+def list_engine(engine):
+    """Return the Listed record of a StandinEngine."""
+    return Listed(
+        {
+            'id': engine.identity,
+            'kind': 'backend',
+            'address': engine.address,
+            'data_centre': 'here',
+            'labels': {'pool': POOL},
+            'born': engine.born,
+        }
+    )
