--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -65,6 +65,7 @@
         self._figures = None if is_plain else figures
         self.engines = []
         self.nodes = []
+        self._reports = []
         self._peer_ports = pick_ports(instances + 1)
         for _ in range(instances):
             self.start_instance()
@@ -168,11 +169,20 @@
         _sink, finish = self.submit(node, body, **fields)
         return finish()
 
+    def reports(self, node):
+        """Return the EngineReports of an instance.
+
+        Args:
+          node: Its ForwardNode.
+        """
+        return self._reports[self.nodes.index(node)]
+
     def _wire(self, client, calls):
+        self._reports.append(EngineReports(calls))
         return ForwardWiring(
             port=BackendCalls(client, calls),
             reservations=EngineOrders(calls, self.loop.timers),
-            reports=EngineReports(calls),
+            reports=self._reports[-1],
             take_config=lambda _payload: None,
             take_servers=lambda _changes: False,
             pool_label='pool',
