Send no request to a server whose answer said that it leaves

Seen: a server that wanted to declare that it leaves could not, since the store was away for 13 s; its answers said so, and eight instances sent it 24 more requests. Cause: what a server says of itself in the head of an answer reached no part that chooses; leaving was learnt from entries of the store and from instances that had read them. Ruled out: that an older entry overrode it (nothing read it), and that those requests had waited (they were 0.5 to 0.6 ms old). Change: an answer of any kind that says so drains its server here at once, and everywhere with the messages that are sent anyway. It holds for that start of the server, whatever entry of it comes later. Why it holds: requests, orders and questions go through one place (ServerCalls).

--- a/crankchute/core/server_notice.py
+++ b/crankchute/core/server_notice.py
@@ -1,4 +1,10 @@
-"""What a backend server says of itself in an answer, whatever was asked."""
+"""What a backend server says of itself in an answer, whatever was asked.
+
+The load that this answers: a server leaves, or is overrun, while the store that
+would tell of it is away, or tells seconds later.  Its answers tell at once, and
+tell whoever asks; so what they say goes by the server, not by the request that
+was answered.
+"""
 
 
 class ServerNotice:
@@ -26,12 +32,14 @@
 class ServerNotices:
     """Takes what servers say of themselves."""
 
-    def __init__(self, journal):
+    def __init__(self, fleet, journal):
         """Create the part.
 
         Args:
+          fleet: The ForwardFleet.
           journal: A ForwardJournal.
         """
+        self._fleet = fleet
         self._journal = journal
 
     def take(self, backend, notice):
@@ -42,3 +50,6 @@
           notice: Its ServerNotice.
         """
         self._journal.log_notice(backend, notice)
+        if notice.is_leaving:
+            # The store may be away, and hear of it 12 s later.
+            self._fleet.note_drained(backend.identity)
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -105,7 +105,8 @@
             _read_limits(settings.bounds),
             wiring,
         )
-        calls.on_notice = ServerNotices(self.node.journal).take
+        notices = ServerNotices(self.node.fleet, self.node.journal)
+        calls.on_notice = notices.take
         self._published = PublishedConfig(self.node.holder)
         self._published_servers = PublishedServers(
             self.node,
--- a/crankchute/platform/standin_engine.py
+++ b/crankchute/platform/standin_engine.py
@@ -110,6 +110,7 @@
       rest: What it says in Retry-After as it turns everything away, a string,
         or None while it takes what comes.
       arrivals: How many requests reached it, an int.
+      questions: How many questions for its report did, an int.
     """
 
     def __init__(self, loop, identity, engines, memory_tokens):
@@ -143,6 +144,7 @@
         self.is_leaving = False
         self.rest = None
         self.arrivals = 0
+        self.questions = 0
         engines[self.address] = self
 
     @property
@@ -188,6 +190,7 @@
             take = self._take_order
         elif exchange.target == REPORT_PATH:
             take = self._take_question
+            self.questions += 1
         else:
             take = self._take_work
             self.arrivals += 1
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -97,7 +97,7 @@
             limits,
             self._wire(client, calls),
         )
-        calls.on_notice = ServerNotices(node.journal).take
+        calls.on_notice = ServerNotices(node.fleet, node.journal).take
         self.nodes.append(node)
         pools = [PoolConfig(POOL, _CONNECTIONS, self._figures)]
         node.holder.offer(ForwardConfig(1, [], pools), b'')
