--- a/crankchute/platform/server_words_test.py
+++ b/crankchute/platform/server_words_test.py
@@ -10,49 +10,20 @@
 Whole instances run here on one loop, with servers that speak the wire.
 """
 
-from types import MappingProxyType
-
 import pytest
 
-from crankchute.core.forward_job import PromptSize
-from crankchute.platform.standin_world import StandinWorld, list_engine
+from crankchute.platform.standin_world import (
+    ANSWERED,
+    StandinWorld,
+    ask_for_memory,
+    ask_for_report,
+    ask_for_work,
+    ask_often,
+    list_engine,
+)
 
 #: Within this time all instances know what one of them learnt (the users' rule).
 _CONTACT_MS = 3000
-#: Far beyond what an answer takes between two parts of one process.
-_ARRIVAL_MS = 200
-_BODY = b'sound'
-#: Nobody is harmed by another prompt, so none is refused for a crowd.
-_PATIENT = MappingProxyType({'goal_ms': 60_000, 'gap_ms': 60_000})
-_ANSWERED = ('end', 'answer')
-#: More than one engine's memory, so that orders go to others.
-_HUGE = PromptSize(prompt=150_000, answer=100)
-
-
-def ask_often(world, node, count=24):
-    """Submit requests at the same time, and return their ends, a list."""
-    waiting = [world.submit(node, _BODY, **_PATIENT)[1] for _ in range(count)]
-    return [finish()[0] for finish in waiting]
-
-
-def ask_for_work(world, engine):
-    """Let a request be answered by an engine, or turned away by it."""
-    while not engine.arrivals:
-        ask_often(world, world.nodes[0])
-
-
-def ask_for_memory(world, engine):
-    """Let memory be set aside at all engines; the prompt needs them."""
-    world.ask(world.nodes[0], _BODY, size=_HUGE, goal_ms=60_000)
-
-
-def ask_for_report(world, engine):
-    """Let an engine be asked for its report."""
-    node = world.nodes[0]
-    backend = node.fleet.get(list_engine(engine).identity)
-    world.reports(node).ask(backend, lambda _load: None)
-    world.loop.run_until(lambda: engine.questions, 0.001)
-    world.wait(_ARRIVAL_MS)
 
 
 @pytest.mark.parametrize(
@@ -71,11 +42,11 @@
     engine.is_leaving = True
     ask(world, engine)
     before = engine.arrivals
-    assert set(ask_often(world, world.nodes[0])) <= set(_ANSWERED)
+    assert set(ask_often(world, world.nodes[0])) <= ANSWERED
     world.wait(_CONTACT_MS)
     for node in world.nodes:
         node.fleet.put(list_engine(engine))
-        assert set(ask_often(world, node)) <= set(_ANSWERED)
+        assert set(ask_often(world, node)) <= ANSWERED
     assert engine.arrivals == before
 
 
@@ -102,5 +73,5 @@
     engine.rest = '0'
     ask_for_work(world, engine)
     before = engine.arrivals
-    assert set(ask_often(world, world.nodes[0])) <= set(_ANSWERED)
+    assert set(ask_often(world, world.nodes[0])) <= ANSWERED
     assert engine.arrivals == before
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -5,6 +5,8 @@
 but for what a test tells the instances.
 """
 
+from types import MappingProxyType
+
 from bench.ports import LOOPBACK, pick_ports
 from crankchute.adapters.http_client import HttpClient
 from crankchute.adapters.loop import Loop
@@ -33,11 +35,25 @@
 from crankchute.platform.server_calls import ServerCalls
 from crankchute.platform.standin_engine import StandinEngine
 
+#: How the end of a request looks that was answered.
+ANSWERED = frozenset(('end', 'answer'))
+#: The body of a request that harms nobody.
+SOUND = b'sound'
 _TICK_S = 0.001
+#: Far beyond what an answer takes between two parts of one process.
+_ARRIVAL_MS = 200
+#: So many requests at once reach every server of a few.
+_MANY = 24
 _MEMORY = 100_000
 _DEADLINE_MS = 60_000
 _CONNECTIONS = 64
 _PROMPT = PromptSize(prompt=2000, answer=100)  # noqa: WPS432
+#: More than one engine's memory, so that orders go to others.
+_HUGE = PromptSize(prompt=150_000, answer=100)  # noqa: WPS432
+#: Nobody is harmed by another prompt, so none is refused for a crowd.
+_PATIENT = MappingProxyType(
+    {'goal_ms': _DEADLINE_MS, 'gap_ms': _DEADLINE_MS},
+)
 _UNUSED_MS = 9000
 _RETRIES = RetryLimits(ratio=0, slack=100, window_ms=1000)
 
@@ -205,3 +221,29 @@
             'born': engine.born,
         }
     )
+
+
+def ask_often(world, node, count=_MANY):
+    """Submit requests at the same time, and return their ends, a list."""
+    waiting = [world.submit(node, SOUND, **_PATIENT)[1] for _ in range(count)]
+    return [finish()[0] for finish in waiting]
+
+
+def ask_for_work(world, engine):
+    """Let a request be answered by an engine, or turned away by it."""
+    while not engine.arrivals:
+        ask_often(world, world.nodes[0])
+
+
+def ask_for_memory(world, engine):
+    """Let memory be set aside at all engines; the prompt needs them."""
+    world.ask(world.nodes[0], SOUND, size=_HUGE, goal_ms=_DEADLINE_MS)
+
+
+def ask_for_report(world, engine):
+    """Let an engine be asked for its report."""
+    node = world.nodes[0]
+    backend = node.fleet.get(list_engine(engine).identity)
+    world.reports(node).ask(backend, lambda _load: None)
+    world.loop.run_until(lambda: engine.questions, _TICK_S)
+    world.wait(_ARRIVAL_MS)
