Leave servers alone that want rest, and refuse at once where all do

Seen: 503 from an engine that asked for 3 s of rest, and 14 requests there in that time; short prompts refused, since two such engines seemed the idlest and a request may go to two. Cause: as for servers that leave, the word was used for the one request that it answered. Beside it, a fallback took all servers where none was sound. Change: until when a server wants nothing from this instance is kept by its start (ServerRests), outlasts a lapsed entry and is not shortened by another answer; it goes before the fallback. Where all of a pool rest, a request is refused before it is sent, with the first end of a rest as its hint, spread upwards only. Memory in use at a resting engine is renewed and released as before. The test of two resting servers set the second one's rest after it had been asked; it sets both first now, and asks the same.

--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -85,7 +85,10 @@
     def usable(self, avoided, members=None):
         """Return the servers that may be asked now.
 
-        Servers that failed lately are left alone while others are left.
+        Servers that failed lately are left alone while others are left, and
+        servers that want rest in any case: two of 18 engines that turned all
+        away drew 81 requests in 5 s, and 20 of 62 short prompts were refused
+        though the others had room (one play).
 
         Args:
           avoided: Ids of servers that must not be asked.
@@ -95,11 +98,13 @@
         """
         if members is None:
             members = self._parts.members()
-        if avoided:
-            members = [one for one in members if one.identity not in avoided]
         now_ms = self.now_ms()
-        sound = [one for one in members if one.breaker.allows(now_ms)]
-        return sound or list(members)
+        awake = [
+            one
+            for one in members
+            if now_ms >= one.refused_until_ms and one.identity not in avoided
+        ]
+        return [one for one in awake if one.breaker.allows(now_ms)] or awake
 
     def list_busy(self):
         """Return the ids of the servers that work for anybody, a set.
@@ -166,7 +171,20 @@
         """Note that a job ended there."""
 
     def refuse(self):
-        """Return the Refusal given when no server may be asked."""
+        """Return the Refusal given when no server may be asked.
+
+        Where all want rest it is known when the first of them is back.
+        """
+        now_ms = self.now_ms()
+        rests_ms = [
+            one.refused_until_ms - now_ms for one in self._parts.members()
+        ]
+        if rests_ms and min(rests_ms) > 0:
+            return refuse_not_run(
+                'servers_rest',
+                'all backend servers of the pool want rest',
+                self._parts.hints.choose_after_ms(min(rests_ms)),
+            )
         return refuse_not_run(
             'no_backend',
             'no backend server of the pool takes requests now',
--- a/crankchute/core/choosers_test.py
+++ b/crankchute/core/choosers_test.py
@@ -8,6 +8,7 @@
 from crankchute.core.choosers import LeastBusyChooser
 from crankchute.core.fakes import ManualTimers
 from crankchute.core.forward_fakes import make_backends, make_job, make_parts
+from crankchute.core.outcomes import Outcome
 
 
 def make_chooser(backends, connected):
@@ -36,3 +37,44 @@
         chooser.choose(make_job(), set()).backend.identity for _ in range(60)
     )
     assert set(found) == chosen
+
+
+@pytest.mark.parametrize(
+    ('until_ms', 'avoided', 'chosen'),
+    [
+        ((0, 0, 0), (), {'server-00', 'server-01', 'server-02'}),
+        ((900, 0, 0), (), {'server-01', 'server-02'}),
+        ((900, 500, 501), (), {'server-01'}),
+        ((900, 0, 900), {'server-01'}, None),
+        ((900, 700, 800), (), None),
+    ],
+)
+def test_servers_that_want_rest_are_left_alone(until_ms, avoided, chosen):
+    """Also if all others have failed lately, and no longer than they want."""
+    backends = make_backends(3)
+    chooser = make_chooser(backends, ())
+    chooser._parts.timers.advance(500)
+    for backend, end_ms in zip(backends, until_ms, strict=True):
+        backend.refused_until_ms = end_ms
+        if end_ms <= 500:
+            backend.breaker.trip(500)
+    choices = [chooser.choose(make_job(), avoided) for _ in range(60)]
+    if chosen is None:
+        assert {one.outcome for one in choices} == {Outcome.NOT_RUN}
+    else:
+        assert {one.backend.identity for one in choices} == chosen
+
+
+def test_first_end_of_a_rest_is_hinted():
+    """Nobody comes before it, and not all at the same time."""
+    backends = make_backends(3)
+    chooser = make_chooser(backends, ())
+    for backend, end_ms in zip(backends, (9000, 2000, 5000), strict=True):
+        backend.refused_until_ms = end_ms
+    refusal = chooser.choose(make_job(), set())
+    assert refusal.code == 'servers_rest'
+    assert 2000 <= refusal.retry_after_ms <= 2500
+    backends[2].refused_until_ms = 0
+    refusal = chooser.choose(make_job(), {'server-02'})
+    # The one that failed the request may be back sooner.
+    assert (refusal.code, refusal.retry_after_ms) == ('no_backend', None)
--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -6,12 +6,16 @@
 behind them mostly live.  Around trouble with the store, such entries are kept
 for a while.
 
+A server that wants rest is told so to the instance that it turned away, and is
+left alone by that one alone.
+
 A server may start again under its id.  Then it holds and knows nothing of
 before, so everything here goes by its start (Listed.identity), and the later
 of two starts is the one that counts, in whatever order they are heard of.
 """
 
 from crankchute.core.fleet import LEAVING, Backend
+from crankchute.core.server_rests import ServerRests
 
 #: How long an entry that vanished around trouble of the store is kept.
 _LAPSE_MS = 1800
@@ -30,7 +34,11 @@
 
 
 class ForwardFleet:
-    """Backend servers by id and by pool."""
+    """Backend servers by id and by pool.
+
+    Attributes:
+      rests: The ServerRests.
+    """
 
     def __init__(self, timers, pool_label):
         """Create an empty fleet.
@@ -40,6 +48,7 @@
           pool_label: The label of a server that names its pool.
         """
         self._timers = timers
+        self.rests = ServerRests(timers.clock)
         self._pool_label = pool_label
         self._on_restarted = []
         self._newest = {}
@@ -251,6 +260,7 @@
         backend = self._backends.get(listed.identity)
         if backend is None or backend.listed.address != listed.address:
             backend = Backend(listed)
+            backend.refused_until_ms = self.rests.until_ms(listed.identity)
             self._backends[listed.identity] = backend
         backend.listed = listed
         self._newest[listed.listed_id] = listed
--- a/crankchute/core/return_hints.py
+++ b/crankchute/core/return_hints.py
@@ -41,3 +41,14 @@
         wanted_ms = min(recovery_ms, remaining_ms * _MOST_PART)
         spread = self._random.uniform(1 - _SPREAD, 1 + _SPREAD)
         return max(wanted_ms, _LEAST_MS) * spread
+
+    def choose_after_ms(self, known_ms):
+        """Return when to come back where it is known when that can help.
+
+        Who comes earlier is refused again for sure, and who has less left
+        than that had better know it.
+
+        Args:
+          known_ms: Until when nobody can be served, in milliseconds.
+        """
+        return known_ms * self._random.uniform(1, 1 + _SPREAD)
--- a/crankchute/core/server_notice.py
+++ b/crankchute/core/server_notice.py
@@ -53,3 +53,12 @@
         if notice.is_leaving:
             # The store may be away, and hear of it 12 s later.
             self._fleet.note_drained(backend.identity)
+        if notice.rest_ms:
+            # It seems idle, and would be chosen before all others.
+            self._let_rest(backend.identity, notice.rest_ms)
+
+    def _let_rest(self, identity, rest_ms):
+        until_ms = self._fleet.rests.note(identity, rest_ms)
+        listed = self._fleet.get(identity)
+        if listed is not None:
+            listed.refused_until_ms = until_ms
--- a/crankchute/core/service_flow.py
+++ b/crankchute/core/service_flow.py
@@ -130,6 +130,7 @@
         self._services = services
         self._fleet = fleet
         self._choosers = {}
+        self._hints = ReturnHints(ports.random)
         self._desk = ForwardDesk(
             ForwardPorts(
                 forward=services,
@@ -137,7 +138,7 @@
                 metrics=ports.metrics,
                 journal=journal,
                 reservations=None,
-                hints=ReturnHints(ports.random),
+                hints=self._hints,
                 crashes=ports.crashes,
                 note_moved=_ignore,
                 chooser_of=self._chooser_of,
@@ -198,7 +199,7 @@
             news=None,
             new_ticket=None,
             heard_ms_ago=None,
-            hints=None,
+            hints=self._hints,
             data_centre=None,
             is_connected=self._services.is_connected,
         )
--- a/crankchute/platform/resting_servers_test.py
+++ b/crankchute/platform/resting_servers_test.py
@@ -43,7 +43,7 @@
     world = StandinWorld(instances=1, engines=2, is_plain=is_plain)
     for number, rest in enumerate(('600', '20')):
         world.engines[number].rest = rest
-        ask_for_work(world, world.engines[number])
+    assert set(ask_often(world, world.nodes[0])) == {'refused'}
     before = [one.arrivals for one in world.engines]
     sink, finish = world.submit(world.nodes[0], SOUND)
     assert finish() == ('refused', Outcome.NOT_RUN)
