Show in tests that two more kinds of servers get no rest, red

Found by looking for the same cause elsewhere: services of the product's own interface that did not run a call and say when to come back, and helping engines that are at fault for a rejection which another engine gives.

--- a/crankchute/core/forward_flow_test.py
+++ b/crankchute/core/forward_flow_test.py
@@ -256,6 +256,23 @@
     assert not world.moved
 
 
+@pytest.mark.parametrize(
+    ('at_server', 'resting'),
+    [(None, 0), ('server-02', 2), ('127.0.0.1:7002', 2)],
+)
+def test_server_that_a_rejection_blames_gets_its_rest(at_server, resting):
+    """A helper that wants rest says so through the one that was asked."""
+    world = ForwardWorld()
+    world.chooser.helpers = (Helper(world.backends[2]),)
+    world.submit(repeat=RESUME, is_stream=True)
+    for retry_after_ms in (3000, 500):
+        rejection = Rejection('full', at_server, retry_after_ms)
+        world.desk.note_rejection(None, world.port.calls[0], rejection)
+    until_ms = [one.refused_until_ms for one in world.backends]
+    assert until_ms[resting] == 3000
+    assert sum(until_ms) == 3000
+
+
 def test_server_that_is_not_at_its_address_is_told_of():
     world = ForwardWorld()
     world.chooser.helpers = (Helper(world.backends[2]),)
