Give services of the own interface and helping engines the rest they ask for

Change: a rejection carries for how long the server at fault wants nothing, and the desk leaves that one alone.

--- a/crankchute/adapters/service_http.py
+++ b/crankchute/adapters/service_http.py
@@ -1,6 +1,7 @@
 """Plain services over HTTP: a ForwardPort whose jobs carry a ServiceCall."""
 
 from crankchute.adapters.http_client import CallOptions, build_request
+from crankchute.adapters.retry_after import read_retry_after_ms
 from crankchute.core.forward_job import Repeat
 from crankchute.ports.forwarding import AnswerHead, ForwardPort, Rejection
 from crankchute.ports.http import WholeResponse
@@ -42,7 +43,7 @@
 
         def take(status, body):
             if NOT_RUN_HEADER in sink.headers:
-                listener.on_not_run(Rejection('backend_refused'))
+                listener.on_not_run(_read_rejection(sink.headers))
                 return
             content_type = sink.headers.get(_CONTENT_TYPE, _OCTETS)
             headers = [(_CONTENT_TYPE, content_type)]
@@ -57,3 +58,8 @@
     def ask_listening(self, backend, on_known):
         """See ForwardPort."""
         self._client.ask_listening(backend.listed.address, on_known)
+
+
+def _read_rejection(headers):
+    rest_ms = read_retry_after_ms(headers.get('retry-after'))
+    return Rejection('backend_refused', retry_after_ms=rest_ms or None)
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -216,9 +216,13 @@
     def note_rejection(self, flow, attempt, rejection):
         """Note that a server did not take a request."""
         self.metrics.count('engine_refusals', rejection.code)
+        faulty = attempt.placement.find_faulty(rejection.at_server)
         if rejection.code == MOVED:
-            placement = attempt.placement
-            self._note_moved(placement.find_faulty(rejection.at_server))
+            self._note_moved(faulty)
+        elif rejection.retry_after_ms:
+            # A helper that wants rest says so through the one that was asked.
+            until_ms = self.now_ms() + rejection.retry_after_ms
+            faulty.refused_until_ms = max(faulty.refused_until_ms, until_ms)
 
     def note_dropped(self, flow, attempt):
         """Count an event that the caller had already."""
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -7,6 +7,7 @@
 from crankchute.core.forward_job import Repeat
 from crankchute.errors import BackendError
 from crankchute.platform.engine_reports import read_told_load
+from crankchute.platform.server_calls import read_notice
 from crankchute.platform.wire import (
     ACCOUNT,
     DEADLINE_MS,
@@ -208,8 +209,12 @@
         return Rejection(MOVED, headers.get(FAULTY_SERVER))
     if NOT_RUN in headers:
         full = status == HTTPStatus.SERVICE_UNAVAILABLE
-        code = 'full' if full else 'rejected'
-        return Rejection(code, headers.get(FAULTY_SERVER))
+        notice = read_notice(status, headers)
+        return Rejection(
+            'full' if full else 'rejected',
+            headers.get(FAULTY_SERVER),
+            None if notice is None else notice.rest_ms,
+        )
     return None
 
 
