Follow a store that comes back from an older copy

Cause: what the store tells was kept by its revision alone. When it comes back from an older copy, revisions go back and are given out again, and all it told was taken for older than what was known: new servers got nothing, ended ones stayed. Ruled out by tests: that a configuration goes back (versions only rise). Change: each answer tells how often the store came back, and revisions become positions, with that before the revision, from the adapter on: one number, so lists, change sets and what instances tell each other compare as before, and whoever has a list from before lacks all of it. A watch that is answered after a return reads all anew, also where its revision is known there; so does a read of which pages differ. What is missing in the copy is kept for 1.8 s, as around other trouble; what is in it and ended less than 30 s before, for sure, stays out until it writes again, since its server may serve on. That a server leaves is known by its start. Left: a version that was acknowledged and lost before any instance was told of it is unknown to all until the operator writes it again.

--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -29,6 +29,8 @@
 #: How long a server stays out after another instance told that its entry is
 #: gone, if this instance's own list still has it.
 _GONE_MS = 8000
+#: How old a copy of the list may be from which the store comes back.
+_OLDEST_COPY_MS = 30_000
 #: What others tell is older than an entry that was read this lately here.
 _FRESH_MS = 3000
 
@@ -55,6 +57,7 @@
         self._backends = {}
         self._drained_ms = {}
         self._gone_ms = {}
+        self._left_ms = {}
         self._listed_ms = {}
         self._lapsing = {}
         self._pools = {}
@@ -193,16 +196,29 @@
                     lambda: self._drop(identity),
                 )
         else:
+            self._left_ms[identity] = self._now_ms()
             self._drop(identity)
         return identity
 
-    def replace(self, listed, *, may_lapse):
+    def replace(self, listed, *, may_lapse, may_be_old=False):
         """Take all entries at once.
 
+        An older copy of the list holds entries that ended since.  While the
+        platform was sound they ended since their servers left, and those may
+        serve on; they get nothing, unless they write again.
+
         Args:
           listed: A list of Listed.
           may_lapse: See remove().
+          may_be_old: Whether the list may be from before what is known.
         """
+        if may_be_old:
+            oldest_ms = self._now_ms() - _OLDEST_COPY_MS
+            listed = [
+                record
+                for record in listed
+                if self._left_ms.get(record.identity, oldest_ms) <= oldest_ms
+            ]
         present = {record.listed_id for record in listed}
         for record in listed:
             self.put(record)
@@ -256,6 +272,7 @@
     def _put_newest(self, listed):
         self._cancel_lapse(listed.identity)
         self._gone_ms.pop(listed.identity, None)
+        self._left_ms.pop(listed.identity, None)
         self._listed_ms[listed.identity] = self._now_ms()
         backend = self._backends.get(listed.identity)
         if backend is None or backend.listed.address != listed.address:
@@ -291,7 +308,7 @@
 
     def _forget_old(self):
         oldest_ms = self._now_ms() - _REMEMBER_MS
-        for times in (self._drained_ms, self._gone_ms):
+        for times in (self._drained_ms, self._gone_ms, self._left_ms):
             for identity, since_ms in tuple(times.items()):
                 if since_ms < oldest_ms and identity not in self._backends:
                     times.pop(identity)
--- a/crankchute/platform/published.py
+++ b/crankchute/platform/published.py
@@ -6,6 +6,7 @@
 from crankchute.errors import ConfigError
 from crankchute.platform.documents import read_config
 from crankchute.platform.server_entries import read_server
+from crankchute.platform.store_position import era_of
 from crankchute.platform.wire import CONFIG_KEY, SERVERS_PREFIX
 
 #: Entries that vanish this soon after trouble with the store may have lapsed.
@@ -83,8 +84,9 @@
                 for entry in entries
             }
             listed = self._sift(found)
+            came_back = self._came_back(at)
             self._servers.take_all(found, at)
-            self._list_all(found, listed)
+            self._list_all(found, listed, came_back=came_back)
         if asked_ms is not None:
             self._servers.prove(self._servers.revision, asked_ms)
 
@@ -118,11 +120,12 @@
         if changes.revision <= known or changes.since > known:
             return False
         listed = self._sift(changes.entries)
+        came_back = self._came_back(changes.revision)
         self._servers.take(changes)
         if changes.since:
             self._take_changed(changes.entries, listed)
         else:
-            self._list_all(changes.entries, listed)
+            self._list_all(changes.entries, listed, came_back=came_back)
         return True
 
     def _sift(self, entries):
@@ -144,11 +147,22 @@
                 entry.payload = None
         return listed
 
-    def _list_all(self, entries, listed):
+    def _came_back(self, at):
+        """Tell whether the store came back since the list that is known."""
+        known = self._servers.revision
+        return known > 0 and era_of(at) != era_of(known)
+
+    def _list_all(self, entries, listed, *, came_back):
+        """Take all entries; after a return of the store they may be old ones.
+
+        What is missing in an older copy its server writes again soon, and what
+        is there may be of a server that left since.
+        """
         may_lapse = any(entry.may_lapse for entry in entries.values())
         self._fleet.replace(
             list(listed.values()),
-            may_lapse=may_lapse or self._is_troubled(),
+            may_lapse=may_lapse or came_back or self._is_troubled(),
+            may_be_old=came_back,
         )
         log_change('servers_listed', servers=len(listed))
         self._on_listed()
--- a/crankchute/platform/store.py
+++ b/crankchute/platform/store.py
@@ -3,6 +3,10 @@
 A watch answers as soon as something changed, or when its wait is over.  Each
 answer proves what was current when it was asked for; a watch that hangs
 proves nothing, so waits are short and guarded.
+
+Whatever is told to listeners goes by positions (store_position): when the store
+came back from an older copy all is read anew, even if it still answers a watch,
+since changes of the time before have its revisions then.
 """
 
 import base64
@@ -13,7 +17,13 @@
 
 from crankchute.adapters.http_client import CallOptions, build_request
 from crankchute.adapters.log import log_change
-from crankchute.platform.wire import RANGE_PATH, WATCH_PATH
+from crankchute.platform.store_position import (
+    era_of,
+    make_position,
+    read_era,
+    revision_of,
+)
+from crankchute.platform.wire import RANGE_PATH, STORE_ERA, WATCH_PATH
 from crankchute.ports.http import WholeResponse
 
 #: How long an answer may be late before the call is given up.
@@ -29,7 +39,7 @@
     Attributes:
       key: The key, a string.
       payload: Bytes, or None if the key is gone.
-      revision: The store's revision of its last change, an int.
+      revision: The position of its last change, an int.
     """
 
     __slots__ = ('key', 'payload', 'revision')
@@ -52,7 +62,7 @@
 
     Attributes:
       entries: A list of StoreEntry, those there or those that changed.
-      at: The store's revision, an int.
+      at: The store's position, an int.
       has_more: Whether there are more entries than these, a bool.
     """
 
@@ -120,7 +130,7 @@
           parts: An object with `http_client`, `timers` and `settings`.
           prefix: The prefix of the keys.
           listener: An object with on_entries(entries, asked_ms, at) for all
-            that stands there at a revision, with None for the moment of
+            that stands there at a position, with None for the moment of
             asking if a part of it may be older, and on_changes(entries,
             asked_ms).
           pace: A WatchPace.
@@ -135,6 +145,7 @@
         self._is_resting = False
         self.on_regained = None
         self._at = None
+        self._era = 0
         self._entries = []
         self._retry_ms = None
         self._guard = None
@@ -152,7 +163,7 @@
         """Ask the store again if that is needed and the watch rests.
 
         Args:
-          known: The revision that is known by other ways, an int; what
+          known: The position that is known by other ways, an int; what
             changed up to there is not asked for.
         """
         if not (self._is_resting and self._pace.is_needed()):
@@ -187,6 +198,9 @@
             path = f'{path}&after={quote(after, safe="")}&stale=1'
 
         def take(page):
+            if least_at is not None and era_of(page.at) != era_of(least_at):
+                self._retry('the store came back between two pages')
+                return
             self._entries.extend(page.entries)
             at = page.at if least_at is None else min(page.at, least_at)
             if page.has_more:
@@ -210,10 +224,16 @@
         wait_ms = self._pace.wait_ms
         path = (
             f'{WATCH_PATH}?path-prefix={quote(self._prefix, safe="")}'
-            f'&after={self._at}&wait-ms={wait_ms}'
+            f'&after={revision_of(self._at)}&wait-ms={wait_ms}'
         )
 
+        asked_era = era_of(self._at)
+
         def take(page):
+            if era_of(page.at) != asked_era:
+                log_change('store_came_back', prefix=self._prefix)
+                self.start()
+                return
             self._at = max(self._at, page.at)
             pause_ms = self._pace.pause_ms if page.entries else 0
             self._listener.on_changes(page.entries, asked_ms)
@@ -231,6 +251,7 @@
         def on_response(status, body):
             self._is_watching = False
             self._guard.cancel()
+            self._note_era(sink.headers)
             if status == HTTPStatus.GONE:
                 self._at = None
                 self.start()
@@ -249,22 +270,29 @@
             self._on_silence,
         )
         payload = build_request('GET', self._address, path)
+        sink = WholeResponse(on_response, on_error)
         self._call = self._client.send(
             self._address,
             payload,
-            WholeResponse(on_response, on_error),
+            sink,
             CallOptions(connect_ms=_CONNECT_MS),
         )
 
     def _take(self, take, body):
         try:
-            page = read_page(body)
+            page = read_page(body, self._era)
         except (KeyError, TypeError, ValueError) as exc:
             self._retry(f'{type(exc).__name__}: {exc}')
             return
         self._note_sound()
         take(page)
 
+    def _note_era(self, headers):
+        """Note how often the store came back, unless an answer is silent."""
+        era = read_era(headers.get(STORE_ERA))
+        if era is not None:
+            self._era = era
+
     def _on_silence(self):
         self._is_watching = False
         self._call.cancel()
@@ -308,11 +336,12 @@
             self.start()
 
 
-def read_page(body):
+def read_page(body, era=0):
     """Return what an answer of the store holds.
 
     Args:
       body: The bytes of the answer.
+      era: How often the store came back, an int.
     Returns:
       A StorePage.
     Raises:
@@ -320,17 +349,19 @@
     """
     document = orjson.loads(body)
     found = document['items'] if 'items' in document else document['events']
-    entries = [_read_entry(one) for one in found]
+    entries = [_read_entry(one, era) for one in found]
     has_more = bool(document.get('more')) and bool(entries)
-    return StorePage(entries, document['at'], has_more=has_more)
+    at = make_position(era, document['at'])
+    return StorePage(entries, at, has_more=has_more)
 
 
-def _read_entry(document):
+def _read_entry(document, era):
     # The store calls the key of an item by a name that has to do with TLS.
     key = document['tls-key']
+    at = make_position(era, document['revision'])
     if document.get('gone'):
-        return StoreEntry(key, None, document['revision'])
-    return StoreEntry(key, _read_value(document), document['revision'])
+        return StoreEntry(key, None, at)
+    return StoreEntry(key, _read_value(document), at)
 
 
 def _read_value(document):
--- a/crankchute/platform/store_era_test.py
+++ b/crankchute/platform/store_era_test.py
@@ -86,12 +86,6 @@
     def members(self):
         return {one.identity for one in self.fleet.members_of(POOL)}
 
-    def _is_needed(self):
-        return True
-
-    def _is_told(self):
-        return False
-
     def list_all(self, found, at, era, *, more=False):
         """Answer a read with entries, by id, and their revisions."""
         listed = [make_item(name, *entry) for name, entry in found.items()]
@@ -102,6 +96,12 @@
         events = [make_item(name, *entry) for name, entry in found.items()]
         self.call.answer({'events': events, 'at': at}, era)
 
+    def _is_needed(self):
+        return True
+
+    def _is_told(self):
+        return False
+
 
 def make_item(name, revision, payload):
     made = {'tls-key': f'{SERVERS_PREFIX}{name}', 'revision': revision}
