--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -63,6 +63,7 @@
         'state': backend.listed.state,
         'in_flight': backend.in_flight,
         'left_alone': backend.breaker.is_open,
+        'rests_for_ms': round(max(backend.refused_until_ms - node.now_ms(), 0)),
         'wait_ms': round(state.wait_ms(node.now_ms()), 1),
         'writers': state.writers,
         'memory': state.memory,
