--- a/crankchute/platform/published_test.py
+++ b/crankchute/platform/published_test.py
@@ -9,7 +9,7 @@
 from crankchute.core.server_list import ServerList
 from crankchute.platform.published import PublishedServers
 from crankchute.platform.server_entries import POOL_LABEL
-from crankchute.platform.store import StoreEntry
+from crankchute.platform.store_pages import StoreEntry
 from crankchute.platform.wire import SERVERS_PREFIX
 
 POOL = 'pool-a'
--- a/crankchute/platform/store_test.py
+++ b/crankchute/platform/store_test.py
@@ -7,7 +7,8 @@
 
 from crankchute.core.fakes import ManualTimers
 from crankchute.errors import BackendError
-from crankchute.platform.store import StoreWatch, WatchPace, read_page
+from crankchute.platform.store import StoreWatch, WatchPace
+from crankchute.platform.store_pages import read_page
 
 PREFIX = 'servers/'
 
