--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -251,6 +251,14 @@
         self.breaker.note_success()
         self.suspicion.note_success(now_ms)
 
+    def leave_alone(self, until_ms):
+        """Note until when the server wants nothing; none is made shorter.
+
+        Args:
+          until_ms: A moment on this process's clock.
+        """
+        self.refused_until_ms = max(self.refused_until_ms, until_ms)
+
     def note_load(self, report):
         """Take a load report.
 
--- a/crankchute/core/flow_desk.py
+++ b/crankchute/core/flow_desk.py
@@ -180,7 +180,7 @@
           pause_ms: Milliseconds, or None.
         """
         if pause_ms:
-            backend.refused_until_ms = self.now_ms() + pause_ms
+            backend.leave_alone(self.now_ms() + pause_ms)
 
     def note_dropped(self, flow, attempt):
         """Count an event that the caller had already."""
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -221,8 +221,7 @@
             self._note_moved(faulty)
         elif rejection.retry_after_ms:
             # A helper that wants rest says so through the one that was asked.
-            until_ms = self.now_ms() + rejection.retry_after_ms
-            faulty.refused_until_ms = max(faulty.refused_until_ms, until_ms)
+            faulty.leave_alone(self.now_ms() + rejection.retry_after_ms)
 
     def note_dropped(self, flow, attempt):
         """Count an event that the caller had already."""
--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -277,7 +277,7 @@
         backend = self._backends.get(listed.identity)
         if backend is None or backend.listed.address != listed.address:
             backend = Backend(listed)
-            backend.refused_until_ms = self.rests.until_ms(listed.identity)
+            backend.leave_alone(self.rests.until_ms(listed.identity))
             self._backends[listed.identity] = backend
         backend.listed = listed
         self._newest[listed.listed_id] = listed
--- a/crankchute/core/server_notice.py
+++ b/crankchute/core/server_notice.py
@@ -61,4 +61,4 @@
         until_ms = self._fleet.rests.note(identity, rest_ms)
         listed = self._fleet.get(identity)
         if listed is not None:
-            listed.refused_until_ms = until_ms
+            listed.leave_alone(until_ms)
