Let test runs side by side begin at different ports, and pick each when it is used

Seen: the test of requests that end servers failed in 2 of 8 runs beside eight busy processes and, by oversight, a second such run: 'cannot listen on 127.0.0.1:21622'. Cause: runs outside xdist have one of eight parts of the ports by their process id, and two with the same part began at the same port; the instance that starts late used a port picked 6 s before. Ruled out: the mend of ends together; 21 traced runs beside the same load ended no engine more, where three are allowed. Change: a run begins anywhere in its part, and a world picks a port as it starts the instance.

--- a/bench/ports.py
+++ b/bench/ports.py
@@ -14,6 +14,8 @@
 _FIRST = 12_000
 _PARTS = 16
 _PART_SIZE = 1_200
+#: Processes whose ids follow each other begin so many ports apart.
+_STRIDE = 151
 _WORKER = 'PYTEST_XDIST_WORKER'
 
 
@@ -25,8 +27,20 @@
     return _PARTS // 2 + os.getpid() % (_PARTS // 2)
 
 
-_START = _FIRST + _choose_part() * _PART_SIZE
-_candidates = itertools.cycle(range(_START, _START + _PART_SIZE))
+def _list_part():
+    """Return the ports of this process's part, from anywhere in it on.
+
+    Runs side by side may have the same part.  Where each began at its first
+    port, one could not listen on a port that it had picked 6 s before, in 2 of 8
+    test runs beside another one.
+    """
+    first = _FIRST + _choose_part() * _PART_SIZE
+    begin = os.getpid() * _STRIDE % _PART_SIZE
+    ports = range(first, first + _PART_SIZE)
+    return [*ports[begin:], *ports[:begin]]
+
+
+_candidates = itertools.cycle(_list_part())
 
 
 def pick_ports(count):
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -82,7 +82,7 @@
         self.engines = []
         self.nodes = []
         self._reports = []
-        self._peer_ports = pick_ports(instances + 1)
+        self._peer_ports = []
         for _ in range(instances):
             self.start_instance()
         for _ in range(engines):
@@ -92,6 +92,8 @@
     def start_instance(self):
         """Start one more instance, which is told of the servers only."""
         number = len(self.nodes)
+        # One that is picked earlier may be taken by then.
+        self._peer_ports.extend(pick_ports(1))
         identity = InstanceIdentity(
             f'entry-{number}',
             'here',
