Take out the guards of what servers say, one at a time

Six guards more, each found missing by its test: the word of a server that leaves, rest, rest over a lapsed entry, eras before revisions, servers that left and are in an older copy, attempts after an end.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -204,8 +204,8 @@
         'a sent call is sent again',
         _CALLS,
         _FORWARD,
-        'if self.job.may_repeat and self._may_go_on(attempt):',
-        'if self._may_go_on(attempt):',
+        'if self.job.may_repeat and self._may_go_on(attempt.backend):',
+        'if self._may_go_on(attempt.backend):',
     ),
     Mutation(
         'an expired key may start',
@@ -222,6 +222,48 @@
         '    return config',
         '    return config',
     ),
+    Mutation(
+        'a server that says that it leaves is asked on',
+        'crankchute/platform/server_words_test.py',
+        'crankchute/core/server_notice.py',
+        'if notice.is_leaving:',
+        'if notice is None:',
+    ),
+    Mutation(
+        'servers that want rest are asked',
+        'crankchute/platform/resting_servers_test.py',
+        'crankchute/core/choosers.py',
+        'if now_ms >= one.refused_until_ms and one.identity not in avoided',
+        'if one.identity not in avoided',
+    ),
+    Mutation(
+        'a rest ends with an entry that lapses',
+        'crankchute/core/server_rests_test.py',
+        'crankchute/core/forward_fleet.py',
+        'backend.leave_alone(self.rests.until_ms(listed.identity))',
+        'backend.leave_alone(0)',
+    ),
+    Mutation(
+        'revisions of an older copy are compared as they are',
+        'crankchute/platform/store_era_test.py',
+        'crankchute/platform/store_position.py',
+        'return (era << _REVISION_BITS) + revision',
+        'return revision',
+    ),
+    Mutation(
+        'servers that left are back with an older copy',
+        'crankchute/platform/store_era_test.py',
+        'crankchute/platform/published.py',
+        'may_be_old=came_back',
+        'may_be_old=False',
+    ),
+    Mutation(
+        'attempts after an end count for one with it',
+        'crankchute/core/crash_blame_test.py',
+        'crankchute/core/crash_blame.py',
+        'if not ends or begun_ms > last_ms:',
+        'if not ends:',
+    ),
 )
 
 
