Send a submission on to one server only once its request met enough ends

Cause: a request that rides along and fails hides the cause, which is then not held; each submission still went to two servers, and two copies came at two instances. Change: a submission that failed goes to no further server if its request met as many ends as would hold it; its caller may come back.

--- a/bench/crash_ways.py
+++ b/bench/crash_ways.py
@@ -47,6 +47,8 @@
 _CULPRITS = (1, 2)
 _FIRST_OTHER = 1000
 _MOST_ATTEMPTS = 2
+#: The name of the way that remembers nothing.
+_NOBODY = 'nobody'
 
 
 class Server:
@@ -241,7 +243,8 @@
             self.timers.after(6, again)
 
     def _make_desk(self, blame):
-        ledger = CrashLedger(self.timers.clock.now_ms, blame=blames[blame])
+        make_ledger = _Forgetful if blame == _NOBODY else CrashLedger
+        ledger = make_ledger(self.timers.clock.now_ms, blame=blames[blame])
         self._ledgers.append(ledger)
         ledger.subscribe(partial(self._tell_all, ledger))
         parts = make_parts(self.timers, lambda: list(self.backends))
@@ -269,6 +272,13 @@
                 )
 
 
+class _Forgetful(CrashLedger):
+    """Remembers nothing: no request is a suspect, whatever ended."""
+
+    def note_crash(self, server, at_ms, requests, begun_ms=None):
+        """See CrashLedger."""
+
+
 class _Sink(FakeSink):
     """Hands a refusal on."""
 
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -204,8 +204,8 @@
         'a sent call is sent again',
         _CALLS,
         _FORWARD,
-        'if self.job.may_repeat and self._may_go_on(attempt.backend):',
-        'if self._may_go_on(attempt.backend):',
+        'may_repeat = self.job.may_repeat and is_safe',
+        'may_repeat = is_safe',
     ),
     Mutation(
         'an expired key may start',
--- a/crankchute/core/crash_watch.py
+++ b/crankchute/core/crash_watch.py
@@ -99,6 +99,19 @@
         """
         return self._ledger.count_crashes(fingerprint) > 0
 
+    def may_try_again(self, fingerprint):
+        """Tell whether a submission that failed may go to another server.
+
+        One that met as many ends as are enough to hold it may be their cause,
+        though another request hides that.  Its caller may come back; but if each
+        submission goes to two servers, two copies reach four before it is held:
+        so in 1 of 200 simulated days (bench.crash_ways), where three may be.
+
+        Args:
+          fingerprint: The request's fingerprint.
+        """
+        return self._ledger.count_crashes(fingerprint) < CRASHES_TO_HOLD
+
     def find_refusal(self, fingerprint):
         """Return why a request must not be sent, a Refusal, or None.
 
--- a/crankchute/core/crash_watch_test.py
+++ b/crankchute/core/crash_watch_test.py
@@ -165,6 +165,24 @@
     assert world.answer_next(RIDER) == [('answer', 200)]
 
 
+def test_request_that_may_be_the_cause_goes_to_one_server_at_a_time():
+    """Two that were always together cannot be told apart, and are not held."""
+    world = World()
+    for _ in range(3):
+        first = len(world.port.calls)
+        world.submit(fingerprint=CULPRIT, max_attempts=1)
+        world.submit(fingerprint=RIDER, max_attempts=1)
+        both = world.port.calls[first:]
+        for call in both:
+            call.placement.backend = both[0].placement.backend
+        for call in both:
+            world.cut(call, is_listening=False)
+        world.timers.advance(100)
+    before = len(world.port.calls)
+    assert world.ask(is_listening=False).seen == [FAILED]
+    assert len(world.port.calls) - before == 1
+
+
 def test_servers_that_end_for_nobody_hold_nobody():
     """The same request is sent again and again while all servers go down."""
     world = World()
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -163,7 +163,10 @@
         def go_on():
             if self.ended:
                 return
-            if self.job.may_repeat and self._may_go_on(attempt.backend):
+            watch = self._desk.crash_watch
+            is_safe = watch.may_try_again(self.job.fingerprint)
+            may_repeat = self.job.may_repeat and is_safe
+            if may_repeat and self._may_go_on(attempt.backend):
                 self._try_next('failed')
             else:
                 self._give_up('backend_failed', str(exc))
--- a/tests/crash_ways_test.py
+++ b/tests/crash_ways_test.py
@@ -41,7 +41,7 @@
 
 
 def test_answers_of_others_are_kept():
-    """A tenth of those that are broken off where nobody remembers."""
+    """Not one in 23 is broken off of those where nobody remembers."""
     remembering = sum(play(BY_LEAD, seed).cut for seed in _SEEDS)
     forgetting = sum(play('nobody', seed).cut for seed in _SEEDS)
-    assert remembering <= forgetting / 10
+    assert remembering <= forgetting / 23
