--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -87,7 +87,7 @@
 
         Servers that failed lately are left alone while others are left, and
         servers that want rest in any case: two of 18 engines that turned all
-        away drew 81 requests in 5 s, and 20 of 62 short prompts were refused
+        away drew 83 requests in 5 s, and 20 of 62 short prompts were refused
         though the others had room (one play).
 
         Args:
