--- a/crankchute/core/crash_watch.py
+++ b/crankchute/core/crash_watch.py
@@ -105,7 +105,7 @@
         One that met as many ends as are enough to hold it may be their cause,
         though another request hides that.  Its caller may come back; but if each
         submission goes to two servers, two copies reach four before it is held:
-        so in 1 of 200 simulated days (bench.crash_ways), where three may be.
+        so in 1 of 400 simulated days (bench.crash_ways), where three may be.
 
         Args:
           fingerprint: The request's fingerprint.
