--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -130,6 +130,8 @@
             server=backend.identity,
             leaving=notice.is_leaving,
             rest_ms=_round(notice.rest_ms),
+            names_limit=notice.names_limit,
+            limit=notice.limit,
         )
 
     def log_set_aside(self, request_id, helpers, refused, took_ms):
--- a/crankchute/core/server_notice.py
+++ b/crankchute/core/server_notice.py
@@ -14,19 +14,34 @@
       is_leaving: Whether it leaves, and wants no new request, a bool.
       rest_ms: For how long from now on it wants nothing from this instance,
         in milliseconds; 0 if it said nothing of that.
+      names_limit: Whether it names a limit, readable or not, a bool.
+      limit: How many requests a second it takes from all instances together,
+        a float, or None if it names none or what it names is no number.
     """
 
-    __slots__ = ('is_leaving', 'rest_ms')
+    __slots__ = ('is_leaving', 'limit', 'names_limit', 'rest_ms')
 
-    def __init__(self, *, is_leaving=False, rest_ms=0):
+    def __init__(self, *, is_leaving=False, rest_ms=0, limits=()):
         """Create the notice.
 
         Args:
           is_leaving: See the class.
           rest_ms: See the class.
+          limits: What it names as its limit, floats, and None for each that
+            is no number; of several the least counts.
         """
         self.is_leaving = is_leaving
         self.rest_ms = rest_ms
+        self.names_limit = bool(limits)
+        self.limit = min(
+            (limit for limit in limits if limit is not None),
+            default=None,
+        )
+
+    @property
+    def says_anything(self):
+        """Whether the server said anything of itself, a bool."""
+        return self.is_leaving or bool(self.rest_ms) or self.names_limit
 
 
 class ServerNotices:
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -209,11 +209,10 @@
         return Rejection(MOVED, headers.get(FAULTY_SERVER))
     if NOT_RUN in headers:
         full = status == HTTPStatus.SERVICE_UNAVAILABLE
-        notice = read_notice(status, headers)
         return Rejection(
             'full' if full else 'rejected',
             headers.get(FAULTY_SERVER),
-            None if notice is None else notice.rest_ms,
+            read_notice(status, headers).rest_ms,
         )
     return None
 
--- a/crankchute/platform/server_calls_test.py
+++ b/crankchute/platform/server_calls_test.py
@@ -7,8 +7,10 @@
 
 
 def describe(notice):
-    """Return what a notice says, a pair, or None if there is none."""
-    return None if notice is None else (notice.is_leaving, notice.rest_ms)
+    """Return what a notice says, a pair, or None if it says nothing."""
+    if not notice.says_anything:
+        return None
+    return notice.is_leaving, notice.rest_ms
 
 
 @pytest.mark.parametrize(
--- a/crankchute/platform/wire.py
+++ b/crankchute/platform/wire.py
@@ -18,6 +18,9 @@
 TOLD_LOAD = 'x-crankchute-server-load'
 #: Set to 1 in every answer of a server that leaves.
 LEAVING = 'server-leaving'
+#: The requests a second that the answering server takes from all instances
+#: together, a decimal number, for as long as its answers name one.
+LIMIT = 'server-limit'
 #: How often the store came back from an older copy, in all its answers.
 STORE_ERA = 'store-era'
 #: With a 503: for how many seconds the server wants nothing from the asker.
