--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -17,8 +17,8 @@
 
 import orjson
 
-from bench.ports import LOOPBACK, pick_ports
 from crankchute.commands.check import read_folder
+from crankchute.standins.ports import LOOPBACK, pick_ports
 
 ROOT = Path(__file__).resolve().parent.parent
 _CENTRES = ('dc-1', 'dc-2', 'dc-3')
--- a/bench/idle_cost.py
+++ b/bench/idle_cost.py
@@ -23,12 +23,12 @@
 
 import grpc
 
-from bench.ports import LOOPBACK, pick_ports
 from crankchute.core.active_choice import Ranking, count_active, digest_members
 from crankchute.core.membership import Member
 from crankchute.adapters.peer_records import write_member
 from crankchute.platform.standin_store import REVISION, StoreStandin
 from crankchute.proto import peer_pb2, peer_pb2_grpc
+from crankchute.standins.ports import LOOPBACK, pick_ports
 
 _START_S = 2
 _SETTLE_S = 8
--- a/crankchute/adapters/peers_grpc_test.py
+++ b/crankchute/adapters/peers_grpc_test.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from bench.ports import LOOPBACK
 from crankchute.adapters.loop import Loop
 from crankchute.adapters.peers_grpc import PeerClient, PeerServer
 from crankchute.proto import peer_pb2
+from crankchute.standins.ports import LOOPBACK
 
 _TICK_S = 0.001
 _LATE_MS = 60
--- a/crankchute/entry/forward_node_test.py
+++ b/crankchute/entry/forward_node_test.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from bench.ports import LOOPBACK, pick_ports
 from crankchute.adapters.loop import Loop
 from crankchute.core.engine_fakes import FakeReports
 from crankchute.core.fleet import Listed
@@ -24,6 +23,7 @@
     InstanceIdentity,
 )
 from crankchute.ports.forwarding import AnswerHead
+from crankchute.standins.ports import LOOPBACK, pick_ports
 
 _TICK_S = 0.001
 _TTL_MS = 10
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -7,7 +7,6 @@
 
 from types import MappingProxyType
 
-from bench.ports import LOOPBACK, pick_ports
 from crankchute.adapters.http_client import HttpClient
 from crankchute.adapters.loop import Loop
 from crankchute.core.fleet import Listed
@@ -34,6 +33,7 @@
 from crankchute.platform.requests import RequestPayload
 from crankchute.platform.server_calls import ServerCalls
 from crankchute.platform.standin_engine import StandinEngine
+from crankchute.standins.ports import LOOPBACK, pick_ports
 
 #: How the end of a request looks that was answered.
 ANSWERED = frozenset(('end', 'answer'))
--- a/bench/ports.py
+++ b/crankchute/standins/ports.py
@@ -30,9 +30,8 @@
 def _list_part():
     """Return the ports of this process's part, from anywhere in it on.
 
-    Runs side by side may have the same part.  Where each began at its first
-    port, one could not listen on a port that it had picked 6 s before, in 2 of 8
-    test runs beside another one.
+    Runs side by side may have the same part; where each began at its first
+    port, one took ports that the other had picked and not yet used.
     """
     first = _FIRST + _choose_part() * _PART_SIZE
     begin = os.getpid() * _STRIDE % _PART_SIZE
--- a/tests/ports_test.py
+++ b/crankchute/standins/ports_test.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from bench.ports import pick_ports
+from crankchute.standins.ports import pick_ports
 
 _RANGE = Path('/proc/sys/net/ipv4/ip_local_port_range')
 
