--- a/crankchute/platform/standin_engine.py
+++ b/crankchute/platform/standin_engine.py
@@ -14,16 +14,15 @@
 import orjson
 
 from crankchute.adapters.forward_server import ForwardServer
+from crankchute.platform.standin_words import write_words
 from crankchute.platform.wire import (
     FAULTY_SERVER,
     HELPERS,
     LAST_EVENT,
-    LEAVING,
     NOT_RUN,
     ORDER_PATH,
     REPORT_PATH,
     REQUEST_ID,
-    RETRY_AFTER,
     SIGNATURE,
     TARGET_INCARNATION,
     TOKEN_USAGE,
@@ -109,7 +108,11 @@
       is_leaving: Whether it says in all its answers that it leaves, a bool.
       rest: What it says in Retry-After as it turns everything away, a string,
         or None while it takes what comes.
+      limits: What it names as its limit in all its answers, strings, a header
+        each; none while it takes what comes.
       arrivals: How many requests reached it, an int.
+      reached_ms: When anything reached it, requests, orders and questions, a
+        list of moments on the loop's clock.
       questions: How many questions for its report did, an int.
     """
 
@@ -123,6 +126,7 @@
           memory_tokens: An int.
         """
         self._engines = engines
+        self._clock = loop.timers.clock
         self._server = ForwardServer(
             (_LOOPBACK, 0),
             self._on_request,
@@ -143,7 +147,9 @@
         self.is_up = True
         self.is_leaving = False
         self.rest = None
+        self.limits = ()
         self.arrivals = 0
+        self.reached_ms = []
         self.questions = 0
         engines[self.address] = self
 
@@ -186,6 +192,7 @@
         self._used.discard(ticket)
 
     def _on_request(self, exchange):
+        self.reached_ms.append(self._clock.now_ms())
         if exchange.target == ORDER_PATH:
             take = self._take_order
         elif exchange.target == REPORT_PATH:
@@ -202,15 +209,8 @@
     def _take_question(self, exchange):
         self._answer(exchange, HTTPStatus.OK, self._report())
 
-    def _say(self):
-        """Return the headers in which it speaks of itself."""
-        said = [(LEAVING, '1')] if self.is_leaving else []
-        if self.rest is not None:
-            said.append((RETRY_AFTER, self.rest))
-        return said
-
     def _answer(self, exchange, status, document):
-        exchange.reply_json(status, document, self._say())
+        exchange.reply_json(status, document, write_words(self))
 
     def _report(self):
         return {
@@ -291,7 +291,7 @@
             (REQUEST_ID, exchange.header(REQUEST_ID) or ''),
             (NOT_RUN, 'true'),
             (FAULTY_SERVER, faulty.address),
-            *self._say(),
+            *write_words(self),
         ]
         exchange.reply(status, b'', headers)
 
@@ -321,7 +321,7 @@
             (REQUEST_ID, exchange.header(REQUEST_ID)),
             (SIGNATURE, self.identity),
             ('Content-Type', 'text/event-stream'),
-            *self._say(),
+            *write_words(self),
         ]
         exchange.start(HTTPStatus.OK, headers)
         is_broken = behaviour == Behaviour.BREAK_OFF
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -49,12 +49,15 @@
 _CONNECTIONS = 64
 _PROMPT = PromptSize(prompt=2000, answer=100)  # noqa: WPS432
 #: More than one engine's memory, so that orders go to others.
-_HUGE = PromptSize(prompt=150_000, answer=100)  # noqa: WPS432
+HUGE = PromptSize(prompt=150_000, answer=100)  # noqa: WPS432
+_MS_PER_SECOND = 1000
 #: Nobody is harmed by another prompt, so none is refused for a crowd.
-_PATIENT = MappingProxyType(
+PATIENT = MappingProxyType(
     {'goal_ms': _DEADLINE_MS, 'gap_ms': _DEADLINE_MS},
 )
 _UNUSED_MS = 9000
+#: Instances that start are told of so many others, the newest.
+_SEEDS = 3
 _RETRIES = RetryLimits(ratio=0, slack=100, window_ms=1000)
 
 
@@ -81,7 +84,7 @@
         self._figures = None if is_plain else figures
         self.engines = []
         self.nodes = []
-        self._reports = []
+        self._reports = {}
         self._peer_ports = []
         for _ in range(instances):
             self.start_instance()
@@ -91,30 +94,26 @@
 
     def start_instance(self):
         """Start one more instance, which is told of the servers only."""
-        number = len(self.nodes)
-        # One that is picked earlier may be taken by then.
-        self._peer_ports.extend(pick_ports(1))
-        identity = InstanceIdentity(
-            f'entry-{number}',
-            'here',
-            peer_address=(LOOPBACK, self._peer_ports[number]),
-            caller_address=(LOOPBACK, 1),
-            seeds=[(LOOPBACK, self._peer_ports[0])],
-        )
+        identity = self._identify()
         limits = ForwardLimits(
             retries=_RETRIES,
             address_ttl_ms=1000,
             grace_ms=_DEADLINE_MS,
             unused_ms=_UNUSED_MS,
         )
-        client = HttpClient(f'hub-{number}', timers=self.loop.timers)
+        client = HttpClient(
+            f'hub-{identity.instance}',
+            timers=self.loop.timers,
+        )
         calls = ServerCalls(client.register(self.loop))
+        reports = EngineReports(calls)
         node = ForwardNode(
             self.loop,
             identity,
             limits,
-            self._wire(client, calls),
+            self._wire(client, calls, reports),
         )
+        self._reports[node] = reports
         calls.on_notice = ServerNotices(node.fleet, node.journal).take
         self.nodes.append(node)
         pools = [PoolConfig(POOL, _CONNECTIONS, self._figures)]
@@ -187,20 +186,62 @@
         _sink, finish = self.submit(node, body, **fields)
         return finish()
 
+    def send_load(self, nodes, per_second, for_ms):
+        """Submit requests evenly for a while, and wait until all have ended.
+
+        Args:
+          nodes: A list of ForwardNode that take them in turn; it may change
+            meanwhile.
+          per_second: How many in a second.
+          for_ms: For how long.
+        Returns:
+          Their ends, a list of strings.
+        """
+        waiting = []
+
+        def submit():
+            node = nodes[len(waiting) % len(nodes)]
+            waiting.append(self.submit(node, SOUND, **PATIENT)[1])
+
+        pace = self.loop.timers.every(_MS_PER_SECOND / per_second, submit)
+        self.wait(for_ms)
+        pace.cancel()
+        return [finish()[0] for finish in waiting]
+
+    def cut_off(self, node):
+        """Cut an instance off from the others, but not from servers.
+
+        Args:
+          node: Its ForwardNode.
+        """
+        node.peers.stop()
+
     def reports(self, node):
         """Return the EngineReports of an instance.
 
         Args:
           node: Its ForwardNode.
         """
-        return self._reports[self.nodes.index(node)]
+        return self._reports[node]
+
+    def _identify(self):
+        number = len(self._peer_ports)
+        # One that is picked earlier may be taken by then.
+        self._peer_ports.extend(pick_ports(1))
+        seeds = self._peer_ports[-_SEEDS:]
+        return InstanceIdentity(
+            f'entry-{number}',
+            'here',
+            peer_address=(LOOPBACK, self._peer_ports[number]),
+            caller_address=(LOOPBACK, 1),
+            seeds=[(LOOPBACK, port) for port in seeds],
+        )
 
-    def _wire(self, client, calls):
-        self._reports.append(EngineReports(calls))
+    def _wire(self, client, calls, reports):
         return ForwardWiring(
             port=BackendCalls(client, calls),
             reservations=EngineOrders(calls, self.loop.timers),
-            reports=self._reports[-1],
+            reports=reports,
             take_config=lambda _payload: None,
             take_servers=lambda _changes: False,
             pool_label='pool',
@@ -227,7 +268,7 @@
 
 def ask_often(world, node, count=_MANY):
     """Submit requests at the same time, and return their ends, a list."""
-    waiting = [world.submit(node, SOUND, **_PATIENT)[1] for _ in range(count)]
+    waiting = [world.submit(node, SOUND, **PATIENT)[1] for _ in range(count)]
     return [finish()[0] for finish in waiting]
 
 
@@ -239,7 +280,7 @@
 
 def ask_for_memory(world, engine):
     """Let memory be set aside at all engines; the prompt needs them."""
-    world.ask(world.nodes[0], SOUND, size=_HUGE, goal_ms=_DEADLINE_MS)
+    world.ask(world.nodes[0], SOUND, size=HUGE, goal_ms=_DEADLINE_MS)
 
 
 def ask_for_report(world, engine):
