--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -101,7 +101,7 @@
 _leave_out(
     'joint reading',
     f'{_CORE}/engine_chooser.py',
-    'most = min(_MOST_PARTS, len(candidates))',
+    'most = min(_MOST_PARTS, len(helping))',
     'most = least',
 )
 _leave_out(
--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -10,10 +10,13 @@
 from crankchute.core.engine_board import Change, Work
 from crankchute.core.membership import Member
 from crankchute.core.replica import ChangeSet, Entry
+from crankchute.core.server_limits import LimitWord
 from crankchute.core.suspicion import Signs
 from crankchute.proto import peer_pb2
 
 _MEMBER_FIELDS = Member.__slots__
+#: The limit sent for a server that names none any more.
+_NO_LIMIT = -1
 #: The age sent for what was never proved the newest.
 _NO_PROOF = -1
 
@@ -93,6 +96,7 @@
         wants_work=briefing.wants_work,
         lacks_work=briefing.lacks_work,
         impressions=[_write_impression(one) for one in briefing.impressions],
+        limits=[_write_limit(one, now_ms) for one in briefing.limits],
         crash_digest=briefing.crash_digest,
         crashes=write_crashes(briefing.crashes, now_ms),
     )
@@ -127,6 +131,7 @@
         impressions=[
             _read_impression(one, now_ms) for one in record.impressions
         ],
+        limits=[_read_limit(one, now_ms) for one in record.limits],
         crash_digest=record.crash_digest,
         crashes=read_crashes(record, now_ms),
     )
@@ -153,6 +158,24 @@
     return Impression(record.server, signs)
 
 
+def _write_limit(word, now_ms):
+    return peer_pb2.LimitRecord(
+        server=word.server,
+        limit=_NO_LIMIT if word.limit is None else word.limit,
+        age_ms=now_ms - word.at_ms,
+        source=word.source,
+    )
+
+
+def _read_limit(record, now_ms):
+    return LimitWord(
+        record.server,
+        None if record.limit < 0 else record.limit,
+        now_ms - record.age_ms,
+        record.source,
+    )
+
+
 def _write_news(news, now_ms, *, is_whole):
     """Return the message of a WorkNews.
 
--- a/crankchute/adapters/peer_records_test.py
+++ b/crankchute/adapters/peer_records_test.py
@@ -18,6 +18,7 @@
 from crankchute.core.engine_board import Change, EngineBoard
 from crankchute.core.engine_fakes import make_work
 from crankchute.core.membership import Member
+from crankchute.core.server_limits import LimitWord
 from crankchute.core.work_feed import apply_batch
 from crankchute.proto import peer_pb2
 
@@ -35,6 +36,11 @@
         drained=[],
         gone=[],
         impressions=[],
+        limits=[
+            LimitWord('i-1', 2.5, OWN_MS - 300, 'entry-0-1'),
+            LimitWord('i-2', 0, OWN_MS, 'entry-0-2'),
+            LimitWord('i-3', None, OWN_MS - 900, 'entry-1-1'),
+        ],
         active=[Member('a', 'b', 3, strength=516, data_centre='z')],
         batch=WorkBatch(4, news, is_whole=is_whole),
         proof_age_ms=None,
@@ -147,3 +153,15 @@
 
 def test_crashes_that_the_receiver_remembers_are_not_told():
     assert pass_on(make_briefing([])).crashes is None
+
+
+def test_words_about_limits_arrive_with_their_age():
+    told = [
+        (one.server, one.limit, THEIR_MS - one.at_ms, one.source)
+        for one in pass_on(make_briefing([])).limits
+    ]
+    assert told == [
+        ('i-1', 2.5, 300, 'entry-0-1'),
+        ('i-2', 0, 0, 'entry-0-2'),
+        ('i-3', None, 900, 'entry-1-1'),
+    ]
--- a/crankchute/core/briefing.py
+++ b/crankchute/core/briefing.py
@@ -81,6 +81,7 @@
       drained: Ids of backend servers that drain.
       gone: Ids of backend servers whose entries went lately.
       impressions: A list of Impression, of servers that seem unsound.
+      limits: LimitWords, of servers that named limits lately, or ended them.
       wants_work: Whether it wants to be told of the other's work, a bool.
       lacks_work: Whether it missed some of that, a bool.
       batch: A WorkBatch.
@@ -102,6 +103,7 @@
         'instance',
         'is_serving',
         'lacks_work',
+        'limits',
         'proof_age_ms',
         'servers_age_ms',
         'servers_revision',
--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -39,6 +39,7 @@
       hints: The ReturnHints for callers that are refused.
       is_connected: A function of a Backend that tells whether a connection
         to it is open and rests.
+      turns: The LimitTurns.
       heard_ms_ago: A function that returns how long ago another instance was
         last heard from, in milliseconds or None.
     """
@@ -55,6 +56,7 @@
         'pool',
         'random',
         'timers',
+        'turns',
     )
 
     def __init__(self, **fields):
@@ -85,10 +87,9 @@
     def usable(self, avoided, members=None):
         """Return the servers that may be asked now.
 
-        Servers that failed lately are left alone while others are left, and
-        servers that want rest in any case: two of 18 engines that turned all
-        away drew 83 requests in 5 s, and 20 of 62 short prompts were refused
-        though the others had room (one play).
+        Servers that failed lately are left alone while others are left.  Those
+        that want rest, or take no more of this instance now, are left alone in
+        any case: they have nothing to do, and would be chosen before all others.
 
         Args:
           avoided: Ids of servers that must not be asked.
@@ -99,10 +100,13 @@
         if members is None:
             members = self._parts.members()
         now_ms = self.now_ms()
+        has_turn = self._parts.turns.has_turn
         awake = [
             one
             for one in members
-            if now_ms >= one.refused_until_ms and one.identity not in avoided
+            if now_ms >= one.refused_until_ms
+            and one.identity not in avoided
+            and has_turn(one.identity)
         ]
         return [one for one in awake if one.breaker.allows(now_ms)] or awake
 
@@ -173,23 +177,26 @@
     def refuse(self):
         """Return the Refusal given when no server may be asked.
 
-        Where all want rest it is known when the first of them is back.
+        Where all want rest, or take no more now, it is known when the first of
+        them takes requests again.
         """
-        now_ms = self.now_ms()
-        rests_ms = [
-            one.refused_until_ms - now_ms for one in self._parts.members()
-        ]
-        if rests_ms and min(rests_ms) > 0:
+        first_ms = min(map(self._wait_ms, self._parts.members()), default=0)
+        if first_ms > 0:
             return refuse_not_run(
                 'servers_rest',
-                'all backend servers of the pool want rest',
-                self._parts.hints.choose_after_ms(min(rests_ms)),
+                'no backend server of the pool wants a request now',
+                self._parts.hints.choose_after_ms(first_ms),
             )
         return refuse_not_run(
             'no_backend',
             'no backend server of the pool takes requests now',
         )
 
+    def _wait_ms(self, backend):
+        """Return after how long a server wants requests of this instance."""
+        rest_ms = backend.refused_until_ms - self.now_ms()
+        return max(rest_ms, self._parts.turns.wait_ms(backend.identity))
+
 
 @choosers.register(LEAST_BUSY)
 class LeastBusyChooser(Chooser):
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -85,7 +85,10 @@
         usable = self.usable(avoided, stretch) or self.usable(avoided)
         if not usable:
             return self.refuse()
-        plan = min(self._list_plans(job, usable), key=_cost_of)
+        plans = self._list_plans(job, usable)
+        if not plans:
+            return self.refuse()
+        plan = min(plans, key=_cost_of)
         # What was begun for a caller is gone on with.
         is_new = not avoided and job.resume_after is None
         if is_new and not self._sends(job, plan):
@@ -203,13 +206,23 @@
         return cost + _cost_of_memory(self._figures, job.size.memory, candidate)
 
     def _plan_jointly(self, job, candidates):
-        """Return the best plan for each number of engines."""
-        least = min(count_least_parts(self._figures, job), len(candidates))
-        most = min(_MOST_PARTS, len(candidates))
-        return [
-            self._plan_parts(job, candidates, parts)
+        """Return the best plan for each number of engines.
+
+        Joint reads take orders at each engine, which count against its limit; an
+        engine that takes little reads alone or not at all.
+        """
+        may_help = self._parts.turns.may_help
+        helping = [one for one in candidates if may_help(one.backend.identity)]
+        needed = count_least_parts(self._figures, job)
+        least = max(min(needed, len(helping)), 1)
+        most = min(_MOST_PARTS, len(helping))
+        plans = [
+            self._plan_parts(job, helping, parts)
             for parts in range(least, most + 1)
         ]
+        if needed == 1 and len(helping) < len(candidates):
+            plans.append(self._plan_parts(job, candidates, 1))
+        return plans
 
     def _plan_parts(self, job, candidates, parts):
         read_ms = estimate_read_ms(self._figures, job.size.prompt, parts)
--- a/crankchute/core/engine_fakes.py
+++ b/crankchute/core/engine_fakes.py
@@ -26,6 +26,10 @@
         if load is not None:
             on_load(load)
 
+    def check(self, backend, path):
+        """See ReportPort."""
+        self.asked.append(backend.identity)
+
 
 def make_work(key, engine, **changes):
     """Return a Work of a usual short prompt.
--- a/crankchute/core/forward_config.py
+++ b/crankchute/core/forward_config.py
@@ -17,21 +17,24 @@
       name: The pool's name.
       max_connections: What one server accepts from all instances together.
       figures: EngineFigures, or None for a plain service.
+      health_path: Where servers tell whether they are well.
     """
 
-    __slots__ = ('figures', 'max_connections', 'name')
+    __slots__ = ('figures', 'health_path', 'max_connections', 'name')
 
-    def __init__(self, name, max_connections, figures):
+    def __init__(self, name, max_connections, figures, health_path='/'):
         """Create the pool.
 
         Args:
           name: A string.
           max_connections: An int.
           figures: EngineFigures or None.
+          health_path: A string.
         """
         self.name = name
         self.max_connections = max_connections
         self.figures = figures
+        self.health_path = health_path
 
 
 class IntakeConfig:
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -16,6 +16,7 @@
     PromptSize,
     Repeat,
 )
+from crankchute.core.limit_desk import LimitDesk
 from crankchute.core.return_hints import ReturnHints
 from crankchute.core.reservations import ReservationDesk, ReservationPort
 from crankchute.core.sliding_budget import RetryLimits
@@ -431,6 +432,7 @@
         data_centre='',
         is_connected=_ignore,
         new_ticket=lambda: f'ticket-{next(tickets)}',
+        turns=LimitDesk(timers, 'entry-0', 'boot').turns,
     )
 
 
--- a/crankchute/core/load_survey.py
+++ b/crankchute/core/load_survey.py
@@ -28,6 +28,15 @@
           on_load: A function of a SeenLoad; not called without an answer.
         """
 
+    @abc.abstractmethod
+    def check(self, backend, path):
+        """Ask a server whether it is well; it says in its answer what it wants.
+
+        Args:
+          backend: A Backend.
+          path: Where it tells that.
+        """
+
 
 class LoadSurvey:
     """Asks for reports once in the life of a process."""
--- a/crankchute/core/peer_view.py
+++ b/crankchute/core/peer_view.py
@@ -63,6 +63,20 @@
         last_ms = self.heard_ms
         return last_ms is not None and now_ms - last_ms < silent_ms
 
+    def is_silent(self, now_ms, silent_ms):
+        """Tell whether it did not answer for a while, though it was asked.
+
+        Args:
+          now_ms: The time.
+          silent_ms: How long an answer may take.
+        """
+        if self.asked_ms is None:
+            return False
+        if self.heard_ms is None:
+            return True
+        is_asked = self.asked_ms > self.heard_ms
+        return is_asked and now_ms - self.heard_ms >= silent_ms
+
     def lacks_crashes(self, digest, now_ms):
         """Tell whether it must be told of crashes with the next message.
 
--- a/crankchute/core/server_notice.py
+++ b/crankchute/core/server_notice.py
@@ -45,32 +45,54 @@
 
 
 class ServerNotices:
-    """Takes what servers say of themselves."""
+    """Takes what servers say of themselves, and counts what they are sent."""
 
-    def __init__(self, fleet, journal):
+    def __init__(self, fleet, journal, limits):
         """Create the part.
 
         Args:
           fleet: The ForwardFleet.
           journal: A ForwardJournal.
+          limits: The LimitDesk.
         """
         self._fleet = fleet
         self._journal = journal
+        self._limits = limits.words
+        self._turns = limits.turns
 
-    def take(self, backend, notice):
+    def note_sent(self, backend):
+        """Count a call of a server, whatever it is.
+
+        Args:
+          backend: The Backend.
+        """
+        self._turns.note_sent(backend.identity)
+
+    def take(self, backend, notice, sent_ms):
         """Take a server's word.
 
         Args:
           backend: The Backend that was asked.
           notice: Its ServerNotice.
+          sent_ms: When it was asked, on this process's clock.
         """
-        self._journal.log_notice(backend, notice)
+        if notice.says_anything or self._limits.limit_of(backend.identity):
+            self._log_news(backend, notice)
         if notice.is_leaving:
             # The store may be away, and hear of it 12 s later.
             self._fleet.note_drained(backend.identity)
         if notice.rest_ms:
             # It seems idle, and would be chosen before all others.
             self._let_rest(backend.identity, notice.rest_ms)
+        # It goes on until an answer without it; what is no number tells neither.
+        if notice.limit is not None or not notice.names_limit:
+            self._limits.take(backend.identity, notice.limit, sent_ms)
+
+    def _log_news(self, backend, notice):
+        """Log a word, unless it is the limit that is known already."""
+        is_known = notice.limit == self._limits.limit_of(backend.identity)
+        if notice.is_leaving or notice.rest_ms or not is_known:
+            self._journal.log_notice(backend, notice)
 
     def _let_rest(self, identity, rest_ms):
         until_ms = self._fleet.rests.note(identity, rest_ms)
--- a/crankchute/core/server_rests_test.py
+++ b/crankchute/core/server_rests_test.py
@@ -5,6 +5,7 @@
 from crankchute.core.fakes import ManualTimers
 from crankchute.core.forward_fleet import ForwardFleet
 from crankchute.core.forward_fleet_test import POOL, make_listed
+from crankchute.core.limit_desk import LimitDesk
 from crankchute.core.server_notice import ServerNotice, ServerNotices
 
 
@@ -22,7 +23,8 @@
         self.timers = ManualTimers()
         self.fleet = ForwardFleet(self.timers, POOL)
         self.fleet.put(make_listed('a'))
-        self.notices = ServerNotices(self.fleet, SilentJournal())
+        limits = LimitDesk(self.timers, 'entry-0', 'boot')
+        self.notices = ServerNotices(self.fleet, SilentJournal(), limits)
 
     @property
     def backend(self):
@@ -30,7 +32,7 @@
 
     def say(self, rest_ms, backend=None):
         notice = ServerNotice(rest_ms=rest_ms)
-        self.notices.take(backend or self.backend, notice)
+        self.notices.take(backend or self.backend, notice, 0)
 
 
 @pytest.mark.parametrize(
--- a/crankchute/core/service_flow.py
+++ b/crankchute/core/service_flow.py
@@ -10,6 +10,7 @@
 from crankchute.core.forward_desk import ForwardDesk, ForwardPorts
 from crankchute.core.forward_job import ForwardJob, Repeat
 from crankchute.core.hashing import make_fingerprint
+from crankchute.core.limit_desk import LimitDesk
 from crankchute.core.return_hints import ReturnHints
 from crankchute.core.sliding_budget import RetryLimits
 from crankchute.ports.forwarding import AnswerSink
@@ -129,6 +130,8 @@
         self._ports = ports
         self._services = services
         self._fleet = fleet
+        # Services of this interface have no way to name a limit.
+        self._turns = LimitDesk(ports.timers, '', '').turns
         self._choosers = {}
         self._hints = ReturnHints(ports.random)
         self._desk = ForwardDesk(
@@ -202,6 +205,7 @@
             hints=self._hints,
             data_centre=None,
             is_connected=self._services.is_connected,
+            turns=self._turns,
         )
 
     def _list_members(self, pool):
--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -47,7 +47,11 @@
 
 
 class Sharing:
-    """One instance's part in the sharing of knowledge."""
+    """One instance's part in the sharing of knowledge.
+
+    Attributes:
+      instances: The ActiveInstances.
+    """
 
     def __init__(self, parts, own):
         """Create the sharing; start() begins it.
@@ -58,7 +62,7 @@
         """
         self._parts = parts
         self._own = own
-        self._instances = ActiveInstances(parts, own)
+        self.instances = ActiveInstances(parts, own)
         self._outbox = []
         self._flush = None
         self._chose_ms = float('-inf')
@@ -66,7 +70,7 @@
     @property
     def active(self):
         """The Members that callers are sent to, best first."""
-        return self._instances.chosen
+        return self.instances.chosen
 
     @property
     def home(self):
@@ -75,14 +79,14 @@
         An active instance has none: it speaks to all the others.
         """
         found = None
-        if not self._instances.includes_own:
-            found = self._instances.find_home()
+        if not self.instances.includes_own:
+            found = self.instances.find_home()
         return None if found is None else found.identity
 
     def start(self):
         """Begin to speak to the active instances."""
         self._parts.timers.every(PACE_MS, self._on_pace)
-        self._parts.crashes.subscribe(self._flush_soon)
+        self._parts.crashes.subscribe(self.tell_soon)
 
     def note(self, change, work):
         """Tell the other active instances of work of this one.
@@ -93,11 +97,20 @@
         """
         self._chose_ms = self._now_ms()
         self._outbox.append(WorkNews(change, work))
-        self._flush_soon()
+        self.tell_soon()
+
+    def tell_soon(self):
+        """Tell the listeners what changes within the next milliseconds."""
+        if self._flush is None:
+            crowd = max(len(self._listeners()) / _FLUSH_LISTENERS, 1)
+            self._flush = self._parts.timers.after(
+                _FLUSH_MS * crowd * crowd,
+                self._on_flush,
+            )
 
     def tell_now(self):
         """Tell every active instance what this one knows, at once."""
-        self._instances.choose()
+        self.instances.choose()
         for member in self._listeners():
             self._speak(member, [])
 
@@ -110,7 +123,7 @@
             nobody knows how long it was on its way.
         """
         now_ms = self._now_ms()
-        view = self._instances.view(briefing.instance)
+        view = self.instances.view(briefing.instance)
         view.heard_ms = now_ms
         view.is_serving = briefing.is_serving
         view.proof_age_ms = briefing.proof_age_ms
@@ -118,12 +131,12 @@
         view.crash_digest = briefing.crash_digest
         if briefing.crashes is not None:
             self._parts.crashes.take(briefing.crashes)
-        self._instances.note_wish(briefing)
+        self.instances.note_wish(briefing)
         for batch in view.feed.take(briefing, now_ms):
             apply_batch(self._parts.board, briefing.instance, batch)
         self._parts.take(briefing, asked_ms)
         is_answer = asked_ms is not None
-        self._instances.note_told(briefing, is_answer=is_answer)
+        self.instances.note_told(briefing, is_answer=is_answer)
 
     def answer(self, briefing):
         """Take what another instance told, and return what it is told.
@@ -134,13 +147,13 @@
           A Briefing.
         """
         self.hear(briefing)
-        self._instances.choose()
-        return self._make_briefing(self._instances.view(briefing.instance), [])
+        self.instances.choose()
+        return self._make_briefing(self.instances.view(briefing.instance), [])
 
     def heard_ms_ago(self):
         """Return how long ago the active ones were heard from, or None."""
         views = [
-            self._instances.view(one.identity) for one in self._instances.others
+            self.instances.view(one.identity) for one in self.instances.others
         ]
         known = [one.heard_ms for one in views if one.heard_ms is not None]
         return self._now_ms() - min(known) if known else None
@@ -165,28 +178,28 @@
         Returns:
           A list of Member.
         """
-        self._instances.choose()
+        self.instances.choose()
         return self.active
 
     def _now_ms(self):
         return self._parts.timers.clock.now_ms()
 
     def _wants_work(self):
-        if self._instances.includes_own:
+        if self.instances.includes_own:
             return True
         return self._now_ms() - self._chose_ms < _INTEREST_MS
 
     def _listeners(self):
         """Return the other active instances, and those that want news."""
-        followers = self._instances.list_followers()
-        return [*self._instances.others, *followers[:_MOST_FOLLOWERS]]
+        followers = self.instances.list_followers()
+        return [*self.instances.others, *followers[:_MOST_FOLLOWERS]]
 
     def _on_pace(self):
-        self._instances.choose()
+        self.instances.choose()
         if self._wants_work():
-            self._ask_all(self._instances.pace_ms())
+            self._ask_all(self.instances.pace_ms())
             return
-        home = self._instances.find_home()
+        home = self.instances.find_home()
         if home is not None:
             self._ask_all(HOME_PACE_MS, (home,))
 
@@ -194,32 +207,23 @@
         """Speak to members that were not spoken to for a turn of a pace."""
         now_ms = self._now_ms()
         for member in members or self._to_ask():
-            asked_ms = self._instances.view(member.identity).asked_ms
+            asked_ms = self.instances.view(member.identity).asked_ms
             if asked_ms is None or now_ms >= asked_ms + pace_ms - _FLUSH_MS:
                 self._speak(member, [])
 
     def _ask_next_home(self):
         """Ask another active instance, since the home is silent."""
-        self._instances.choose()
-        home = self._instances.find_home()
+        self.instances.choose()
+        home = self.instances.find_home()
         if home is not None and not self._wants_work():
             self._ask_all(0, (home,))
 
     def _to_ask(self):
         """Return the active instances, and a few that are left out."""
-        left_out = self._instances.list_left_out()
+        left_out = self.instances.list_left_out()
         count = min(len(left_out), _MOST_LEFT_OUT)
         asked_again = self._parts.random.sample(left_out, count)
-        return [*self._instances.others, *asked_again]
-
-    def _flush_soon(self):
-        """Tell the listeners what changes within the next milliseconds."""
-        if self._flush is None:
-            crowd = max(len(self._listeners()) / _FLUSH_LISTENERS, 1)
-            self._flush = self._parts.timers.after(
-                _FLUSH_MS * crowd * crowd,
-                self._on_flush,
-            )
+        return [*self.instances.others, *asked_again]
 
     def _on_flush(self):
         self._flush = None
@@ -229,7 +233,7 @@
             self._speak(member, news)
 
     def _speak(self, member, news):
-        view = self._instances.view(member.identity)
+        view = self.instances.view(member.identity)
         now_ms = self._now_ms()
         if view.asked_ms is None:
             # Until the first answer had time to come it counts as sound.
@@ -241,13 +245,13 @@
             if reply is not None:
                 self.hear(reply, now_ms)
             elif not self._wants_work():
-                self._instances.note_silent(member)
+                self.instances.note_silent(member)
                 self._ask_next_home()
 
         self._parts.send(member, briefing, take, _TIMEOUT_MS)
 
     def _make_briefing(self, view, news):
-        digest = self._instances.digest
+        digest = self.instances.digest
         crashes = self._parts.crashes
         must_tell = view.lacks_crashes(crashes.digest, self._now_ms())
         return self._parts.make_briefing(
--- a/crankchute/core/sharing_test.py
+++ b/crankchute/core/sharing_test.py
@@ -102,6 +102,7 @@
             drained=[],
             gone=[],
             impressions=[],
+            limits=[],
             **told,
         )
 
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -26,6 +26,7 @@
 from crankchute.core.return_hints import ReturnHints
 from crankchute.core.server_list import ServerList
 from crankchute.entry.forward_peers import ForwardPeers
+from crankchute.entry.limited_servers import LimitedServers
 
 JOINING = 'joining'
 SERVING = 'serving'
@@ -182,6 +183,12 @@
         self._forget_connections = wiring.port.forget
         self.fleet.subscribe_restarted(self._on_restarted)
         self.peers = ForwardPeers(loop, self, wiring)
+        questions = LimitedServers(self, wiring.reports)
+        self.peers.limits.start(
+            self.peers.list_active,
+            self.peers.is_lost,
+            questions.ask,
+        )
         self.holder.subscribe(self._on_config)
         self._add_gauges()
         self.timers.every(_COUNT_MS, self._count_instances)
@@ -293,11 +300,16 @@
         self._survey.run(lambda: self._list_siblings(work.engine))
 
     def _list_siblings(self, engine):
-        """Return the servers of an engine's pool that take requests."""
+        """Return the servers of an engine's pool that take questions."""
         backend = self.fleet.get(engine)
         if backend is None:
             return []
-        return self.fleet.members_of(self.fleet.pool_of(backend))
+        limit_of = self.peers.limits.words.limit_of
+        return [
+            one
+            for one in self.fleet.members_of(self.fleet.pool_of(backend))
+            if limit_of(one.identity) is None
+        ]
 
     def _note_report(self, backend, load):
         reporting = self.fleet.find_reporting(backend, load.born)
@@ -350,6 +362,7 @@
             heard_ms_ago=self.peers.sharing.heard_ms_ago,
             data_centre=self.identity.data_centre,
             is_connected=self._is_connected,
+            turns=self.peers.limits.turns,
         )
         return choosers[name](parts)
 
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -5,6 +5,7 @@
 from crankchute.adapters.peer_records import read_briefing, write_briefing
 from crankchute.adapters.peers_grpc import PeerClient, PeerServer
 from crankchute.core.briefing import Briefing, Impression
+from crankchute.core.limit_desk import LimitDesk
 from crankchute.core.membership import Member
 from crankchute.core.replica import ChangeSet, Entry
 from crankchute.core.sharing import Sharing, SharingParts
@@ -18,6 +19,8 @@
 #: The same later, when there is probably nobody.
 _LONELY_MS = 500
 _EARLY_MS = 3000
+#: Who does not answer for so many turns of the pace is taken for lost.
+_LOST_PACES = 3
 #: For how long impressions of servers are told as they are, in milliseconds:
 #: gathering them looks at every server, and briefings go out by the hundred a
 #: second.
@@ -128,6 +131,7 @@
     Attributes:
       sharing: The Sharing.
       membership: The Membership.
+      limits: The LimitDesk.
     """
 
     def __init__(self, loop, node, wiring):
@@ -166,7 +170,13 @@
             {_CONFIG: exchange, _SERVERS: servers},
         )
         self.membership = self._peering.membership
+        self.limits = LimitDesk(
+            loop.timers,
+            identity.instance,
+            identity.boot,
+        )
         self.sharing = Sharing(self._make_parts(node), identity.instance)
+        self.limits.words.subscribe(self.sharing.tell_soon)
         self._seeds = []
         self._impressions = []
         self._impressed_ms = float('-inf')
@@ -200,6 +210,24 @@
         """
         self._seeds = [_write_address(one) for one in seeds]
 
+    def list_active(self):
+        """Return the ids of the instances that callers are sent to, a list."""
+        return [one.identity for one in self.sharing.active]
+
+    def is_lost(self, instance):
+        """Tell whether an instance does not answer, and did not say why.
+
+        Args:
+          instance: Its id.
+        """
+        member = self.membership.get(instance)
+        if member is None:
+            return True
+        instances = self.sharing.instances
+        silent_ms = instances.pace_ms() * _LOST_PACES
+        view = instances.view(instance)
+        return not member.draining and view.is_silent(self._now_ms(), silent_ms)
+
     def announce(self, *, is_serving):
         """Tell the others whether callers may be sent here.
 
@@ -264,6 +292,7 @@
             drained=node.fleet.drained(),
             gone=node.fleet.gone(),
             impressions=self._list_impressions(),
+            limits=self.limits.words.tell(),
             **told,
         )
 
@@ -272,6 +301,7 @@
         self.membership.merge(briefing.active)
         self._take_servers(briefing)
         self._take_impressions(briefing)
+        self.limits.words.hear(briefing.limits)
         self._fetch(briefing, _CONFIG, briefing.version)
         self._fetch(briefing, _SERVERS, briefing.servers_revision)
         if asked_ms is None:
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -64,6 +64,10 @@
         'in_flight': backend.in_flight,
         'left_alone': backend.breaker.is_open,
         'rests_for_ms': round(max(backend.refused_until_ms - node.now_ms(), 0)),
+        'limit': node.peers.limits.words.limit_of(backend.identity),
+        'next_turn_ms': round(
+            node.peers.limits.turns.wait_ms(backend.identity)
+        ),
         'wait_ms': round(state.wait_ms(node.now_ms()), 1),
         'writers': state.writers,
         'memory': state.memory,
--- a/crankchute/platform/backend_calls_test.py
+++ b/crankchute/platform/backend_calls_test.py
@@ -63,7 +63,8 @@
     def __init__(self):
         self.loop = Loop()
         self.client = HttpClient(timers=self.loop.timers).register(self.loop)
-        self.calls = BackendCalls(self.client, ServerCalls(self.client))
+        calls = ServerCalls(self.client, self.loop.timers.clock)
+        self.calls = BackendCalls(self.client, calls)
         self.listening = socket.create_server((_LOOPBACK, 0))
         self.listening.setblocking(False)
         port = self.listening.getsockname()[1]
--- a/crankchute/platform/documents.py
+++ b/crankchute/platform/documents.py
@@ -20,6 +20,7 @@
 _LOWEST_PRIORITY = 9
 _DEFAULT_CONNECTIONS = 64
 _DEFAULT_STALL_MS = 1500
+_DEFAULT_HEALTH_PATH = '/'
 #: Tokens of a usual prompt and its answer where a pool does not publish them.
 _USUAL_PROMPT = 9000
 _USUAL_ANSWER = 1200
@@ -95,6 +96,7 @@
         document['name'],
         document.get('max-connections') or _DEFAULT_CONNECTIONS,
         None if engine is None else _read_figures(engine, stall_ms),
+        document.get('health-path') or _DEFAULT_HEALTH_PATH,
     )
 
 
--- a/crankchute/platform/engine_reports.py
+++ b/crankchute/platform/engine_reports.py
@@ -32,9 +32,16 @@
             if load is not None:
                 on_load(load)
 
+        self._get(backend, REPORT_PATH, take)
+
+    def check(self, backend, path):
+        """See ReportPort."""
+        self._get(backend, path, _ignore)
+
+    def _get(self, backend, path, take):
         self._calls.send(
             backend,
-            build_request('GET', backend.listed.address, REPORT_PATH),
+            build_request('GET', backend.listed.address, path),
             WholeResponse(take, _log_failure),
             CallOptions(idle_ms=_IDLE_MS, connect_ms=_CONNECT_MS),
         )
@@ -83,5 +90,9 @@
     return SeenLoad(int(running) + int(waiting))
 
 
+def _ignore(_status, _body):
+    """Take an answer of which only the head counts, which others read."""
+
+
 def _log_failure(exc):
     log_change('report_missed', reason=str(exc))
--- a/crankchute/platform/forwarding_test.py
+++ b/crankchute/platform/forwarding_test.py
@@ -27,6 +27,7 @@
 from crankchute.core.forward_job import PromptSize, Repeat
 from crankchute.core.outcomes import Outcome
 from crankchute.core.reservations import ReservationDesk
+from crankchute.core.limit_desk import LimitDesk
 from crankchute.core.return_hints import ReturnHints
 from crankchute.core.sliding_budget import RetryLimits
 from crankchute.platform.backend_calls import BackendCalls
@@ -59,7 +60,7 @@
         self.loop = Loop()
         self.moved = []
         client = HttpClient(timers=self.loop.timers).register(self.loop)
-        calls = ServerCalls(client)
+        calls = ServerCalls(client, self.loop.timers.clock)
         by_address = {}
         self.engines = [
             StandinEngine(self.loop, f'i-{number}', by_address, _MEMORY)
@@ -140,6 +141,7 @@
             data_centre='',
             is_connected=lambda _backend: False,
             new_ticket=reservations.new_ticket,
+            turns=LimitDesk(timers, 'entry-0', 'boot').turns,
         )
 
 
--- a/crankchute/platform/limited_servers_test.py
+++ b/crankchute/platform/limited_servers_test.py
@@ -8,6 +8,9 @@
     71.739 attempt server=i-d1ccea15a1 number=1 cause=None
     72.420 attempt server=i-d1ccea15a1 number=1 cause=None
 
+Nothing read the header, and nothing that chooses kept what a server takes beyond the
+answer that told it, or knew what other instances send there.
+
 Whole instances run here, with servers that speak the wire.
 """
 
@@ -87,17 +90,17 @@
 def test_limit_of_a_whole_pool_is_used_in_full(is_plain):
     """And who has no turn is refused before it is sent."""
     world = StandinWorld(instances=6, engines=4, is_plain=is_plain)
+    world.wait(_WINDOW_MS + _MS_PER_SECOND)
     name_limit(world.engines, '3')
     begin_ms = world.nodes[0].now_ms()
-    world.send_load(world.nodes, 40, _CONTACT_MS)
+    world.send_load(world.nodes, 40, _MS_PER_SECOND)
     from_ms = world.nodes[0].now_ms()
-    arrived = [one.arrivals for one in world.engines]
+    before = sum(one.arrivals for one in world.engines)
     ends = world.send_load(world.nodes, 40, 2 * _WINDOW_MS)
     used_ms = world.nodes[0].now_ms() - from_ms
     assert not find_excess(world.engines, 3, begin_ms + _CONTACT_MS)
-    refused = ends.count('refused')
-    arrived = sum(one.arrivals for one in world.engines) - sum(arrived)
-    assert arrived == len(ends) - refused
+    arrived = sum(one.arrivals for one in world.engines) - before
+    assert arrived == len(ends) - ends.count('refused')
     allowed = 3 * len(world.engines) * used_ms / _MS_PER_SECOND
     assert arrived > allowed * 0.8
 
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -90,7 +90,7 @@
         self._sockets = sockets
         self._start_ms = loop.timers.clock.now_ms()
         self.http_client = HttpClient(timers=loop.timers).register(loop)
-        calls = ServerCalls(self.http_client)
+        calls = ServerCalls(self.http_client, loop.timers.clock)
         wiring = ForwardWiring(
             port=BackendCalls(self.http_client, calls),
             reservations=EngineOrders(calls, loop.timers),
@@ -105,8 +105,11 @@
             _read_limits(settings.bounds),
             wiring,
         )
-        notices = ServerNotices(self.node.fleet, self.node.journal)
-        calls.on_notice = notices.take
+        calls.listener = ServerNotices(
+            self.node.fleet,
+            self.node.journal,
+            self.node.peers.limits,
+        )
         self._published = PublishedConfig(self.node.holder)
         self._published_servers = PublishedServers(
             self.node,
--- a/crankchute/platform/server_calls.py
+++ b/crankchute/platform/server_calls.py
@@ -17,21 +17,33 @@
 _YES = '1'
 
 
+class _Ignorant:
+    """Takes nothing, where nobody listens."""
+
+    def note_sent(self, backend):
+        """See ServerNotices."""
+
+    def take(self, backend, notice, sent_ms):
+        """See ServerNotices."""
+
+
 class ServerCalls:
     """Sends requests to backend servers over HTTP.
 
     Attributes:
-      on_notice: A function of a Backend and its ServerNotice, or None.
+      listener: The ServerNotices, which take what is sent and what answers say.
     """
 
-    def __init__(self, client):
+    def __init__(self, client, clock):
         """Create the adapter.
 
         Args:
           client: An HttpClient.
+          clock: A Clock.
         """
         self._client = client
-        self.on_notice = None
+        self._clock = clock
+        self.listener = _Ignorant()
 
     def send(self, backend, payload, sink, options):
         """Start a call; see HttpClient.send.
@@ -44,7 +56,9 @@
         Returns:
           An HttpCall.
         """
-        watched = _NoticingSink(sink, backend, self._take)
+        watched = _NoticingSink(sink, backend, self.listener)
+        watched.sent_ms = self._clock.now_ms()
+        self.listener.note_sent(backend)
         watched.call = self._client.send(
             backend.listed.address,
             payload,
@@ -53,27 +67,23 @@
         )
         return watched.call
 
-    def _take(self, backend, notice):
-        if self.on_notice is not None:
-            self.on_notice(backend, notice)
-
 
 class _NoticingSink(ResponseSink):
     """Hands a response on, and what its head says of the server."""
 
-    __slots__ = ('_backend', '_on_notice', '_sink', 'call')
+    __slots__ = ('_backend', '_listener', '_sink', 'call', 'sent_ms')
 
-    def __init__(self, sink, backend, on_notice):
+    def __init__(self, sink, backend, listener):
         self._sink = sink
         self._backend = backend
-        self._on_notice = on_notice
+        self._listener = listener
         self.call = None
+        self.sent_ms = None
 
     def on_head(self, status, headers):
         """See ResponseSink; who chooses another server knows it by then."""
         notice = read_notice(status, headers, self._list_limits(headers))
-        if notice.says_anything:
-            self._on_notice(self._backend, notice)
+        self._listener.take(self._backend, notice, self.sent_ms)
         self._sink.on_head(status, headers)
 
     def on_body(self, chunk):
--- a/crankchute/platform/server_calls_test.py
+++ b/crankchute/platform/server_calls_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from crankchute.core.fakes import ManualClock
 from crankchute.platform.server_calls import ServerCalls, read_notice
 from crankchute.ports.http import WholeResponse
 
@@ -56,18 +57,29 @@
         self.address = ('127.0.0.1', 1)
 
 
+class FakeListener:
+    """Keeps what it is told."""
+
+    def __init__(self, told):
+        self._told = told
+
+    def note_sent(self, backend):
+        self._told.append((backend, 'sent'))
+
+    def take(self, backend, notice, _sent_ms):
+        self._told.append((backend, describe(notice)))
+
+
 def test_notice_is_told_before_the_answer():
     """Whoever chooses another server after a rejection must know it."""
     told = []
     client = FakeClient()
-    calls = ServerCalls(client)
-    calls.on_notice = lambda backend, notice: told.append(
-        (backend, describe(notice)),
-    )
+    calls = ServerCalls(client, ManualClock())
+    calls.listener = FakeListener(told)
     sink = WholeResponse(lambda *_answer: told.append('whole'), told.append)
     backend = FakeBackend()
     calls.send(backend, b'', sink, None)
     client.sink.on_head(503, {'retry-after': '2'})
     client.sink.on_body(b'')
     client.sink.on_done()
-    assert told == [(backend, (False, 2000)), 'whole']
+    assert told == [(backend, 'sent'), (backend, (False, 2000)), 'whole']
--- a/crankchute/platform/standin_engine.py
+++ b/crankchute/platform/standin_engine.py
@@ -32,6 +32,8 @@
 _FIRST_START = 1_788_242_912_000
 _LOOPBACK = '127.0.0.1'
 _IDLE_MS = 60_000
+#: Where it tells whether it is well.
+HEALTH_PATH = '/healthz'
 #: How many events an answer has, unless a test says otherwise.
 EVENTS = 5
 #: After how many events an answer that is broken off ends.
@@ -113,7 +115,7 @@
       arrivals: How many requests reached it, an int.
       reached_ms: When anything reached it, requests, orders and questions, a
         list of moments on the loop's clock.
-      questions: How many questions for its report did, an int.
+      questions: How many questions for its report or its health did, an int.
     """
 
     def __init__(self, loop, identity, engines, memory_tokens):
@@ -195,7 +197,7 @@
         self.reached_ms.append(self._clock.now_ms())
         if exchange.target == ORDER_PATH:
             take = self._take_order
-        elif exchange.target == REPORT_PATH:
+        elif exchange.target in {REPORT_PATH, HEALTH_PATH}:
             take = self._take_question
             self.questions += 1
         else:
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -32,7 +32,7 @@
 from crankchute.platform.engine_reports import EngineReports
 from crankchute.platform.requests import RequestPayload
 from crankchute.platform.server_calls import ServerCalls
-from crankchute.platform.standin_engine import StandinEngine
+from crankchute.platform.standin_engine import HEALTH_PATH, StandinEngine
 from crankchute.standins.ports import LOOPBACK, pick_ports
 
 #: How the end of a request looks that was answered.
@@ -105,7 +105,10 @@
             f'hub-{identity.instance}',
             timers=self.loop.timers,
         )
-        calls = ServerCalls(client.register(self.loop))
+        calls = ServerCalls(
+            client.register(self.loop),
+            self.loop.timers.clock,
+        )
         reports = EngineReports(calls)
         node = ForwardNode(
             self.loop,
@@ -114,9 +117,13 @@
             self._wire(client, calls, reports),
         )
         self._reports[node] = reports
-        calls.on_notice = ServerNotices(node.fleet, node.journal).take
+        calls.listener = ServerNotices(
+            node.fleet,
+            node.journal,
+            node.peers.limits,
+        )
         self.nodes.append(node)
-        pools = [PoolConfig(POOL, _CONNECTIONS, self._figures)]
+        pools = [PoolConfig(POOL, _CONNECTIONS, self._figures, HEALTH_PATH)]
         node.holder.offer(ForwardConfig(1, [], pools), b'')
         for engine in self.engines:
             if engine.is_up:
