--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -5,6 +5,7 @@
 but for what a test tells the instances.
 """
 
+from functools import partial
 from types import MappingProxyType
 
 from crankchute.adapters.http_client import HttpClient
@@ -223,6 +224,11 @@
         """
         node.peers.stop()
 
+        def lose(_address, _method, _request, on_reply, *, timeout_ms):
+            self.loop.timers.after(timeout_ms, partial(on_reply, None))
+
+        node.peers.peer_client.call = lose
+
     def reports(self, node):
         """Return the EngineReports of an instance.
 
