--- a/crankchute/core/server_rests_test.py
+++ b/crankchute/core/server_rests_test.py
@@ -66,6 +66,19 @@
     assert world.backend.refused_until_ms == 9100
 
 
+def test_rest_that_another_server_told_of_outlasts_an_entry_that_lapses():
+    """A helper says so through the server that was asked.
+
+    That went to the helper's record alone, which a lapse of its entry ends.
+    """
+    world = World()
+    world.backend.leave_alone(3000)
+    world.fleet.remove('a', may_lapse=False)
+    world.timers.advance(100)
+    world.fleet.put(make_listed('a'))
+    assert world.backend.refused_until_ms == 3000
+
+
 def test_rest_of_one_start_is_not_that_of_the_next():
     world = World()
     world.fleet.put(make_listed('a', born=1))
--- a/crankchute/platform/limited_servers_test.py
+++ b/crankchute/platform/limited_servers_test.py
@@ -205,6 +205,21 @@
     assert engine.arrivals > before
 
 
+@pytest.mark.parametrize('word', ['leaving', 'rest'])
+@pytest.mark.parametrize('is_plain', [False, True])
+def test_server_that_wants_nothing_is_not_asked_about_its_limit(word, is_plain):
+    """It leaves, or rests; each question would be one more that it gets."""
+    world = StandinWorld(instances=1, engines=2, is_plain=is_plain)
+    engine = world.engines[0]
+    name_limit([engine], '0')
+    engine.is_leaving = word == 'leaving'
+    engine.rest = '600' if word == 'rest' else None
+    ask_for_work(world, engine)
+    before = len(engine.reached_ms)
+    world.wait(2 * _WINDOW_MS)
+    assert len(engine.reached_ms) == before
+
+
 def test_orders_and_questions_count():
     """Engines that take little get few orders, whatever prompts need."""
     world = StandinWorld(instances=3, engines=4)
