--- a/crankchute/entry/limited_servers.py
+++ b/crankchute/entry/limited_servers.py
@@ -15,17 +15,14 @@
         self._reports = reports
 
     def ask(self, server):
-        """Ask a server, if it is listed.
+        """Ask a server, unless it wants nothing at all.
 
         Args:
           server: Its id.
         """
         backend = self._node.fleet.get(server)
-        if backend is None or self._node.holder.config is None:
-            return
-        name = self._node.fleet.pool_of(backend)
-        pool = self._node.holder.config.pools.get(name)
-        if pool is None:
+        pool = self._find_pool(backend)
+        if pool is None or not self._wants_questions(backend):
             return
         if pool.figures is None:
             self._reports.check(backend, pool.health_path)
@@ -33,6 +30,20 @@
             # It takes no place there, as the question for its health does.
             self._reports.ask(backend, _ignore)
 
+    def _find_pool(self, backend):
+        """Return the PoolConfig of a server, or None."""
+        config = self._node.holder.config
+        if backend is None or config is None:
+            return None
+        return config.pools.get(self._node.fleet.pool_of(backend))
+
+    def _wants_questions(self, backend):
+        """Tell whether a server neither leaves nor rests: each question counts."""
+        fleet = self._node.fleet
+        members = fleet.members_of(fleet.pool_of(backend))
+        is_awake = self._node.now_ms() >= backend.refused_until_ms
+        return is_awake and backend in members
+
 
 def _ignore(_load):
     """Take a report of which only the head counts, which others read."""
