--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -300,7 +300,10 @@
 
     def _drop(self, identity):
         self._cancel_lapse(identity)
-        self._backends.pop(identity, None)
+        backend = self._backends.pop(identity, None)
+        if backend is not None:
+            # Its rest goes on, also one that another server told of.
+            self.rests.keep(identity, backend.refused_until_ms)
         self._listed_ms.pop(identity, None)
         self._gone_ms[identity] = self._now_ms()
         self._pools = {}
--- a/crankchute/core/server_rests.py
+++ b/crankchute/core/server_rests.py
@@ -33,16 +33,26 @@
         Returns:
           Until when, on this process's clock.
         """
+        self.keep(identity, self._clock.now_ms() + rest_ms)
+        return self.until_ms(identity)
+
+    def keep(self, identity, until_ms):
+        """Note until when a server wants nothing; none is made shorter.
+
+        Args:
+          identity: The server's id.
+          until_ms: A moment on this process's clock.
+        """
         now_ms = self._clock.now_ms()
-        until_ms = max(now_ms + rest_ms, self.until_ms(identity))
+        until_ms = max(until_ms, self.until_ms(identity))
         # What is over is forgotten, so that this stays small.
         self._until_ms = {
             one: end_ms
             for one, end_ms in self._until_ms.items()
             if end_ms > now_ms
         }
-        self._until_ms[identity] = until_ms
-        return until_ms
+        if until_ms > now_ms:
+            self._until_ms[identity] = until_ms
 
     def until_ms(self, identity):
         """Return until when a server wants nothing, 0 if it did not ask.
