--- a/crankchute/platform/limited_servers_test.py
+++ b/crankchute/platform/limited_servers_test.py
@@ -105,6 +105,21 @@
     assert arrived > allowed * 0.8
 
 
+@pytest.mark.parametrize('is_plain', [False, True])
+@pytest.mark.parametrize(('limit', 'per_second'), [('1', 1), ('4', 5)])
+def test_nobody_is_refused_while_servers_take_more(limit, per_second, is_plain):
+    """Whichever instance a caller comes to, and whoever has the turn."""
+    world = StandinWorld(instances=8, engines=3, is_plain=is_plain)
+    world.wait(_WINDOW_MS + _MS_PER_SECOND)
+    name_limit(world.engines, limit)
+    begin_ms = world.nodes[0].now_ms()
+    world.send_load(world.nodes, 20, _MS_PER_SECOND)
+    world.wait(_WINDOW_MS)
+    ends = world.send_load(world.nodes, per_second, 2 * _WINDOW_MS)
+    assert set(ends) <= ANSWERED
+    assert not find_excess(world.engines, float(limit), begin_ms + _CONTACT_MS)
+
+
 @pytest.mark.parametrize('is_plain', [False, True])
 def test_who_has_no_turn_is_refused_at_once_and_told_when_one_is_free(is_plain):
     world = StandinWorld(instances=1, engines=2, is_plain=is_plain)
