--- a/crankchute/adapters/peers_grpc.py
+++ b/crankchute/adapters/peers_grpc.py
@@ -77,6 +77,10 @@
         """See peer.proto."""
         return self._ask('on_share', request, context)
 
+    def Turn(self, request, context):  # noqa: N802  (named by the protocol)
+        """See peer.proto."""
+        return self._ask('on_turn', request, context)
+
     def _ask(self, name, request, context):
         function = getattr(self._answerer, name, None)
         if function is None:
--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -11,6 +11,8 @@
 #: The name of the chooser of plain services.
 LEAST_BUSY = 'least-busy'
 
+#: The code of a refusal since no server wants a request of this instance now.
+NOT_WANTED = 'servers_rest'
 #: A server of a plain service is asked anew elsewhere after this many times
 #: the time within which an answer has its full worth.
 _SILENCE_FACTOR = 3
@@ -103,13 +105,38 @@
         has_turn = self._parts.turns.has_turn
         awake = [
             one
-            for one in members
-            if now_ms >= one.refused_until_ms
-            and one.identity not in avoided
-            and has_turn(one.identity)
+            for one in self._list_awake(members, avoided)
+            if has_turn(one.identity)
         ]
         return [one for one in awake if one.breaker.allows(now_ms)] or awake
 
+    def list_used_up(self, avoided):
+        """Return the ids of servers that only lack a turn of this instance.
+
+        Args:
+          avoided: Ids of servers that must not be asked.
+        Returns:
+          A list.
+        """
+        has_turn = self._parts.turns.has_turn
+        return [
+            one.identity
+            for one in self._list_awake(self._parts.members(), avoided)
+            if not has_turn(one.identity)
+        ]
+
+    def choose_only(self, job, server):
+        """Choose for a job that may be sent to one server only.
+
+        Args:
+          job: A ForwardJob.
+          server: The server's id.
+        Returns:
+          A Placement, or a Refusal.
+        """
+        members = {one.identity for one in self._parts.members()}
+        return self.choose(job, members - {server})
+
     def list_busy(self):
         """Return the ids of the servers that work for anybody, a set.
 
@@ -183,7 +210,7 @@
         first_ms = min(map(self._wait_ms, self._parts.members()), default=0)
         if first_ms > 0:
             return refuse_not_run(
-                'servers_rest',
+                NOT_WANTED,
                 'no backend server of the pool wants a request now',
                 self._parts.hints.choose_after_ms(first_ms),
             )
@@ -192,6 +219,14 @@
             'no backend server of the pool takes requests now',
         )
 
+    def _list_awake(self, members, avoided):
+        now_ms = self.now_ms()
+        return [
+            one
+            for one in members
+            if now_ms >= one.refused_until_ms and one.identity not in avoided
+        ]
+
     def _wait_ms(self, backend):
         """Return after how long a server wants requests of this instance."""
         rest_ms = backend.refused_until_ms - self.now_ms()
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -11,6 +11,7 @@
 from crankchute.core.forward_job import Placement
 from crankchute.core.outcomes import Outcome, refuse_not_run
 from crankchute.core.sliding_budget import SlidingBudget
+from crankchute.core.turn_lending import NoLending
 from crankchute.ports.forwarding import MOVED
 
 
@@ -22,6 +23,8 @@
       metrics: A Metrics port.
       journal: A ForwardJournal, which logs decisions.
       crash_watch: The CrashWatch.
+      lending: The TurnLending.
+      chooser_of: A function from a pool's name to a Chooser or None.
     """
 
     def __init__(self, ports, limits, ended_counter='requests_ended'):
@@ -35,7 +38,7 @@
         self._ended_counter = ended_counter
         self._timers = ports.timers
         self._limits = limits
-        self._chooser_of = ports.chooser_of
+        self.chooser_of = ports.chooser_of
         self._budgets = {}
         self._instances = 1
         self._flows = set()
@@ -48,6 +51,7 @@
             ports.timers,
             ports.journal.log_crash,
         )
+        self.lending = NoLending()
         self.port = ports.forward
         self.metrics = ports.metrics
         self.journal = ports.journal
@@ -126,7 +130,7 @@
         Returns:
           A Placement, or a Refusal.
         """
-        chooser = self._chooser_of(flow.job.pool)
+        chooser = self.chooser_of(flow.job.pool)
         if chooser is None:
             return refuse_not_run(
                 'no_pool',
@@ -145,14 +149,14 @@
 
     def silent_until_ms(self, flow, attempt):
         """Return until when an attempt's server may be silent, or None."""
-        chooser = self._chooser_of(flow.job.pool)
+        chooser = self.chooser_of(flow.job.pool)
         if chooser is None:
             return None
         return chooser.silent_until_ms(flow.job, attempt)
 
     def overdue_at_ms(self, flow, attempt):
         """Return when an attempt without any answer is a sign of a fault."""
-        chooser = self._chooser_of(flow.job.pool)
+        chooser = self.chooser_of(flow.job.pool)
         if chooser is None:
             return flow.job.deadline_ms
         return chooser.overdue_at_ms(flow.job, attempt)
@@ -181,7 +185,7 @@
 
     def note_freed(self, flow, placement):
         """Note that a job is no longer where it was placed."""
-        chooser = self._chooser_of(flow.job.pool)
+        chooser = self.chooser_of(flow.job.pool)
         if chooser is not None:
             chooser.note_end(flow.job, placement)
 
@@ -192,7 +196,7 @@
     def note_first(self, flow, attempt):
         """Note that a server began to answer with an event."""
         placement = attempt.placement
-        chooser = self._chooser_of(flow.job.pool)
+        chooser = self.chooser_of(flow.job.pool)
         if chooser is not None:
             chooser.note_first(flow.job, placement)
         if flow.job.size is None or placement.first_ms is None:
@@ -205,7 +209,7 @@
 
     def note_load(self, flow, attempt, load):
         """Note the load that a server told with its answer."""
-        chooser = self._chooser_of(flow.job.pool)
+        chooser = self.chooser_of(flow.job.pool)
         if chooser is not None:
             chooser.note_load(attempt.backend, load)
 
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -9,6 +9,7 @@
 
 from crankchute.core.forward_attempt import FIRST_SERVER_ERROR, Attempt
 from crankchute.core.outcomes import Outcome, Refusal, refuse_not_run
+from crankchute.core.request_placing import place_request
 
 
 class ForwardFlow:
@@ -193,13 +194,18 @@
     def _try_next(self, cause):
         if self._expire_if_late():
             return
-        choice = self._desk.choose(self, self._avoided)
-        if isinstance(choice, Refusal):
-            self._give_up(choice.code, choice.text, choice.retry_after_ms)
-            return
-        self._cause = cause
-        self.attempt = Attempt(self, self._desk, choice)
-        self.attempt.start()
+
+        def go_on(choice):
+            if self.ended:
+                return
+            if isinstance(choice, Refusal):
+                self._give_up(choice.code, choice.text, choice.retry_after_ms)
+                return
+            self._cause = cause
+            self.attempt = Attempt(self, self._desk, choice)
+            self.attempt.start()
+
+        place_request(self._desk, self, self._avoided, go_on)
 
     def _finish_stream(self, head):
         if not self._streaming:
--- a/crankchute/core/limit_desk.py
+++ b/crankchute/core/limit_desk.py
@@ -15,6 +15,7 @@
     Attributes:
       words: The ServerLimits.
       turns: The LimitTurns.
+      shares: The LimitShares.
     """
 
     def __init__(self, timers, instance, boot):
@@ -27,9 +28,9 @@
         """
         self._timers = timers
         self._finder = SharerFinder(instance)
-        self._shares = LimitShares(timers.clock, instance)
+        self.shares = LimitShares(timers.clock, instance)
         self.words = ServerLimits(timers.clock, f'{instance}-{boot}')
-        self.turns = LimitTurns(timers.clock, self.words, self._shares)
+        self.turns = LimitTurns(timers.clock, self.words, self.shares)
 
     def start(self, list_active, is_lost, ask):
         """Begin to look who divides limits, and to ask whether they go on.
@@ -45,8 +46,8 @@
         def look():
             now_ms = self._timers.clock.now_ms()
             sharers = self._finder.find(list_active(), is_lost, now_ms)
-            self._shares.note(sharers)
+            self.shares.note(sharers)
 
         look()
         self._timers.every(_LOOK_MS, look)
-        LimitQuestions(self._timers, self.words, self._shares, ask)
+        LimitQuestions(self._timers, self.words, self.shares, ask)
--- a/crankchute/core/limit_shares.py
+++ b/crankchute/core/limit_shares.py
@@ -60,9 +60,18 @@
           server: The server's id.
           limit: Requests a second.
         """
+        holders = self.list_holders(server, limit)
+        return self.part / len(holders) if instance in holders else 0
+
+    def list_holders(self, server, limit):
+        """Return the ids of the instances that have a part of a limit, a list.
+
+        Args:
+          server: The server's id.
+          limit: Requests a second.
+        """
         count = min(len(self.instances), floor(limit) + 1)
-        holders = rank_by_hash(server, self.instances)[:count]
-        return self.part / count if instance in holders else 0
+        return rank_by_hash(server, self.instances)[:count]
 
 
 class SharerFinder:
@@ -156,6 +165,15 @@
             self._parts[key] = part
         return part
 
+    def list_holders(self, server, limit):
+        """Return the ids of the instances that have a part of a limit now.
+
+        Args:
+          server: The server's id.
+          limit: Requests a second.
+        """
+        return self._views[-1].sharers.list_holders(server, limit)
+
     def is_first(self, server):
         """Tell whether this instance is the one that asks after a server.
 
--- a/crankchute/core/limit_turns.py
+++ b/crankchute/core/limit_turns.py
@@ -7,6 +7,7 @@
 requests wait the longer.
 """
 
+from collections import Counter
 from math import inf
 
 from crankchute.core.limit_shares import WINDOW_MS
@@ -75,6 +76,7 @@
         self._limits = limits
         self._shares = shares
         self._buckets = {}
+        self._lent = Counter()
 
     def has_turn(self, server):
         """Tell whether a request may be sent to a server now.
@@ -82,10 +84,35 @@
         Args:
           server: Its id.
         """
-        if self._limits.limit_of(server) is None:
+        if self._limits.limit_of(server) is None or self._lent[server]:
             return True
         return self._fill(server).requests >= 1 - _EPSILON
 
+    def count(self, server):
+        """Return how many requests may be sent now to a server with a limit.
+
+        Args:
+          server: Its id.
+        """
+        return self._fill(server).requests
+
+    def borrow(self, server):
+        """Take a turn that another instance lent, which counts it itself.
+
+        Args:
+          server: The server's id.
+        """
+        self._lent[server] += 1
+
+    def give_back(self, server):
+        """Forget a turn that was lent and not used.
+
+        Args:
+          server: The server's id.
+        """
+        if self._lent[server]:
+            self._lent[server] -= 1
+
     def may_help(self, server):
         """Tell whether a server may get the orders that joint reads need.
 
@@ -105,6 +132,8 @@
         """
         if self._limits.limit_of(server) is None:
             self._buckets.pop(server, None)
+        elif self._lent[server]:
+            self._lent[server] -= 1
         else:
             self._fill(server).take(self._rate(server))
 
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -183,6 +183,7 @@
         self._forget_connections = wiring.port.forget
         self.fleet.subscribe_restarted(self._on_restarted)
         self.peers = ForwardPeers(loop, self, wiring)
+        self.desk.lending = self.peers.lending
         questions = LimitedServers(self, wiring.reports)
         self.peers.limits.start(
             self.peers.list_active,
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -1,6 +1,7 @@
 """An instance's part in the sharing among instances that forward requests."""
 
 import time
+from functools import partial
 
 from crankchute.adapters.peer_records import read_briefing, write_briefing
 from crankchute.adapters.peers_grpc import PeerClient, PeerServer
@@ -11,6 +12,7 @@
 from crankchute.core.sharing import Sharing, SharingParts
 from crankchute.core.suspicion import LEAST_FAILURES
 from crankchute.entry.peering import Peering
+from crankchute.entry.turn_lending import TurnLending
 
 _MS_PER_SECOND = 1000
 #: How often seeds are asked until another instance is known, at first: a
@@ -132,6 +134,7 @@
       sharing: The Sharing.
       membership: The Membership.
       limits: The LimitDesk.
+      lending: The TurnLending.
     """
 
     def __init__(self, loop, node, wiring):
@@ -175,6 +178,7 @@
             identity.instance,
             identity.boot,
         )
+        self.lending = TurnLending(node, self)
         self.sharing = Sharing(self._make_parts(node), identity.instance)
         self.limits.words.subscribe(self.sharing.tell_soon)
         self._seeds = []
@@ -202,6 +206,27 @@
         reply = self.sharing.answer(read_briefing(request, now_ms))
         on_reply(write_briefing(reply, now_ms))
 
+    def on_turn(self, request, on_reply):
+        """See PeerServicer."""
+        self.lending.answer(request, on_reply)
+
+    def call(self, instance, method, request, on_reply, timeout_ms):
+        """Call another instance; see PeerClient.
+
+        Args:
+          instance: Its id.
+          method: The name of a call in peer.proto.
+          request: The method's message.
+          on_reply: A function of the reply, or of None on any failure.
+          timeout_ms: Milliseconds to wait.
+        """
+        member = self.membership.get(instance)
+        if member is None:
+            self._timers.after(0, partial(on_reply, None))
+            return
+        address = member.peer_address
+        self._peering.call(address, method, request, on_reply, timeout_ms)
+
     def change_seeds(self, seeds):
         """Take other addresses at which instances may be found.
 
