--- a/bench/crash_ways.py
+++ b/bench/crash_ways.py
@@ -11,14 +11,11 @@
 import random
 from functools import partial
 
-from crankchute.core.choosers import LEAST_BUSY, choosers
+from bench.model_desk import make_plain_desk
 from crankchute.core.crash_blame import blames
 from crankchute.core.crash_ledger import CrashLedger
 from crankchute.core.fakes import ManualTimers
-from crankchute.core.forward_desk import ForwardDesk, ForwardPorts
 from crankchute.core.forward_fakes import (
-    POOL,
-    FakeJournal,
     FakeSink,
     make_backends,
     make_job,
@@ -27,10 +24,8 @@
 from crankchute.core.forward_job import Repeat
 from crankchute.core.outcomes import Outcome
 from crankchute.core.return_hints import ReturnHints
-from crankchute.core.sliding_budget import RetryLimits
 from crankchute.errors import BackendError
 from crankchute.ports.forwarding import AnswerHead, ForwardPort
-from crankchute.ports.metrics import Metrics
 
 _INSTANCES = 3
 _SERVERS = 18
@@ -249,19 +244,8 @@
         ledger.subscribe(partial(self._tell_all, ledger))
         parts = make_parts(self.timers, lambda: list(self.backends))
         parts.random = self.random
-        ports = ForwardPorts(
-            forward=self.port,
-            timers=self.timers,
-            metrics=Metrics(),
-            journal=FakeJournal(),
-            reservations=None,
-            hints=ReturnHints(self.random),
-            crashes=ledger,
-            note_moved=None,
-            chooser_of={POOL: choosers[LEAST_BUSY](parts)}.get,
-        )
-        limits = RetryLimits(ratio=0.2, slack=100, window_ms=10_000)
-        return ForwardDesk(ports, limits)
+        hints = ReturnHints(self.random)
+        return make_plain_desk(self.port, parts, hints, ledger)
 
     def _tell_all(self, teller):
         for other in self._ledgers:
--- a/bench/rest_ways.py
+++ b/bench/rest_ways.py
@@ -10,25 +10,14 @@
 import random
 from functools import partial
 
-from crankchute.core.choosers import LEAST_BUSY, choosers
-from crankchute.core.crash_ledger import CrashLedger
+from bench.model_desk import EndSink, SentCall, make_plain_desk
 from crankchute.core.fakes import ManualTimers
-from crankchute.core.forward_desk import ForwardDesk, ForwardPorts
-from crankchute.core.forward_fakes import (
-    POOL,
-    FakeJournal,
-    FakeSink,
-    make_backends,
-    make_job,
-    make_parts,
-)
+from crankchute.core.forward_fakes import make_backends, make_job, make_parts
 from crankchute.core.forward_job import Repeat
 from crankchute.core.outcomes import Outcome
 from crankchute.core.registry import Registry
 from crankchute.core.return_hints import ReturnHints
-from crankchute.core.sliding_budget import RetryLimits
 from crankchute.ports.forwarding import AnswerHead, ForwardPort, Rejection
-from crankchute.ports.metrics import Metrics
 
 #: What an instance does with a server's wish, by name: functions of the World,
 #: of the number of the instance, of the server's place in its list, and of the
@@ -134,7 +123,7 @@
         place = world.fleets[self._instance].index(placement.backend)
         self._note_arrival(place)
         spell = world.find_spell(place)
-        call = _Call()
+        call = SentCall()
         if spell is not None and world.random.random() < spell.part:
             world.timers.after(
                 _WAY_MS,
@@ -233,7 +222,7 @@
             repeat=Repeat.AGAIN,
             size=None,
         )
-        sink = _Sink(partial(self._take_end, deadline_ms, tries))
+        sink = EndSink(partial(self._take_end, deadline_ms, tries))
         self.random.choice(self._desks).submit(job, sink)
 
     def _take_end(self, deadline_ms, tries, refusal):
@@ -259,44 +248,7 @@
         parts = make_parts(self.timers, lambda: list(self.fleets[instance]))
         parts.random = self.random
         parts.hints = ReturnHints(self.random)
-        ports = ForwardPorts(
-            forward=Servers(self, instance),
-            timers=self.timers,
-            metrics=Metrics(),
-            journal=FakeJournal(),
-            reservations=None,
-            hints=parts.hints,
-            crashes=CrashLedger(self.timers.clock.now_ms),
-            note_moved=None,
-            chooser_of={POOL: choosers[LEAST_BUSY](parts)}.get,
-        )
-        limits = RetryLimits(ratio=0.2, slack=100, window_ms=10_000)
-        return ForwardDesk(ports, limits)
-
-
-class _Call:
-    """A request on its way; callers here wait for their answers."""
-
-    sent = True
-
-    def cancel(self):
-        """Give it up."""
-
-
-class _Sink(FakeSink):
-    """Hands the end on: a refusal, or None after an answer."""
-
-    def __init__(self, on_end):
-        super().__init__()
-        self._on_end = on_end
-
-    def on_answer(self, head, body):
-        """See AnswerSink."""
-        self._on_end(None)
-
-    def on_refused(self, refusal):
-        """See AnswerSink."""
-        self._on_end(refusal)
+        return make_plain_desk(Servers(self, instance), parts, parts.hints)
 
 
 def _finish(world, place, listener):
