--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -321,3 +321,15 @@
             if listed.identity in self._backends
             or listed.identity in self._gone_ms
         }
+
+
+def wants_requests(fleet, backend, now_ms):
+    """Tell whether a server neither leaves nor rests, as far as is known.
+
+    Args:
+      fleet: The ForwardFleet.
+      backend: A Backend.
+      now_ms: The time.
+    """
+    is_awake = now_ms >= backend.refused_until_ms
+    return is_awake and backend in fleet.members_of(fleet.pool_of(backend))
--- a/crankchute/core/limit_shares.py
+++ b/crankchute/core/limit_shares.py
@@ -18,6 +18,8 @@
 
 #: The time over which servers count what reaches them, in milliseconds.
 WINDOW_MS = 4000
+#: Stands for the part of a server that was not looked for yet.
+_NO_PART = (None, 0)
 #: What an instance that is cut off uses of its own part.
 _CUT_OFF_PART = 0.25
 #: How long an instance that was active counts as one of those that may be lost.
@@ -155,14 +157,13 @@
           A float from 0 to 1.
         """
         self._drop_old()
-        key = (server, limit)
-        part = self._parts.get(key)
-        if part is None:
+        known_limit, part = self._parts.get(server, _NO_PART)
+        if known_limit != limit:
             part = min(
                 one.sharers.part_of(self._own, server, limit)
                 for one in self._views
             )
-            self._parts[key] = part
+            self._parts[server] = (limit, part)
         return part
 
     def list_holders(self, server, limit):
--- a/crankchute/core/limit_turns.py
+++ b/crankchute/core/limit_turns.py
@@ -132,6 +132,7 @@
         """
         if self._limits.limit_of(server) is None:
             self._buckets.pop(server, None)
+            self._lent.pop(server, None)
         elif self._lent[server]:
             self._lent[server] -= 1
         else:
--- a/crankchute/core/server_limits.py
+++ b/crankchute/core/server_limits.py
@@ -13,7 +13,7 @@
 from heapq import nlargest
 from operator import attrgetter
 
-#: Others are told again of a limit that is still named, this often.
+#: Others are told again of a limit that is still named, at most this often.
 _RETELL_MS = 1000
 #: How long others are told of a word after it was said.
 _TELL_MS = 5000
@@ -35,10 +35,11 @@
       limit: How many requests a second it takes, a float, or None if it names
         no limit any more.
       at_ms: When the answer that says so came, on this process's clock.
+      made_ms: When the first answer that says so came, or was told of.
       source: What tells this word apart from all others, at all instances.
     """
 
-    __slots__ = ('at_ms', 'limit', 'server', 'source')
+    __slots__ = ('at_ms', 'limit', 'made_ms', 'server', 'source')
 
     def __init__(self, server, limit, at_ms, source):
         """Create the word.
@@ -52,6 +53,7 @@
         self.server = server
         self.limit = limit
         self.at_ms = at_ms
+        self.made_ms = at_ms
         self.source = source
 
     def loosens(self, other):
@@ -121,11 +123,10 @@
         word = LimitWord(server, limit, now_ms, known.source)
         if word.loosens(known) and sent_ms < known.at_ms:
             return
-        is_news = limit != known.limit or now_ms - known.at_ms >= _RETELL_MS
-        if is_news:
-            self._say(server, limit)
+        if limit == known.limit:
+            self._go_on(known, now_ms)
         else:
-            known.at_ms = now_ms
+            self._say(server, limit)
 
     def hear(self, words):
         """Take words that another instance heard, or was told of.
@@ -169,16 +170,28 @@
         return word.at_ms > known.at_ms + margin_ms
 
     def _say(self, server, limit):
-        now_ms = self._clock.now_ms()
-        self._made += 1
-        source = f'{self._instance}-{self._made}'
-        self._forget_old(now_ms)
-        self._words[server] = LimitWord(server, limit, now_ms, source)
+        self._forget_old()
+        self._words[server] = self._make_word(server, limit)
         self._told_ms = float('-inf')
         for callback in self._listeners:
             callback()
 
-    def _forget_old(self, now_ms):
+    def _go_on(self, known, now_ms):
+        """Note that a server names its limit again."""
+        if now_ms - known.made_ms < _RETELL_MS:
+            known.at_ms = now_ms
+            return
+        # It goes with the next message; nobody has to hear it sooner.
+        word = self._make_word(known.server, known.limit)
+        self._words[known.server] = word
+
+    def _make_word(self, server, limit):
+        self._made += 1
+        source = f'{self._instance}-{self._made}'
+        return LimitWord(server, limit, self._clock.now_ms(), source)
+
+    def _forget_old(self):
+        now_ms = self._clock.now_ms()
         self._words = {
             server: word
             for server, word in self._words.items()
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -306,10 +306,11 @@
         if backend is None:
             return []
         limit_of = self.peers.limits.words.limit_of
+        now_ms = self.now_ms()
         return [
             one
             for one in self.fleet.members_of(self.fleet.pool_of(backend))
-            if limit_of(one.identity) is None
+            if limit_of(one.identity) is None and now_ms >= one.refused_until_ms
         ]
 
     def _note_report(self, backend, load):
--- a/crankchute/entry/limited_servers.py
+++ b/crankchute/entry/limited_servers.py
@@ -1,5 +1,7 @@
 """Asks servers for an answer, to hear whether they still name a limit."""
 
+from crankchute.core.forward_fleet import wants_requests
+
 
 class LimitedServers:
     """The servers of one instance, asked in the way of their pools."""
@@ -22,7 +24,10 @@
         """
         backend = self._node.fleet.get(server)
         pool = self._find_pool(backend)
-        if pool is None or not self._wants_questions(backend):
+        if pool is None:
+            return
+        node = self._node
+        if not wants_requests(node.fleet, backend, node.now_ms()):
             return
         if pool.figures is None:
             self._reports.check(backend, pool.health_path)
@@ -37,13 +42,6 @@
             return None
         return config.pools.get(self._node.fleet.pool_of(backend))
 
-    def _wants_questions(self, backend):
-        """Tell whether a server neither leaves nor rests: each question counts."""
-        fleet = self._node.fleet
-        members = fleet.members_of(fleet.pool_of(backend))
-        is_awake = self._node.now_ms() >= backend.refused_until_ms
-        return is_awake and backend in members
-
 
 def _ignore(_load):
     """Take a report of which only the head counts, which others read."""
--- a/crankchute/entry/turn_lending.py
+++ b/crankchute/entry/turn_lending.py
@@ -1,12 +1,13 @@
 """An instance's part in the lending of turns at servers with limits."""
 
+from crankchute.core.forward_fleet import wants_requests
 from crankchute.core.turn_lending import TurnBorrower, TurnOffer, lend_turn
 from crankchute.proto import peer_pb2
 
 #: How long an instance may take to answer; a caller waits for it.
 _ANSWER_MS = 150
-#: How many servers one question names, so that its size is bounded.
-_MOST_NAMED = 64
+#: How many servers one question names, so that it costs the same in any pool.
+_MOST_NAMED = 16
 
 
 class TurnLending:
@@ -41,10 +42,9 @@
         Returns:
           Whether anybody is asked, a bool.
         """
-        lenders = self._borrower.list_lenders(servers)
+        named = self._random.sample(servers, min(len(servers), _MOST_NAMED))
+        lenders = self._borrower.list_lenders(named)
         if lenders:
-            count = min(len(servers), _MOST_NAMED)
-            named = self._random.sample(servers, count)
             self._ask(lenders, named, on_done)
         return bool(lenders)
 
@@ -73,11 +73,14 @@
         )
 
     def _may_lend(self, server):
-        """Tell whether a server has a limit and wants requests at all."""
+        """Tell whether a server has a limit, and wants requests at all.
+
+        The asker may not know yet that it leaves.
+        """
         backend = self._fleet.get(server)
         if backend is None or self._limits.words.limit_of(server) is None:
             return False
-        return self._now_ms() >= backend.refused_until_ms
+        return wants_requests(self._fleet, backend, self._now_ms())
 
     def _ask(self, lenders, servers, on_done):
         lender, *others = lenders
