--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -180,8 +180,7 @@
     """Return the message of a WorkNews.
 
     What began or ended is known by its key to whoever was told that it was
-    sent, so only the sending, and a batch of all work, tell the rest: 171
-    bytes for the three news of a work instead of 289.
+    sent, so only the sending, and a batch of all work, tell the rest.
     """
     work = news.work
     if news.change != Change.SENT and not is_whole:
--- a/crankchute/adapters/peers_grpc.py
+++ b/crankchute/adapters/peers_grpc.py
@@ -59,8 +59,8 @@
     def Pull(self, request, context):  # noqa: N802  (named by the protocol)
         """See peer.proto.
 
-        Answers are packed: a configuration of 1,400 routes is 290 kB, which
-        a link of 20 Mbit/s carries in 115 ms, and packed 11 kB (measured).
+        Answers are packed: a large configuration would fill a slow link for a
+        tenth of a second, and is mostly repetition.
         """
         context.set_compression(grpc.Compression.Gzip)
         return self._ask('on_pull', request, context)
--- a/crankchute/core/forward_desk.py
+++ b/crankchute/core/forward_desk.py
@@ -257,8 +257,6 @@
 
     A server that works for nobody else is taken if there is any: if that ends
     too, no other answer is broken off, and nobody else can be the cause.
-    In a simulated day with two requests that crash servers 27 answers of others
-    were broken off, 83 without this (bench.crash_ways, means of 20 seeds).
 
     Args:
       chooser: A Chooser.
--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -240,10 +240,8 @@
         """Note that a server is gone, however its own entry is.
 
         Another server that answers at its address is as sure a sign as can
-        be.  That one answers at once and seems idle, so that all requests
-        went to such servers: after a fifth of 18 engines had started again
-        under other ids, each request was rejected by two of them and refused,
-        for five seconds.
+        be.  That one answers at once and seems idle, so that it would draw all
+        requests, and reject them, until its entry is gone.
 
         Args:
           identity: The server's id.
--- a/crankchute/core/load_survey.py
+++ b/crankchute/core/load_survey.py
@@ -3,9 +3,8 @@
 A new process knows nothing of what servers work on.  The other instances tell
 what they sent, but not what instances sent that are gone: after a loss of all
 instances at once nobody else knows, and engines still work on what was sent
-before.  With reports and loads told on answers 293 short prompts of eight days
-with trouble were late by a wrong belief, without 356.  Most instances of a large
-fleet send nothing and so ask nobody.
+before; short prompts would wait behind it.  Most instances of a large fleet send
+nothing and so ask nobody.
 """
 
 import abc
--- a/crankchute/core/sharing.py
+++ b/crankchute/core/sharing.py
@@ -3,22 +3,19 @@
 Requests of all callers go to a few active instances.  Each of them tells the
 other active ones at once what it sent to which engine, what began and what
 ended.  Any other instance asks one of them, its home, twice a second, and is
-told which instances are active; so an active one hears from 24 others in the
-mean (48 messages a second), and a lost one is out of every answer in 1.4 s,
-however large the fleet is.  With every message goes what may not wait for the
-store: the version of the configuration, the revision of the list of backend
-servers, the ages of their proofs, and which servers are known to leave.
+told which instances are active; so what an active one hears, and how soon a lost
+one is out of every answer, does not depend on how large the fleet is.  With every
+message goes what may not wait for the store: the version of the configuration, the
+revision of the list of backend servers, the ages of their proofs, which servers are
+known to leave, and which name a limit.
 
 All of it is a hint but for two things that are safe by themselves: a newer
 version, and a server that left, never become untrue.
 
 Whoever chooses engines, active or not, wants to be told of the others' work
 and is told all of it when it begins: without that an instance that starts, or
-is asked though not active, takes every engine for idle (first events of short
-prompts then came after 4.6 times the prediction at the 90th percentile, in
-logs of days with restarts).  Without news the worth of a day on which every
-instance is restarted is 0.09 lower, without telling those that are not active
-0.01 (means of three plays).
+is asked though not active, takes every engine for idle, and first events come
+several times later than predicted.
 """
 
 from crankchute.core.active_instances import (
@@ -31,9 +28,9 @@
 
 #: Work is told after this long, so that what happens together goes together.
 _FLUSH_MS = 3
-#: So many listeners are told at that pace.  A message costs its two ends 0.9 ms
-#: of processor, and every change goes to every listener, so with more of them
-#: changes wait longer, by the square of their number: 21 ms with eight.
+#: So many listeners are told at that pace.  Every change goes to every listener, and
+#: each message costs its two ends processor time, so with more listeners changes wait
+#: longer, by the square of their number.
 _FLUSH_LISTENERS = 3
 _TIMEOUT_MS = 400
 #: An instance that chose an engine this lately wants to be told of others'
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -35,7 +35,7 @@
 )
 
 #: How long callers may keep an address answer, in milliseconds: short, so
-#: that they leave a lost instance soon; each question costs about 1 ms.
+#: that they leave a lost instance soon; each question costs processor time.
 ADDRESS_TTL_MS = 1000
 #: How long a watch waits; the age of a proof stays under twice as long, and
 #: a reader that is cut off from the store alone is noticed after it.
@@ -49,13 +49,11 @@
 #: others it would take itself for a reader.
 _SETTLE_MS = 1000
 #: How many of the active instances read the store for all: one is enough,
-#: and the loss of two at once leaves one.  A quiet day of 195 instances took
-#: 2,259 calls, and 5,529 when each read for itself (one play each).
+#: and the loss of two at once leaves one.
 _READERS = 3
 #: The second and the longest pause between calls of the store that fail, at a
 #: reader and at others.  What the readers get again the others are told within
-#: a second; while the store turned everybody away for 5 s, 72 instances that
-#: doubled their pauses from 200 ms on made some 500 calls in vain.
+#: a second, so they need not all call a store that turns everybody away.
 _READER_RETRIES_MS = (400, 800)
 _RETRIES_MS = (1500, 3000)
 #: How long a request may wait for the first answers of the store, in
