--- a/crankchute/core/limit_turns_test.py
+++ b/crankchute/core/limit_turns_test.py
@@ -14,12 +14,12 @@
 class World:
     """An instance that has the whole limit for itself."""
 
-    def __init__(self):
+    def __init__(self, holder='entry-0'):
         self.timers = ManualTimers()
         self.desk = LimitDesk(self.timers, 'entry-0', 'boot')
         self.asked_ms = []
         self.sent_ms = []
-        self.desk.start(lambda: ['entry-0'], lambda _one: False, self.ask)
+        self.desk.start(lambda: [holder], lambda _one: False, self.ask)
         self.timers.advance(_WINDOW_MS)
 
     @property
@@ -114,6 +114,19 @@
     assert len(world.asked_ms) == before
 
 
+def test_server_is_asked_by_others_too_where_nobody_tells_of_it():
+    """Whoever should ask may have heard that the limit ended."""
+    world = World(holder='entry-1')
+    world.name(0)
+    world.timers.advance(9000)
+    assert not world.asked_ms
+    world.timers.advance(4000)
+    assert len(world.asked_ms) == 1
+    world.name(None)
+    world.timers.advance(20_000)
+    assert len(world.asked_ms) == 1
+
+
 def test_server_that_answers_is_not_asked():
     world = World()
     for _ in range(20):
--- a/crankchute/core/server_limits_test.py
+++ b/crankchute/core/server_limits_test.py
@@ -1,5 +1,7 @@
 """Tests of which word of a server about its limit counts."""
 
+import copy
+
 import pytest
 
 from crankchute.core.fakes import ManualTimers
@@ -136,3 +138,23 @@
         assert told.at_ms == at_ms
         sources.add(told.source)
     assert 4 <= len(sources) <= 5
+
+
+def test_end_of_a_limit_reaches_others_however_busy_the_server_is():
+    """Its last word with a limit and its first without it come close together.
+
+    Which of the two is newer nobody can tell who was told of them.
+    """
+    hearing = World()
+    telling = World()
+    for at_ms in range(0, 8000, 20):
+        hearing.go_to(at_ms)
+        telling.go_to(at_ms)
+        limit = 50 if at_ms < 1000 else None
+        telling.words.take(SERVER, limit, at_ms - 1)
+        if not at_ms % 240:
+            hearing.words.hear(copy.deepcopy(telling.words.tell()))
+        if at_ms == 960:
+            assert hearing.words.limit_of(SERVER) == 50
+    assert telling.words.limit_of(SERVER) is None
+    assert hearing.words.limit_of(SERVER) is None
