--- a/crankchute/core/limit_questions.py
+++ b/crankchute/core/limit_questions.py
@@ -8,6 +8,8 @@
 from crankchute.core.limit_turns import ASK_MS
 
 _CHECK_MS = 500
+#: After so long without a word of a limit, from anybody, any instance asks.
+_UNTOLD_MS = 10_000
 
 
 class LimitQuestions:
@@ -37,8 +39,17 @@
             if now_ms - asked_ms < ASK_MS
         }
         for word in self._limits.list_limited():
-            is_due = now_ms - word.at_ms >= ASK_MS
             is_asked = word.server in self._asked_ms
-            if is_due and not is_asked and self._shares.is_first(word.server):
+            if not is_asked and self._is_due(word, now_ms):
                 self._asked_ms[word.server] = now_ms
                 self._ask(word.server)
+
+    def _is_due(self, word, now_ms):
+        """Tell whether this instance has to ask about a limit.
+
+        Whoever should ask may know that it ended, and have told it in vain.
+        """
+        age_ms = now_ms - word.at_ms
+        if age_ms < ASK_MS:
+            return False
+        return age_ms >= _UNTOLD_MS or self._shares.is_first(word.server)
--- a/crankchute/core/server_limits.py
+++ b/crankchute/core/server_limits.py
@@ -36,10 +36,18 @@
         no limit any more.
       at_ms: When the answer that says so came, on this process's clock.
       made_ms: When the first answer that says so came, or was told of.
+      tell_until_ms: Until when others are told again that there is no limit.
       source: What tells this word apart from all others, at all instances.
     """
 
-    __slots__ = ('at_ms', 'limit', 'made_ms', 'server', 'source')
+    __slots__ = (
+        'at_ms',
+        'limit',
+        'made_ms',
+        'server',
+        'source',
+        'tell_until_ms',
+    )
 
     def __init__(self, server, limit, at_ms, source):
         """Create the word.
@@ -54,6 +62,7 @@
         self.limit = limit
         self.at_ms = at_ms
         self.made_ms = at_ms
+        self.tell_until_ms = at_ms + _TELL_MS
         self.source = source
 
     def loosens(self, other):
@@ -115,7 +124,7 @@
           sent_ms: When what it answers was sent, on this process's clock.
         """
         known = self._words.get(server)
-        if known is None or known.limit is None:
+        if known is None:
             if limit is not None:
                 self._say(server, limit)
             return
@@ -177,13 +186,18 @@
             callback()
 
     def _go_on(self, known, now_ms):
-        """Note that a server names its limit again."""
+        """Note that a server says of its limit again what it said before.
+
+        Also that it names none is told again: the first word of that may be too
+        close to the last one with a limit to be newer for sure.
+        """
         if now_ms - known.made_ms < _RETELL_MS:
             known.at_ms = now_ms
-            return
-        # It goes with the next message; nobody has to hear it sooner.
-        word = self._make_word(known.server, known.limit)
-        self._words[known.server] = word
+        elif known.limit is not None or now_ms < known.tell_until_ms:
+            # It goes with the next message; nobody has to hear it sooner.
+            word = self._make_word(known.server, known.limit)
+            word.tell_until_ms = known.tell_until_ms
+            self._words[known.server] = word
 
     def _make_word(self, server, limit):
         self._made += 1
--- a/crankchute/entry/turn_lending.py
+++ b/crankchute/entry/turn_lending.py
@@ -43,7 +43,11 @@
           Whether anybody is asked, a bool.
         """
         named = self._random.sample(servers, min(len(servers), _MOST_NAMED))
-        lenders = self._borrower.list_lenders(named)
+        lenders = [
+            one
+            for one in self._borrower.list_lenders(named)
+            if not self._peers.is_lost(one)
+        ]
         if lenders:
             self._ask(lenders, named, on_done)
         return bool(lenders)
