--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 test: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8 crankchute bench spec tests
-	$(BIN)/python -m bench.known_red $(BIN)/python -m pytest -n 4
+	$(BIN)/python -m bench.known_red $(BIN)/python -m pytest -n 4 --dist worksteal
 
 model: setup
 	$(BIN)/python -m spec.run
