--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -280,7 +280,7 @@
     ),
     Mutation(
         'orders and questions do not count',
-        'crankchute/core/limit_turns_test.py',
+        'crankchute/core/turn_lending_test.py',
         'crankchute/core/limit_turns.py',
         'self._fill(server).take(self._rate(server))',
         'self._fill(server)',
