Admit prompts by urgency while a pool is short of engines

Cause: engines were divided by the work of long and short prompts alone, so ten times the long prompts took nine tenths of the engines while urgent short ones were refused; prompts known to be late were sent and made others late; the demand of refused prompts was not seen by the division.

Change: the demand of short prompts that are more urgent than the long ones, including refused ones, limits the engines reserved for long prompts; both kinds then keep to their engines. While prompts of a priority are refused or late, further ones must be safely on time, those of callers that return after a refusal less strictly than new ones; less urgent prompts are admitted only as far as needed to avoid starvation. The request's priority is passed to the engine. Pools with equal priorities decide as before.

Ruled out: sends known late only by instances with an old view (messages of others were 1 to 14 ms old), waiting reservations (none are sent), and the prediction of first events, which is right in the first burst.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -59,9 +59,17 @@
       goal_ms: The target latency of the first event.
       gap_ms: The longest acceptable gap between events.
       utility: The utility of an answer that meets both targets.
+      priority: The priority, from 0 (highest) to 9.
     """
 
-    __slots__ = ('gap_ms', 'goal_ms', 'per_second', 'size', 'utility')
+    __slots__ = (
+        'gap_ms',
+        'goal_ms',
+        'per_second',
+        'priority',
+        'size',
+        'utility',
+    )
 
     def __init__(self, size, per_second, **fields):
         """Create the kind.
@@ -76,6 +84,7 @@
         self.goal_ms = fields['goal_ms']
         self.gap_ms = fields['gap_ms']
         self.utility = fields['utility']
+        self.priority = fields.get('priority', 1)
 
 
 #: Typical lengths, rates, targets and utilities of a deployment.
@@ -90,6 +99,33 @@
         PromptSize(182_000, 640), 0.5, goal_ms=3000, gap_ms=1000, utility=24
     ),
 )
+#: The same with priorities: short prompts are the most urgent ones.
+URGENT_MIX = (
+    RequestKind(
+        PromptSize(5000, 1500),
+        18,
+        goal_ms=270,
+        gap_ms=250,
+        utility=1.8,
+        priority=0,
+    ),
+    RequestKind(
+        PromptSize(45_000, 880),
+        2,
+        goal_ms=1500,
+        gap_ms=600,
+        utility=2.4,
+        priority=1,
+    ),
+    RequestKind(
+        PromptSize(182_000, 720),
+        0.75,
+        goal_ms=6000,
+        gap_ms=1000,
+        utility=7.3,
+        priority=2,
+    ),
+)
 
 
 @choosers.register(ADMITS_ALL)
@@ -108,6 +144,8 @@
       earned: The utility of its answer, 0 until it is complete.
       refused: The number of refusals.
       hint_ms: The retry delay of the last refusal, or None.
+      start_ms: When it sent the request for the first time.
+      sent_ms: When it last sent the request.
       first_event_ms: The time from the first attempt to the first event, or
         None.
     """
@@ -116,7 +154,7 @@
         """Create a caller that has not sent its request yet."""
         self._world = world
         self._number = number
-        self._start_ms = world.timers.clock.now_ms()
+        self.start_ms = world.timers.clock.now_ms()
         self._flow = None
         self._last_event_ms = None
         self._longest_gap_ms = 0
@@ -125,19 +163,32 @@
         self.refused = 0
         self.hint_ms = None
         self.first_event_ms = None
+        self.sent_ms = None
+
+    @property
+    def is_timely(self):
+        """Whether it was served in time from the submission that was served."""
+        if not self.earned:
+            return False
+        waited_ms = self.sent_ms - self.start_ms
+        first_ms = self.first_event_ms - waited_ms
+        has_gap = self._longest_gap_ms > self.kind.gap_ms
+        return first_ms <= self.kind.goal_ms and not has_gap
 
     def send_request(self):
         """Send the request, or retry it."""
         now_ms = self._world.timers.clock.now_ms()
+        self.sent_ms = now_ms
         job = make_job(
             request_id=f'r{self._number}-{self.refused}',
             arrived_ms=now_ms,
-            deadline_ms=self._start_ms + _DEADLINE_MS,
+            deadline_ms=self.start_ms + _DEADLINE_MS,
             goal_ms=self.kind.goal_ms,
             gap_ms=self.kind.gap_ms,
             is_stream=True,
             repeat=RetryMode.RESUME,
             size=self.kind.size,
+            priority=self.kind.priority,
         )
         patience_ms = max(_MIN_PATIENCE_MS, _PATIENCE_GOALS * self.kind.goal_ms)
         self._world.timers.after(patience_ms, self._cancel_if_silent)
@@ -153,7 +204,7 @@
         """See AnswerSink."""
         now_ms = self._world.timers.clock.now_ms()
         if self.first_event_ms is None:
-            self.first_event_ms = now_ms - self._start_ms
+            self.first_event_ms = now_ms - self.start_ms
         else:
             gap_ms = now_ms - self._last_event_ms
             self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
@@ -173,7 +224,7 @@
         if self.refused > 1 or refusal.outcome != Outcome.NOT_RUN:
             return
         now_ms = self._world.timers.clock.now_ms()
-        left_ms = self._start_ms + _DEADLINE_MS - now_ms
+        left_ms = self.start_ms + _DEADLINE_MS - now_ms
         wait_ms = min(refusal.retry_after_ms, left_ms * _MAX_WAIT_FRACTION)
         self._world.timers.after(wait_ms, self.send_request)
 
@@ -226,28 +277,42 @@
         limits = RetryLimits(ratio=0.2, slack=100, window_ms=_WINDOW_MS)
         self.desk = Forwarder(ports, limits)
 
-    def play(self, load, length_ms=_DURATION_MS):
+    def play(self, load, length_ms=_DURATION_MS, mix=MIX):
         """Simulate the arrivals of callers until all have an outcome.
 
         Args:
-          load: A factor on the arrival rates of MIX.
+          load: A factor on the arrival rates of the mix.
           length_ms: The period in which callers arrive.
+          mix: RequestKinds.
         """
-        for kind in MIX:
-            rate = kind.per_second * load / _MS_PER_SECOND
-            at_ms = self._random.expovariate(rate)
-            while at_ms < length_ms:
-                self.timers.after(at_ms, partial(self._add_caller, kind))
-                at_ms += self._random.expovariate(rate)
+        for kind in mix:
+            self.add_arrivals(kind, kind.per_second * load, 0, length_ms)
         self.timers.advance(length_ms + 3 * _DEADLINE_MS)
 
+    def add_arrivals(self, kind, per_second, start_ms, end_ms):
+        """Schedule the random arrivals of callers.
+
+        Args:
+          kind: A RequestKind.
+          per_second: The arrival rate.
+          start_ms: The start of the period.
+          end_ms: The end of the period.
+        """
+        rate = per_second / _MS_PER_SECOND
+        at_ms = start_ms + self._random.expovariate(rate)
+        while at_ms < end_ms:
+            self.timers.after(at_ms, partial(self._add_caller, kind))
+            at_ms += self._random.expovariate(rate)
+
     def _add_caller(self, kind):
         caller = Caller(self, kind, len(self.callers))
         self.callers.append(caller)
         caller.send_request()
 
 
-def measure_goodput(chooser, load, engines=6, seed=1, length_ms=_DURATION_MS):
+def measure_goodput(
+    chooser, load, engines=6, seed=1, length_ms=_DURATION_MS, mix=MIX
+):
     """Return the utility of answers per second.
 
     Args:
@@ -256,9 +321,10 @@
       engines: The number of engines.
       seed: An int.
       length_ms: See World.play.
+      mix: See World.play.
     """
     world = World(chooser, engines, seed)
-    world.play(load, length_ms)
+    world.play(load, length_ms, mix)
     earned = sum(caller.earned for caller in world.callers)
     return earned / length_ms * _MS_PER_SECOND
 
--- a/crankchute/core/candidate_filter.py
+++ b/crankchute/core/candidate_filter.py
@@ -7,6 +7,7 @@
 
 import heapq
 
+from crankchute.core.engine_division import divide_engines
 from crankchute.core.engine_model import estimate_decode_ms
 
 #: The number of engines compared for a short prompt: unreserved ones, and
@@ -57,6 +58,7 @@
         self._shuffled = []
         self._sorted_ids = []
         self._reserved_count = 0
+        self._is_limited = False
         self.reserved_ids = frozenset()
 
     def update_members(self, members):
@@ -83,8 +85,13 @@
           now_ms: The time.
         """
         demand = self._work_tracker.demand
-        share = demand.estimate_long_share(now_ms, self._slot_ms)
-        count = max(1, round(len(self._sorted_ids) * share))
+        division = divide_engines(
+            len(self._sorted_ids),
+            demand.estimate_long_share(now_ms, self._slot_ms),
+            demand.estimate_urgent_engines(now_ms, self._slot_ms),
+        )
+        self._is_limited = division.is_limited
+        count = division.reserved_count
         if count != self._reserved_count:
             self._reserved_count = count
             self.reserved_ids = frozenset(self._sorted_ids[:count])
@@ -99,6 +106,32 @@
         rotated = self._shuffled[start:] + self._shuffled[:start]
         return rotated[:_MAX_RANKED]
 
+    def restrict(self, usable, priority, now_ms, *, is_long):
+        """Return the engines that a prompt may use.
+
+        While urgent short prompts need more engines than long ones leave, both
+        keep to their engines: long prompts would pause urgent streams, and
+        urgent prompts would fill the few engines that others depend on.
+
+        Args:
+          usable: The Backends that accept requests now.
+          priority: The priority of the prompt.
+          now_ms: The time.
+          is_long: Whether it is a long prompt.
+        Returns:
+          A list of Backend; empty only if usable is empty.
+        """
+        demand = self._work_tracker.demand
+        if not self._is_limited:
+            return usable
+        if is_long and not demand.is_deferrable(priority, now_ms):
+            return usable
+        return [
+            backend
+            for backend in usable
+            if (backend.identity in self.reserved_ids) == is_long
+        ] or usable
+
     def select(self, usable, now_ms, *, is_long):
         """Return the engines to compare, in any order.
 
--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -44,12 +44,15 @@
         connection to it is open.
       permits: The LimitPermits, this instance's part of the servers' rate
         limits.
+      count_active: A function that returns the number of instances that callers
+        are directed to.
       last_peer_message_age_ms: A function that returns the time since the last
         message from another instance, in milliseconds, or None.
     """
 
     __slots__ = (
         'announce_work',
+        'count_active',
         'create_ticket_id',
         'data_centre',
         'hints',
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -97,8 +97,7 @@
         # Admission control applies to first attempts only.
         is_first_attempt = not avoided and job.resume_after is None
         if is_first_attempt and not self._is_admitted(job, plan):
-            remaining_ms = job.remaining_ms(self.now_ms())
-            return refuse_overloaded(self._parts.hints, remaining_ms)
+            return self._refuse_overloaded(job, plan)
         return self._make_placement(job, plan)
 
     def stalled_at_ms(self, job, attempt):
@@ -166,6 +165,9 @@
         """Return the Plans to compare."""
         long_threshold = self._figures.usual_prompt * LONG_PROMPT_FACTOR
         is_long = job.size.prompt > long_threshold
+        usable = self._candidate_filter.restrict(
+            usable, job.priority, self.now_ms(), is_long=is_long
+        )
         candidates = self._make_candidates(usable, is_long=is_long)
         if is_long:
             return self._plan_split(job, candidates)
@@ -256,7 +258,7 @@
         memory = job.size.kv_tokens / parts
         if parts == 1 or count_required_parts(self._figures, job) == 1:
             memory = job.size.kv_tokens
-        remaining_ms = max(self._remaining_goal_ms(job), 1)
+        remaining_ms = max(job.remaining_goal_ms(self.now_ms()), 1)
 
         def estimate_cost(candidate):
             delay = candidate.first_ms(prefill_ms) / remaining_ms
@@ -294,7 +296,7 @@
         )
         risk = sum(candidate.risk for candidate in chosen)
         lateness = estimate_late_probability(
-            first_ms / max(self._remaining_goal_ms(job), 1)
+            first_ms / max(job.remaining_goal_ms(self.now_ms()), 1)
         )
         lateness += estimate_late_probability(
             chosen[0].pass_ms / (job.gap_ms or job.goal_ms),
@@ -312,14 +314,25 @@
     def _is_admitted(self, job, plan):
         estimate = AdmissionEstimate(
             plan.first_ms,
-            self._remaining_goal_ms(job),
+            job.remaining_goal_ms(self.now_ms()),
             worth=estimate_worth(self._figures, job),
             harm=plan.harm,
+            prefill_ms=plan.prefill_ms,
+            priority=job.priority,
+            is_returning=job.is_returning,
         )
         return self._admission.admits(estimate, self.now_ms())
 
-    def _remaining_goal_ms(self, job):
-        return job.goal_ms - (self.now_ms() - job.arrived_ms)
+    def _refuse_overloaded(self, job, plan):
+        """Return the refusal of a prompt, and record its demand."""
+        now_ms = self.now_ms()
+        backend = plan.chosen[0].backend
+        self._work_tracker.demand.record_refused(
+            self._make_work(job, '', backend, plan),
+            self._parts.count_active(),
+            now_ms,
+        )
+        return refuse_overloaded(self._parts.hints, job.remaining_ms(now_ms))
 
     def _make_placement(self, job, plan):
         self._placement_count += 1
@@ -342,6 +355,7 @@
             key=PlacementKey(tuple(works)),
         )
         placement.estimate = self._make_estimate(plan)
+        placement.priority = job.priority
         return placement
 
     def _make_estimate(self, plan):
@@ -380,6 +394,7 @@
             is_decoding=False,
             gap_ms=job.gap_ms or job.goal_ms,
             weight=estimate_worth(self._figures, job),
+            priority=job.priority,
             until_ms=job.deadline_ms,
             due_ms=job.arrived_ms + job.goal_ms,
             first_event_at_ms=self.now_ms() + plan.first_ms,
--- a/crankchute/core/engine_fakes.py
+++ b/crankchute/core/engine_fakes.py
@@ -45,6 +45,7 @@
         'is_decoding': True,
         'gap_ms': 250,
         'weight': 1,
+        'priority': 1,
         'until_ms': 60_000,
         'due_ms': _FIRST_EVENT_DUE_MS,
         'first_event_at_ms': 50,
--- a/crankchute/core/engine_work.py
+++ b/crankchute/core/engine_work.py
@@ -44,6 +44,7 @@
       is_decoding: Whether the engine also decodes the answer, a bool.
       gap_ms: The goal for the time between its events.
       weight: Its value if on time, relative to that of a usual prompt.
+      priority: The priority of its request, from 0 (highest) to 9.
       until_ms: The deadline of the request, on this process's clock.
       due_ms: The goal for the time of the first event.
       first_event_at_ms: The predicted time of the first event.
@@ -66,6 +67,7 @@
         'memory',
         'origin',
         'prefill_ms',
+        'priority',
         'sent_ms',
         'started',
         'until_ms',
@@ -89,6 +91,7 @@
         self.is_decoding = fields['is_decoding']
         self.gap_ms = fields['gap_ms']
         self.weight = fields['weight']
+        self.priority = fields['priority']
         self.until_ms = fields['until_ms']
         self.due_ms = fields['due_ms']
         self.first_event_at_ms = fields['first_event_at_ms']
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -435,6 +435,7 @@
         is_connected=_ignore,
         create_ticket_id=lambda: f'ticket-{next(ticket_numbers)}',
         permits=ServerRateLimits(timers, 'entry-0', 'boot').permits,
+        count_active=lambda: 1,
     )
 
 
@@ -461,6 +462,7 @@
         'request_id': 'r1',
         'resume_after': None,
         'size': _DEFAULT_SIZE,
+        'timeout_ms': _DEADLINE_MS,
     }
     fields.update(changes)
     return ForwardJob(**fields)
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -3,6 +3,9 @@
 import enum
 
 _DEFAULT_PRIORITY = 5
+#: A request with at least this share of its route's timeout left is new: callers
+#: that return after a refusal have waited for longer than the rest.
+_NEW_REQUEST_SHARE = 0.95
 
 
 class RetryMode(enum.Enum):
@@ -59,6 +62,8 @@
       max_attempts: The maximum number of servers to try.
       resume_after: The id of the last event that the caller received, or None.
       payload: Data for the port that sends the request; opaque to the core.
+      timeout_ms: The longest time that the route allows for the answer, in
+        milliseconds.
     """
 
     __slots__ = (
@@ -78,6 +83,7 @@
         'request_id',
         'resume_after',
         'size',
+        'timeout_ms',
     )
 
     def __init__(self, **fields):
@@ -94,6 +100,16 @@
         """Whether the request may be retried after it may have started."""
         return self.repeat != RetryMode.ONCE
 
+    @property
+    def is_returning(self):
+        """Whether the caller has probably been refused before.
+
+        A caller that returns after a refusal has clearly less time left than
+        the route allows.  This needs no state, so all instances agree.
+        """
+        allowed_ms = self.deadline_ms - self.arrived_ms
+        return allowed_ms < self.timeout_ms * _NEW_REQUEST_SHARE
+
     def remaining_ms(self, now_ms):
         """Return the milliseconds until the deadline.
 
@@ -102,6 +118,14 @@
         """
         return self.deadline_ms - now_ms
 
+    def remaining_goal_ms(self, now_ms):
+        """Return the milliseconds until the latency target.
+
+        Args:
+          now_ms: The current time on this process's clock.
+        """
+        return self.arrived_ms + self.goal_ms - now_ms
+
 
 class AttemptOrder:
     """The attempt metadata that is sent to the backend server.
--- a/crankchute/core/prompt_admission.py
+++ b/crankchute/core/prompt_admission.py
@@ -11,6 +11,16 @@
 Long prompts delay more requests and would hardly be admitted under overload.
 So a prompt is also admitted if the admission rate of its size class is far
 below the overall rate.
+
+Where prompts have different priorities, a pool is short of a priority while its
+prompts are refused or late.  Further ones that would hardly be on time are then
+refused at once: they would make others late in turn, and their callers may
+return when there is room.  Those that return go first.  While a pool is short
+of a more urgent priority, less urgent prompts are admitted only as far as
+needed to avoid starvation.
+
+While a pool is short, a prompt of a client account that has more than its fair
+share of the engines counts for less, in proportion to the excess.
 """
 
 import math
@@ -26,6 +36,17 @@
 _LATE_GAIN = 0.125
 #: The minimum admission rate of a size class, relative to the overall rate.
 _MIN_RELATIVE_RATE = 0.6
+#: The same for less urgent prompts while more urgent ones are refused.
+_MIN_DEFERRED_RATE = 0.35
+#: While a pool is short, the share of its remaining time that a new prompt may
+#: take until its first event, and the same for one whose caller returns after a
+#: refusal: those go first, since few callers return twice.
+_NEW_TIME_SHARE = 0.8
+_RETURNING_TIME_SHARE = 0.9
+#: The half-life of loss rates: short enough to follow a burst of seconds.
+_LOSS_HALF_LIFE_MS = 1000
+#: A priority is short of capacity if it loses a larger share of its prompts.
+_MAX_LOSS_SHARE = 0.05
 #: The half-life of admission counts; long prompts arrive every few seconds.
 _HALF_LIFE_MS = 10_000
 
@@ -38,11 +59,26 @@
       remaining_ms: The time left until its goal, in milliseconds.
       worth: Its full worth, in multiples of a usual prompt's.
       harm: The worth that other requests would lose, in the same unit.
+      prefill_ms: Its prefill time, the part of first_ms that does not depend
+        on the load.
+      priority: From 0 (highest) to 9.
+      is_returning: Whether its caller was probably refused before, a bool.
+      excess: How much of the engines its client account has recently used, in
+        multiples of its fair share; at least 1.
     """
 
-    __slots__ = ('first_ms', 'harm', 'remaining_ms', 'worth')
+    __slots__ = (
+        'excess',
+        'first_ms',
+        'harm',
+        'is_returning',
+        'prefill_ms',
+        'priority',
+        'remaining_ms',
+        'worth',
+    )
 
-    def __init__(self, first_ms, remaining_ms, *, worth, harm):
+    def __init__(self, first_ms, remaining_ms, *, worth, harm, **details):
         """Create the estimate.
 
         Args:
@@ -50,24 +86,42 @@
           remaining_ms: See the class.
           worth: See the class.
           harm: See the class.
+          details: The other attributes of the class, all optional.
         """
+        self.excess = details.get('excess', 1)
+        self.prefill_ms = details.get('prefill_ms', 0)
+        self.priority = details.get('priority', 0)
+        self.is_returning = details.get('is_returning', False)
         self.first_ms = first_ms
         self.remaining_ms = remaining_ms
         self.worth = worth
         self.harm = harm
 
 
-def is_worth_admitting(estimate):
+def is_worth_admitting(estimate, excess=1):
     """Return whether a prompt gains at least what other requests lose.
 
     Args:
       estimate: An AdmissionEstimate.
+      excess: A divisor of what it gains, at least 1.
     Returns:
       A bool; true if no other request is delayed.
     """
     on_time = is_safely_on_time(estimate.first_ms, estimate.remaining_ms)
     gain = _ON_TIME_GAIN if on_time else _LATE_GAIN
-    return estimate.harm <= estimate.worth * gain
+    return estimate.harm <= estimate.worth * gain / excess
+
+
+def is_late_by_load(estimate, usable_share=1):
+    """Return whether a prompt would be late, but not on idle engines.
+
+    Args:
+      estimate: An AdmissionEstimate.
+      usable_share: The share of the remaining time that it may take.
+    """
+    if estimate.prefill_ms > estimate.remaining_ms:
+        return False
+    return estimate.first_ms > estimate.remaining_ms * usable_share
 
 
 class AdmissionRate:
@@ -99,15 +153,54 @@
         return self._admitted / self._total
 
 
+class LossRate:
+    """The recent share of refused or late prompts of one priority."""
+
+    __slots__ = ('_lost', '_total', '_updated_ms')
+
+    def __init__(self):
+        """Create the rate without prompts."""
+        self._lost = float(0)
+        self._total = float(0)
+        self._updated_ms = float(0)
+
+    def record(self, now_ms, *, is_lost):
+        """Count a prompt.
+
+        Args:
+          now_ms: The time.
+          is_lost: Whether it was refused, or admitted though late.
+        """
+        self._decay(now_ms)
+        self._lost += is_lost
+        self._total += 1
+
+    def is_high(self, now_ms):
+        """Return whether more prompts are lost than a single one by chance.
+
+        Args:
+          now_ms: The time.
+        """
+        self._decay(now_ms)
+        return self._lost > 1 + self._total * _MAX_LOSS_SHARE
+
+    def _decay(self, now_ms):
+        decay = 0.5 ** ((now_ms - self._updated_ms) / _LOSS_HALF_LIFE_MS)
+        self._updated_ms = now_ms
+        self._lost *= decay
+        self._total *= decay
+
+
 class PromptAdmission:
     """The admission control of one pool."""
 
-    __slots__ = ('_by_size', '_overall')
+    __slots__ = ('_by_priority', '_by_size', '_overall')
 
     def __init__(self):
         """Create the state without any decisions."""
         self._overall = AdmissionRate()
         self._by_size = {}
+        self._by_priority = {}
 
     def admits(self, estimate, now_ms):
         """Decide whether a prompt is admitted, and record the decision.
@@ -121,14 +214,59 @@
         # Each size class spans a factor of two.
         size_class = math.floor(math.log2(estimate.worth))
         similar = self._by_size.setdefault(size_class, AdmissionRate())
-        is_underserved = (
-            similar.rate() < self._overall.rate() * _MIN_RELATIVE_RATE
-        )
-        is_admitted = is_underserved or is_worth_admitting(estimate)
+        losses = self._losses_of(estimate.priority)
+        is_admitted = self._is_timely(estimate, losses, now_ms)
+        if is_admitted:
+            is_admitted = self._is_due(estimate, similar, losses, now_ms)
         for admission_rate in (similar, self._overall):
             admission_rate.record(now_ms, is_admitted=is_admitted)
+        is_lost = not is_admitted or is_late_by_load(estimate)
+        losses.record(now_ms, is_lost=is_lost)
         return is_admitted
 
+    def list_short_priorities(self, now_ms):
+        """Return the priorities whose prompts are being refused, a list.
+
+        Args:
+          now_ms: The time.
+        """
+        return [
+            priority
+            for priority, losses in self._by_priority.items()
+            if losses.is_high(now_ms)
+        ]
+
+    def _is_timely(self, estimate, losses, now_ms):
+        """Return whether a prompt is early enough to be sent to a short pool.
+
+        Without priorities, late prompts of accounts that are within their fair
+        shares are judged only by the harm they do.
+        """
+        if not losses.is_high(now_ms):
+            return True
+        share = _NEW_TIME_SHARE
+        if estimate.is_returning:
+            share = _RETURNING_TIME_SHARE
+        if len(self._by_priority) == 1:
+            share = 1 if estimate.excess > 1 else math.inf
+        return not is_late_by_load(estimate, share / estimate.excess)
+
+    def _is_due(self, estimate, similar, losses, now_ms):
+        """Return whether a prompt is admitted before its competitors."""
+        is_deferred = any(
+            other < estimate.priority
+            for other in self.list_short_priorities(now_ms)
+        )
+        min_rate = _MIN_DEFERRED_RATE if is_deferred else _MIN_RELATIVE_RATE
+        is_underserved = similar.rate() < self._overall.rate() * min_rate
+        if is_deferred or is_underserved:
+            return is_underserved
+        excess = estimate.excess if losses.is_high(now_ms) else 1
+        return is_worth_admitting(estimate, excess)
+
+    def _losses_of(self, priority):
+        return self._by_priority.setdefault(priority, LossRate())
+
 
 def refuse_overloaded(hints, remaining_ms):
     """Return the refusal of a prompt that is not admitted.
--- a/crankchute/core/prompt_admission_test.py
+++ b/crankchute/core/prompt_admission_test.py
@@ -68,3 +68,93 @@
         admission.admits(AdmissionEstimate(100, 300, worth=15, harm=99), number)
     late_estimate = AdmissionEstimate(100, 300, worth=15, harm=99)
     assert not admission.admits(late_estimate, 200_000)
+
+
+def make_estimate(first_ms=100, **changes):
+    """Return the estimate of a prompt with 300 ms left and no harm."""
+    fields = {'worth': 1, 'harm': 0, 'prefill_ms': 30}
+    fields.update(changes)
+    return AdmissionEstimate(first_ms, 300, **fields)
+
+
+def fill_up(admission, priority=0, count=20, start_ms=0):
+    """Let a priority run short: all of its prompts would be late."""
+    for number in range(count):
+        estimate = make_estimate(first_ms=900, priority=priority)
+        admission.admits(estimate, start_ms + number * 10)
+    return start_ms + count * 10
+
+
+@pytest.mark.parametrize(
+    ('first_ms', 'changes', 'is_admitted'),
+    [
+        (230, {}, True),
+        (250, {}, False),
+        # Callers that return after a refusal go first.
+        (250, {'is_returning': True}, True),
+        (280, {'is_returning': True}, False),
+        # A prompt too long for its goal is not late by the load.
+        (900, {'prefill_ms': 400}, True),
+        # The account uses twice its fair share.
+        (110, {'excess': 2}, True),
+        (130, {'excess': 2}, False),
+    ],
+)
+def test_short_pool_refuses_what_would_hardly_be_on_time(
+    first_ms, changes, is_admitted
+):
+    """Prompts that were known to be late took the room of those on time."""
+    admission = PromptAdmission()
+    admission.admits(make_estimate(priority=2), 0)
+    now_ms = fill_up(admission)
+    estimate = make_estimate(first_ms, priority=0, **changes)
+    assert admission.admits(estimate, now_ms) == is_admitted
+
+
+@pytest.mark.parametrize(
+    ('excess', 'is_admitted'), [(1, True), (1.5, False), (3, False)]
+)
+def test_equal_priorities_are_refused_only_for_harm_or_excess(
+    excess, is_admitted
+):
+    """Without priorities, late prompts that harm nobody are sent."""
+    admission = PromptAdmission()
+    now_ms = fill_up(admission)
+    estimate = make_estimate(290, priority=0, excess=excess)
+    assert admission.admits(estimate, now_ms) == is_admitted
+
+
+@pytest.mark.parametrize(
+    ('priority', 'is_admitted'), [(0, True), (1, True), (2, False)]
+)
+def test_less_urgent_prompts_wait_while_more_urgent_ones_are_late(
+    priority, is_admitted
+):
+    admission = PromptAdmission()
+    for number in range(20):
+        for other in (0, 1, 2):
+            admission.admits(make_estimate(priority=other), number)
+    now_ms = fill_up(admission, priority=1)
+    estimate = make_estimate(50, priority=priority)
+    assert admission.admits(estimate, now_ms) == is_admitted
+
+
+def test_less_urgent_prompts_are_not_starved():
+    """Each priority keeps a part of the admissions under lasting overload."""
+    admission = PromptAdmission()
+    admitted = 0
+    for number in range(2000):
+        late = make_estimate(900, priority=0)
+        early = make_estimate(100, priority=0)
+        admission.admits(late, number * 10)
+        admission.admits(early, number * 10)
+        deferred = make_estimate(100, priority=2, worth=8)
+        admitted += admission.admits(deferred, number * 10)
+    assert 200 <= admitted <= 600
+
+
+def test_less_urgent_prompts_return_soon_after_the_shortage():
+    admission = PromptAdmission()
+    admission.admits(make_estimate(priority=2), 0)
+    now_ms = fill_up(admission)
+    assert admission.admits(make_estimate(priority=2), now_ms + 5000)
--- a/crankchute/core/service_router.py
+++ b/crankchute/core/service_router.py
@@ -181,6 +181,7 @@
             max_attempts=_MAX_ATTEMPTS,
             resume_after=None,
             payload=call,
+            timeout_ms=call.deadline_ms - now_ms,
         )
         self._forwarder.submit(job, ServiceSink(on_end))
 
@@ -206,6 +207,7 @@
             data_centre=None,
             is_connected=self._services.is_connected,
             permits=self._permits,
+            count_active=None,
         )
 
     def _list_members(self, pool):
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -366,6 +366,7 @@
             data_centre=self.identity.data_centre,
             is_connected=self._is_connected,
             permits=self.peers.limits.permits,
+            count_active=lambda: len(self.peers.sharing.active),
         )
         return choosers[name](parts)
 
--- a/crankchute/platform/forwarding_test.py
+++ b/crankchute/platform/forwarding_test.py
@@ -146,6 +146,7 @@
             is_connected=lambda _backend: False,
             create_ticket_id=reservations.create_ticket_id,
             permits=ServerRateLimits(timers, 'entry-0', 'boot').permits,
+            count_active=lambda: 1,
         )
 
 
--- a/crankchute/platform/requests.py
+++ b/crankchute/platform/requests.py
@@ -162,6 +162,7 @@
             max_attempts=route.max_attempts,
             resume_after=_parse_last_event_id(exchange),
             payload=_build_payload(exchange),
+            timeout_ms=route.timeout_ms,
         )
 
     def _default_size(self, pool):
--- a/tests/overload_test.py
+++ b/tests/overload_test.py
@@ -6,10 +6,16 @@
 
 import pytest
 
-from bench.overload import ADMITS_ALL, World, measure_goodput
+from bench.overload import (
+    ADMITS_ALL,
+    URGENT_MIX,
+    World,
+    measure_goodput,
+)
 from crankchute.core.engine_chooser import PREDICTED
 
 _SHORT_MS = 12_000
+_SEEDS = (1, 2, 3)
 
 
 @pytest.mark.parametrize('seed', [1, 2])
@@ -56,3 +62,59 @@
 
     assert min(hints) >= 100
     assert len(hints) > len(world.callers) / 4
+
+
+def play_urgent(load, seed=1, length_ms=_SHORT_MS):
+    """Play the mix with priorities at 12 engines, twice those of load 1."""
+    world = World(PREDICTED, engines=12, seed=seed)
+    world.play(load * 2, length_ms, URGENT_MIX)
+    return world
+
+
+def measure_served(world):
+    """Return the share of served callers by priority."""
+    served = {}
+    for caller in world.callers:
+        served.setdefault(caller.kind.priority, []).append(caller.earned > 0)
+    return {
+        priority: sum(flags) / len(flags) for priority, flags in served.items()
+    }
+
+
+def measure_timely(world):
+    """Return the utility of answers in time from the submission served."""
+    return sum(
+        caller.kind.utility for caller in world.callers if caller.is_timely
+    )
+
+
+@pytest.mark.parametrize('load', [4, 10])
+def test_urgent_goodput_holds_beyond_the_capacity(load):
+    """Long prompts took the engines that urgent ones needed."""
+    peak = sum(measure_timely(play_urgent(2, seed)) for seed in _SEEDS)
+    goodput = sum(measure_timely(play_urgent(load, seed)) for seed in _SEEDS)
+    assert goodput >= 0.9 * peak
+
+
+@pytest.mark.parametrize('load', [1, 2, 4, 10])
+def test_less_urgent_prompts_are_not_served_more_often(load):
+    served = measure_served(play_urgent(load))
+    assert served[1] <= served[0] + 0.05
+    assert served[2] <= served[1] + 0.05
+
+
+def test_first_half_second_of_a_burst_is_served():
+    """A division that follows demand late loses the start of a burst."""
+    world = World(PREDICTED, engines=12, seed=1)
+    short, _medium, long = URGENT_MIX
+    world.add_arrivals(long, 6, 0, 6000)
+    world.add_arrivals(short, 10, 0, 3000)
+    world.add_arrivals(short, 50, 3000, 6000)
+    world.timers.advance(60_000)
+    early = [
+        caller
+        for caller in world.callers
+        if caller.kind is short and 3000 <= caller.start_ms < 3500
+    ]
+    assert sum(caller.earned > 0 for caller in early) >= 0.9 * len(early)
+    assert sum(caller.is_timely for caller in early) >= 0.7 * len(early)
