Log why prompts are not admitted, and show the state of admission

Cause: a refusal told its code but not the prediction, the harm or the priorities on which it was based.

--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -131,8 +131,8 @@
 _register(
     'refusals for harm',
     f'{_CORE}/prompt_admission.py',
-    'is_admitted = is_underserved or is_worth_admitting(estimate)',
-    'is_admitted = True',
+    'return is_worth_admitting(estimate, excess)',
+    'return True',
 )
 _register(
     'suspicion',
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -132,8 +132,8 @@
 class NeverRefusingChooser(EngineChooser):
     """Places every request, even if others then miss their targets."""
 
-    def _is_admitted(self, job, plan):
-        return True
+    def _find_refusal(self, job, plan):
+        """Refuse nothing."""
 
 
 class Caller(AnswerSink):
--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -56,6 +56,27 @@
             **self._describe_config(),
         )
 
+    def log_not_admitted(self, job, refusal):
+        """Log why admission control refuses a prompt.
+
+        Args:
+          job: A ForwardJob.
+          refusal: A Refusal with the inputs of the decision.
+        """
+        log_change(
+            'not_admitted',
+            failed=True,
+            request=job.request_id,
+            code=refusal.code,
+            priority=job.priority,
+            returning=job.is_returning,
+            retry_after_ms=_round(refusal.retry_after_ms),
+            **{
+                name: _round(figure) if isinstance(figure, float) else figure
+                for name, figure in refusal.inputs.items()
+            },
+        )
+
     def log_attempt(self, flow, attempt, cause):
         """Log that a request is sent to a server.
 
--- a/crankchute/core/candidate_filter.py
+++ b/crankchute/core/candidate_filter.py
@@ -38,6 +38,7 @@
 
     Attributes:
       reserved_ids: The ids of the engines reserved for long prompts.
+      is_limited: Whether urgent prompts limit the number of reserved engines.
     """
 
     def __init__(self, parts):
@@ -58,7 +59,7 @@
         self._shuffled = []
         self._sorted_ids = []
         self._reserved_count = 0
-        self._is_limited = False
+        self.is_limited = False
         self.reserved_ids = frozenset()
 
     def update_members(self, members):
@@ -90,7 +91,7 @@
             demand.estimate_long_share(now_ms, self._slot_ms),
             demand.estimate_urgent_engines(now_ms, self._slot_ms),
         )
-        self._is_limited = division.is_limited
+        self.is_limited = division.is_limited
         count = division.reserved_count
         if count != self._reserved_count:
             self._reserved_count = count
@@ -122,7 +123,7 @@
           A list of Backend; empty only if usable is empty.
         """
         demand = self._work_tracker.demand
-        if not self._is_limited:
+        if not self.is_limited:
             return usable
         if is_long and not demand.is_deferrable(priority, now_ms):
             return usable
--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -210,6 +210,10 @@
     def record_end(self, job, placement):
         """Record the end of a job."""
 
+    def describe_state(self):
+        """Return the state of decisions about the pool, a dict for display."""
+        return {}
+
     def refuse(self):
         """Return the Refusal of a request for which there is no server.
 
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -32,11 +32,7 @@
     PrefillHelper,
 )
 from crankchute.core.length_demand import LONG_PROMPT_FACTOR
-from crankchute.core.prompt_admission import (
-    AdmissionEstimate,
-    PromptAdmission,
-    refuse_overloaded,
-)
+from crankchute.core.overload_control import OverloadControl
 
 #: The default chooser of model engines.
 PREDICTED = 'predicted'
@@ -79,7 +75,7 @@
         self._work_tracker = parts.work_tracker
         self._decode_ms = estimate_decode_ms(parts.pool.engine_figures)
         self._candidate_filter = CandidateFilter(parts)
-        self._admission = PromptAdmission()
+        self._overload_control = OverloadControl(parts, self._candidate_filter)
         self._placement_count = 0
 
     def choose(self, job, avoided):
@@ -96,9 +92,8 @@
         plan = min(plans, key=_cost_of)
         # Admission control applies to first attempts only.
         is_first_attempt = not avoided and job.resume_after is None
-        if is_first_attempt and not self._is_admitted(job, plan):
-            return self._refuse_overloaded(job, plan)
-        return self._make_placement(job, plan)
+        refusal = self._find_refusal(job, plan) if is_first_attempt else None
+        return refusal or self._make_placement(job, plan)
 
     def stalled_at_ms(self, job, attempt):
         """See Chooser.
@@ -161,6 +156,18 @@
             self._work_tracker.end(work.engine, work.key)
             self._parts.announce_work(Change.ENDED, work)
 
+    def describe_state(self):
+        """See Chooser."""
+        return self._overload_control.describe()
+
+    def _find_refusal(self, job, plan):
+        """Return the refusal of an overloaded pool, or None."""
+        return self._overload_control.find_refusal(
+            job,
+            plan,
+            lambda: self._make_work(job, '', plan.chosen[0].backend, plan),
+        )
+
     def _make_plans(self, job, usable):
         """Return the Plans to compare."""
         long_threshold = self._figures.usual_prompt * LONG_PROMPT_FACTOR
@@ -311,29 +318,6 @@
             harm=harm,
         )
 
-    def _is_admitted(self, job, plan):
-        estimate = AdmissionEstimate(
-            plan.first_ms,
-            job.remaining_goal_ms(self.now_ms()),
-            worth=estimate_worth(self._figures, job),
-            harm=plan.harm,
-            prefill_ms=plan.prefill_ms,
-            priority=job.priority,
-            is_returning=job.is_returning,
-        )
-        return self._admission.admits(estimate, self.now_ms())
-
-    def _refuse_overloaded(self, job, plan):
-        """Return the refusal of a prompt, and record its demand."""
-        now_ms = self.now_ms()
-        backend = plan.chosen[0].backend
-        self._work_tracker.demand.record_refused(
-            self._make_work(job, '', backend, plan),
-            self._parts.count_active(),
-            now_ms,
-        )
-        return refuse_overloaded(self._parts.hints, job.remaining_ms(now_ms))
-
     def _make_placement(self, job, plan):
         self._placement_count += 1
         key = f'{job.request_id}-{self._placement_count}'
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -236,6 +236,9 @@
     def log_request(self, job):
         """See ForwardJournal."""
 
+    def log_not_admitted(self, job, refusal):
+        """See ForwardJournal."""
+
     def log_attempt(self, flow, attempt, cause):
         """See ForwardJournal."""
 
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -151,6 +151,8 @@
             choice = chooser.choose(flow.job, avoided)
         if isinstance(choice, Placement):
             chooser.record_sent(flow.job, choice)
+        elif choice.inputs:
+            self.journal.log_not_admitted(flow.job, choice)
         return choice
 
     def stalled_at_ms(self, flow, attempt):
--- a/crankchute/core/outcomes.py
+++ b/crankchute/core/outcomes.py
@@ -26,9 +26,18 @@
         does not help.
       was_dispatched: Whether the request was sent to a backend server or to
         another entry instance, a bool.
+      inputs: A dict of the figures on which the decision was based, for logs;
+        empty if there are none.
     """
 
-    __slots__ = ('code', 'outcome', 'retry_after_ms', 'text', 'was_dispatched')
+    __slots__ = (
+        'code',
+        'inputs',
+        'outcome',
+        'retry_after_ms',
+        'text',
+        'was_dispatched',
+    )
 
     def __init__(self, outcome, code, text, **details):
         """Create a refusal.
@@ -43,6 +52,7 @@
         self.code = code
         self.text = text
         self.retry_after_ms = details.get('retry_after_ms')
+        self.inputs = details.get('inputs', {})
         self.was_dispatched = details.get(
             'was_dispatched', outcome != Outcome.NOT_RUN
         )
--- a/crankchute/core/prompt_admission.py
+++ b/crankchute/core/prompt_admission.py
@@ -268,7 +268,7 @@
         return self._by_priority.setdefault(priority, LossRate())
 
 
-def refuse_overloaded(hints, remaining_ms):
+def refuse_overloaded(hints, remaining_ms, inputs=None):
     """Return the refusal of a prompt that is not admitted.
 
     The duration of the overload is unknown, so the retry hint is as late as
@@ -277,11 +277,14 @@
     Args:
       hints: RetryHints.
       remaining_ms: The time left until the caller's deadline.
+      inputs: The figures on which the decision was based, for logs.
     Returns:
       A Refusal.
     """
-    return refuse_not_run(
+    refusal = refuse_not_run(
         'crowded',
         'the engines are full; sending this would make others late',
         hints.choose_ms(remaining_ms, remaining_ms),
     )
+    refusal.inputs = inputs or {}
+    return refusal
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -170,7 +170,7 @@
             hints=self._hints,
             crashes=self.crashes,
             record_moved=self._on_server_moved,
-            find_chooser=self._find_chooser,
+            find_chooser=lambda pool: self._choosers.get(pool),
         )
         self.desk = Forwarder(ports, limits.retries)
         self._load_survey = InitialLoadPoll(
@@ -252,6 +252,13 @@
         members = self.peers.sharing.choose_instances(data_centre)
         return [member.http_address for member in members]
 
+    def describe_pools(self):
+        """Return the state of the decisions about each pool, a dict."""
+        return {
+            name: chooser.describe_state()
+            for name, chooser in self._choosers.items()
+        }
+
     def _check_ready(self):
         """Start to serve once the configuration and server list are known."""
         is_ready = self._has_server_list and self.holder.version
@@ -292,9 +299,6 @@
         age_ms = self.holder.proof_age_ms(self.now_ms())
         return float('inf') if age_ms is None else age_ms / _MS_PER_SECOND
 
-    def _find_chooser(self, pool):
-        return self._choosers.get(pool)
-
     def _on_work(self, change, work):
         """Share a change of engine work; the first one also queries loads."""
         self.peers.sharing.report_work(change, work)
@@ -318,7 +322,7 @@
         reporting_backend = self.fleet.resolve_reporter(backend, load.born)
         if reporting_backend is None:
             return
-        chooser = self._find_chooser(self.fleet.pool_of(reporting_backend))
+        chooser = self._choosers.get(self.fleet.pool_of(reporting_backend))
         if chooser is not None:
             chooser.record_polled_load(reporting_backend, load)
 
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -40,6 +40,7 @@
             _dump_held(entry, now_ms) for entry in node.crashes.quarantined
         ],
         'crashes_remembered': len(node.crashes),
+        'pools': node.describe_pools(),
         'counters': _dump_counters(node.metrics.counts),
     }
 
