Heed requests to evacuate a data centre

The operator's keys op/evacuate/ZONE were read by nobody, so requests reached servers of evacuated data centres.

The configuration watch reads the prefix op/ if the settings contain bounds.evacuate-ms, else op/config as before. Evacuations merges records by store position; instances exchange them with each message, and a change at once. The fleet leaves out servers of evacuated data centres, attempts that wait for memory there are placed elsewhere, and an instance is ready only when it knows the evacuations. Another instance's proof that the configuration is current counts only if that instance knows them.

--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -1,6 +1,10 @@
 """Conversion between core objects and the protobuf messages of peers."""
 
 from crankchute.adapters.crash_records import read_crashes, write_crashes
+from crankchute.adapters.evacuation_records import (
+    read_evacuations,
+    write_evacuations,
+)
 from crankchute.core.advertised_limits import AdvertisedLimit
 from crankchute.core.engine_work import Change, WorkItem
 from crankchute.core.failure_estimator import OutcomeCounts
@@ -101,6 +105,8 @@
             _write_server_health(one) for one in message.server_health
         ],
         limits=[_write_limit(one, now_ms) for one in message.limits],
+        evacuations=write_evacuations(message.evacuations),
+        knows_evacuations=message.knows_evacuations,
         crash_digest=message.crash_digest,
         crashes=write_crashes(message.crashes, now_ms),
     )
@@ -136,6 +142,8 @@
             _read_server_health(one, now_ms) for one in record.impressions
         ],
         limits=[_read_limit(one, now_ms) for one in record.limits],
+        evacuations=read_evacuations(record.evacuations),
+        knows_evacuations=record.knows_evacuations,
         crash_digest=record.crash_digest,
         crashes=read_crashes(record, now_ms),
     )
--- a/crankchute/adapters/peer_records_test.py
+++ b/crankchute/adapters/peer_records_test.py
@@ -17,6 +17,7 @@
 )
 from crankchute.core.engine_fakes import make_work_item
 from crankchute.core.engine_work import Change, EngineWorkTracker
+from crankchute.core.evacuations import Evacuation
 from crankchute.core.membership import Member
 from crankchute.core.peer_message import PeerMessage, WorkBatch, WorkChange
 from crankchute.core.work_feed import apply_batch
@@ -41,6 +42,11 @@
             AdvertisedLimit('i-2', 0, SENDER_MS, 'entry-0-2'),
             AdvertisedLimit('i-3', None, SENDER_MS - 900, 'entry-1-1'),
         ],
+        evacuations=(
+            Evacuation('z1', 2**62, is_evacuated=True),
+            Evacuation('z2', 7, is_evacuated=False),
+        ),
+        knows_evacuations=True,
         active=[Member('a', 'b', 3, strength=516, data_centre='z')],
         batch=WorkBatch(4, news, is_snapshot=is_snapshot),
         proof_age_ms=None,
@@ -168,3 +174,20 @@
         ('i-2', 0, 0, 'entry-0-2'),
         ('i-3', None, 900, 'entry-1-1'),
     ]
+
+
+def test_evacuations_keep_their_positions():
+    """A lost era in a position would let an outdated record win."""
+    received = send_and_receive(make_message([]))
+    assert received.knows_evacuations is True
+    assert [
+        (one.data_centre, one.position, one.is_evacuated)
+        for one in received.evacuations
+    ] == [('z1', 2**62, True), ('z2', 7, False)]
+
+
+def test_message_without_evacuations_knows_none():
+    """Instances without the setting must not count as knowing that none are."""
+    received = read_message(peer_pb2.Briefing(instance=SENDER), RECEIVER_MS)
+    assert received.knows_evacuations is False
+    assert received.evacuations == ()
--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -13,6 +13,8 @@
 
 #: Refusal code: no server accepts requests from this instance at the moment.
 PAUSED_OR_LIMITED = 'servers_rest'
+#: Refusal code: the operator evacuates the data centres of all servers.
+EVACUATED = 'evacuated'
 #: The response timeout of an idempotent request, in multiples of its latency
 #: goal.
 _RESPONSE_TIMEOUT_FACTOR = 3
@@ -46,6 +48,8 @@
         limits.
       last_peer_message_age_ms: A function that returns the time since the last
         message from another instance, in milliseconds, or None.
+      is_evacuated: A function that returns whether no server is left because
+        data centres are evacuated; optional.
     """
 
     __slots__ = (
@@ -54,6 +58,7 @@
         'data_centre',
         'hints',
         'is_connected',
+        'is_evacuated',
         'last_peer_message_age_ms',
         'members',
         'permits',
@@ -69,6 +74,7 @@
         Args:
           fields: A value for each attribute.
         """
+        fields.setdefault('is_evacuated', _is_never_evacuated)
         for name in self.__slots__:
             setattr(self, name, fields[name])
 
@@ -222,6 +228,11 @@
                 'no backend server of the pool wants a request now',
                 self._parts.hints.choose_at_least_ms(earliest_ms),
             )
+        if self._parts.is_evacuated():
+            return refuse_not_run(
+                EVACUATED,
+                'the data centres of the backend servers are evacuated',
+            )
         return refuse_not_run(
             'no_backend',
             'no backend server of the pool takes requests now',
@@ -242,6 +253,10 @@
         return max(pause_ms, self._parts.permits.wait_ms(backend.identity))
 
 
+def _is_never_evacuated():
+    return False
+
+
 @choosers.register(LEAST_BUSY)
 class LeastBusyChooser(Chooser):
     """Chooses the server with the fewest requests of this instance in flight."""
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -8,6 +8,8 @@
 #: A 5xx answer may be caused by the request, so it counts less than a failure
 #: of the server.
 _SERVER_ERROR_WEIGHT = 0.5
+#: Why the next attempt is made, in the log.
+_EXCLUDED = 'evacuated'
 
 
 class Attempt(AttemptListener):
@@ -120,6 +122,20 @@
             BackendError(text, sent=self._call.sent),
         )
 
+    def end_waiting(self, is_excluded):
+        """Have the request placed elsewhere if it waits for excluded servers.
+
+        An attempt that was sent goes on.
+
+        Args:
+          is_excluded: A function of a Backend that returns whether it gets no
+            new requests.
+        """
+        participants = (self.placement, *self.placement.helpers)
+        excluded = [one for one in participants if is_excluded(one.backend)]
+        if self._call is None and excluded and self._close():
+            self._flow.on_reservation_refused(self, excluded, _EXCLUDED)
+
     def on_head(self, head):
         """See AttemptListener."""
         if self._is_closed:
@@ -264,3 +280,16 @@
             self._reservation.release()
         self._context.record_freed(self._flow, self.placement)
         return True
+
+
+def end_waiting(flows, is_excluded):
+    """Place requests elsewhere that wait for memory at excluded servers.
+
+    Args:
+      flows: An iterable of ForwardFlow.
+      is_excluded: A function of a Backend that returns whether it gets no new
+        requests.
+    """
+    for flow in tuple(flows):
+        if flow.attempt is not None:
+            flow.attempt.end_waiting(is_excluded)
--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -5,6 +5,9 @@
 Entries expire while the store is unavailable, mostly with their servers still
 running, so entries lost at such a time are kept for a grace period.
 
+A server of an evacuated data centre gets no new requests until the operator
+withdraws the evacuation.
+
 A server that asks for no requests for a while (see server_pauses) is avoided
 only by the instance that it asked.
 
@@ -13,6 +16,7 @@
 whatever order the starts are reported.
 """
 
+from crankchute.core.evacuations import Evacuations
 from crankchute.core.fleet import LEAVING, Backend
 from crankchute.core.server_pauses import ServerPauses
 
@@ -41,16 +45,19 @@
 
     Attributes:
       pauses: The ServerPauses.
+      evacuations: The Evacuations.
     """
 
-    def __init__(self, timers, pool_label):
+    def __init__(self, timers, pool_label, evacuations=None):
         """Create an empty fleet.
 
         Args:
           timers: A TimerService.
           pool_label: The label that holds the name of a server's pool.
+          evacuations: An Evacuations, or None if there are none.
         """
         self._timers = timers
+        self.evacuations = evacuations or Evacuations(is_enabled=False)
         self.pauses = ServerPauses(timers.clock)
         self._pool_label = pool_label
         self._on_restarted = []
@@ -63,6 +70,7 @@
         self._lapse_timers = {}
         self._pools = {}
         self._pools_at_ms = float('-inf')
+        self._pools_revision = self.evacuations.revision
 
     def __len__(self):
         """Return the number of servers."""
@@ -120,8 +128,12 @@
           A list of Backend; it is cached and must not be modified.
         """
         now_ms = self._now_ms()
-        if now_ms - self._pools_at_ms > _POOL_CACHE_MS:
+        if (
+            now_ms - self._pools_at_ms > _POOL_CACHE_MS
+            or self._pools_revision != self.evacuations.revision
+        ):
             self._pools_at_ms = now_ms
+            self._pools_revision = self.evacuations.revision
             self._pools = {}
         members = self._pools.get(pool)
         if members is None:
@@ -130,6 +142,7 @@
                 for identity, backend in self._backends.items()
                 if self.pool_of(backend) == pool
                 and self._accepts_requests(identity)
+                and not self.evacuations.excludes(backend.listed.data_centre)
             ]
             self._pools[pool] = members
         return members
@@ -344,3 +357,20 @@
     """
     is_available = now_ms >= backend.paused_until_ms
     return is_available and backend in fleet.members_of(fleet.pool_of(backend))
+
+
+def is_evacuated(fleet, pool):
+    """Return whether a pool has servers only in evacuated data centres.
+
+    Servers elsewhere that accept no requests are not considered.
+
+    Args:
+      fleet: The ForwardFleet.
+      pool: The pool's name.
+    """
+    evacuated = fleet.evacuations.evacuated
+    return not fleet.members_of(pool) and any(
+        backend.listed.data_centre in evacuated
+        for backend in fleet
+        if fleet.pool_of(backend) == pool
+    )
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -115,11 +115,11 @@
         self.attempts += 1
         self._context.record_attempt(self, attempt, self._cause)
 
-    def on_reservation_refused(self, attempt, refused):
+    def on_reservation_refused(self, attempt, refused, cause='no_memory'):
         """Choose other servers after helpers refused to reserve memory."""
         self.attempt = None
         self._avoided.update(one.backend.identity for one in refused)
-        self._try_next('no_memory')
+        self._try_next(cause)
 
     def on_attempt_end(self, attempt, head, body):
         """End with the server's answer, or retry after a 5xx status."""
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -28,6 +28,7 @@
       crash_detector: The CrashDetector.
       lending: The PermitLending.
       find_chooser: A function that maps a pool name to a Chooser or None.
+      flows: The ForwardFlows in progress, a set.
     """
 
     def __init__(self, ports, limits, ended_counter='requests_ended'):
@@ -45,7 +46,7 @@
         self.find_chooser = ports.find_chooser
         self._budgets = {}
         self._instances = 1
-        self._flows = set()
+        self.flows = set()
         self._hints = ports.hints
         self._record_moved = ports.record_moved
         self._reservations = ports.reservations
@@ -63,7 +64,7 @@
     @property
     def in_progress(self):
         """The number of requests in progress."""
-        return len(self._flows)
+        return len(self.flows)
 
     def submit(self, job, sink):
         """Start serving a request.
@@ -77,7 +78,7 @@
         self.journal.log_request(job)
         self._budget(job).record_request(self.now_ms())
         flow = ForwardFlow(job, self, sink)
-        self._flows.add(flow)
+        self.flows.add(flow)
         flow.start()
         return flow
 
@@ -99,7 +100,7 @@
         Args:
           backend: The Backend of the previous incarnation.
         """
-        for flow in tuple(self._flows):
+        for flow in tuple(self.flows):
             attempt = flow.attempt
             if attempt is not None and attempt.placement.uses(backend):
                 attempt.end_restarted(backend)
@@ -240,7 +241,7 @@
 
     def record_end(self, flow, outcome, code):
         """Record the end of a request."""
-        self._flows.discard(flow)
+        self.flows.discard(flow)
         self.metrics.count(self._ended_counter, outcome.value)
         waited_ms = self.now_ms() - flow.job.arrived_ms
         self.metrics.observe_request(flow.job.pool, waited_ms)
--- a/crankchute/core/peer_exchange_test.py
+++ b/crankchute/core/peer_exchange_test.py
@@ -107,6 +107,8 @@
             removed_servers=[],
             server_health=[],
             limits=[],
+            evacuations=(),
+            knows_evacuations=False,
             **exchanged,
         )
 
--- a/crankchute/core/peer_message.py
+++ b/crankchute/core/peer_message.py
@@ -87,6 +87,8 @@
       server_health: A list of ServerHealth, for servers that seem unhealthy.
       limits: AdvertisedLimit records, for servers that recently announced or
         withdrew a limit.
+      evacuations: The Evacuations that the sender knows, a tuple.
+      knows_evacuations: Whether these are complete, a bool.
       subscribes_to_work: Whether the sender subscribes to the receiver's work,
         a bool.
       needs_snapshot: Whether the sender needs a snapshot of it, a bool.
@@ -105,8 +107,10 @@
         'crashes',
         'digest',
         'draining_servers',
+        'evacuations',
         'instance',
         'is_serving',
+        'knows_evacuations',
         'limits',
         'needs_snapshot',
         'proof_age_ms',
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -6,6 +6,7 @@
 
 import random
 import secrets
+from functools import partial
 
 from crankchute.adapters.forward_journal import (
     ForwardJournal,
@@ -18,7 +19,7 @@
 from crankchute.core.engine_chooser import PREDICTED
 from crankchute.core.engine_work import EngineWorkTracker
 from crankchute.core.forward_config import ForwardConfigHolder
-from crankchute.core.forward_fleet import ForwardFleet
+from crankchute.core.forward_fleet import ForwardFleet, is_evacuated
 from crankchute.core.forwarder import Forwarder, ForwarderPorts
 from crankchute.core.initial_load_poll import InitialLoadPoll
 from crankchute.core.reservations import ReservationManager
@@ -142,7 +143,9 @@
         self.on_serving = None
         self.on_stopped = None
         self.holder = ForwardConfigHolder()
-        self.fleet = ForwardFleet(loop.timers, wiring.pool_label)
+        self.fleet = ForwardFleet(
+            loop.timers, wiring.pool_label, wiring.evacuations
+        )
         self.servers = ServerList()
         self.work_tracker = EngineWorkTracker(self.now_ms)
         self.crashes = CrashHistory(self.now_ms, self._on_request_blocked)
@@ -181,6 +184,7 @@
         self._forget_connections = wiring.port.forget
         self.fleet.subscribe_restarted(self._on_server_restarted)
         self.peers = ForwardPeers(loop, self, wiring)
+        self.peers.evacuations.on_known = self._check_ready
         self.desk.lending = self.peers.lending
         limit_prober = LimitProber(self, wiring.reports)
         self.peers.limits.start(
@@ -229,6 +233,7 @@
     def record_listed(self):
         """Record that the list of backend servers is known, even if empty."""
         self._has_server_list = True
+        self.peers.evacuations.check_names()
         self._check_ready()
 
     def record_refused(self, request_id, refusal):
@@ -253,8 +258,9 @@
         return [member.http_address for member in members]
 
     def _check_ready(self):
-        """Start to serve once the configuration and server list are known."""
+        """Start to serve once configuration, servers and evacuations are known."""
         is_ready = self._has_server_list and self.holder.version
+        is_ready = is_ready and self.fleet.evacuations.is_ready
         if self.phase != JOINING or not is_ready:
             return
         self._enter_phase(SERVING)
@@ -279,6 +285,11 @@
                 'Since when the configuration is not proved the newest.',
                 self._proof_age_s,
             ),
+            (
+                'evacuated_data_centres',
+                'Data centres whose servers get no requests by evacuation.',
+                lambda: len(self.fleet.evacuations.evacuated),
+            ),
             (
                 'members',
                 'Entry instances not believed dead.',
@@ -366,6 +377,7 @@
             data_centre=self.identity.data_centre,
             is_connected=self._is_connected,
             permits=self.peers.limits.permits,
+            is_evacuated=partial(is_evacuated, self.fleet, pool.name),
         )
         return choosers[name](parts)
 
@@ -401,9 +413,13 @@
       take_servers: A function that applies a ChangeSet of server entries
         and returns whether anything changed.
       pool_label: The label that holds the pool name of a backend server.
+      evacuations: The Evacuations, or None if there are none; optional.
+      data_centres: The names of data centres in the settings; optional.
     """
 
     __slots__ = (
+        'data_centres',
+        'evacuations',
         'pool_label',
         'port',
         'reports',
@@ -418,5 +434,6 @@
         Args:
           fields: A value for each attribute.
         """
+        fields = {'evacuations': None, 'data_centres': (), **fields}
         for name in self.__slots__:
             setattr(self, name, fields[name])
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -11,6 +11,7 @@
 from crankchute.core.peer_message import PeerMessage, ServerHealth
 from crankchute.core.replica import ChangeSet, Entry
 from crankchute.core.server_rate_limits import ServerRateLimits
+from crankchute.entry.evacuation_control import EvacuationControl
 from crankchute.entry.peering import Peering
 from crankchute.entry.permit_lending import PermitLending
 
@@ -135,6 +136,7 @@
       membership: The Membership.
       limits: The ServerRateLimits.
       lending: The PermitLending.
+      evacuations: The EvacuationControl.
     """
 
     def __init__(self, loop, node, wiring):
@@ -181,6 +183,8 @@
         self.lending = PermitLending(node, self)
         self.sharing = PeerExchange(self._make_parts(node), identity.instance)
         self.limits.advertised.subscribe(self.sharing.schedule_send)
+        self.evacuations = EvacuationControl(node, wiring.data_centres)
+        self.evacuations.subscribe(self.sharing.schedule_send)
         self._seeds = []
         self._server_health = []
         self._impressions_ms = float('-inf')
@@ -318,6 +322,8 @@
             removed_servers=node.fleet.list_recently_removed(),
             server_health=self._list_server_health(),
             limits=self.limits.advertised.list_updates(),
+            evacuations=node.fleet.evacuations.records,
+            knows_evacuations=node.fleet.evacuations.is_known,
             **sharing_fields,
         )
 
@@ -327,12 +333,15 @@
         self._apply_server_states(message)
         self._apply_impressions(message)
         self.limits.advertised.merge_updates(message.limits)
+        # Before the proof, which must not be newer than the evacuations.
+        self.evacuations.receive(message)
         self._fetch_if_newer(message, _CONFIG, message.version)
         self._fetch_if_newer(message, _SERVERS, message.servers_revision)
         if requested_ms is None:
             return
         # An answer proves the state at the time of the request, not later.
-        if message.proof_age_ms is not None:
+        has_proof = message.proof_age_ms is not None
+        if has_proof and self.evacuations.accepts_proof(message):
             proved_ms = requested_ms - message.proof_age_ms
             node.holder.confirm(message.version, proved_ms)
         if message.servers_age_ms is not None:
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -26,6 +26,7 @@
             'revision': node.servers.revision,
             'proof_age_ms': node.servers.proof_age_ms(now_ms),
         },
+        'evacuations': _dump_evacuations(node.fleet.evacuations, now_ms),
         'active': [entry.identity for entry in node.peers.sharing.active],
         'home': node.peers.sharing.home,
         'peers_heard_ms_ago': node.peers.sharing.last_peer_message_age_ms(),
@@ -44,6 +45,23 @@
     }
 
 
+def _dump_evacuations(evacuations, now_ms):
+    records = []
+    for record in evacuations.records:
+        withdrawn_ms = evacuations.withdrawn_ms(record.data_centre)
+        if withdrawn_ms is not None:
+            withdrawn_ms = round(now_ms - withdrawn_ms)
+        records.append(
+            {
+                'data_centre': record.data_centre,
+                'position': record.position,
+                'evacuated': record.is_evacuated,
+                'withdrawn_ms_ago': withdrawn_ms,
+            }
+        )
+    return {'known': evacuations.is_known, 'records': records}
+
+
 def _dump_member(member):
     return {
         'instance': member.identity,
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -6,6 +6,7 @@
 from crankchute.adapters.http_intake import IntakeLimits
 from crankchute.adapters.operator_pages import OperatorPages
 from crankchute.core.admission import make_key_admission
+from crankchute.core.evacuations import Evacuations
 from crankchute.core.freshness_proof import choose_max_age_ms
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_notice import ServerNotices
@@ -24,12 +25,14 @@
 from crankchute.platform.engine_orders import EngineOrders
 from crankchute.platform.engine_reports import EngineReports
 from crankchute.platform.published import PublishedConfig, PublishedServers
+from crankchute.platform.published_evacuations import PublishedOperatorKeys
 from crankchute.platform.requests import RequestReader
 from crankchute.platform.server_calls import ServerCalls
 from crankchute.platform.server_entries import POOL_LABEL
 from crankchute.platform.store import StoreWatch, WatchPolicy
 from crankchute.platform.wire import (
     CONFIG_KEY,
+    OPERATOR_PREFIX,
     REQUEST_ID,
     SERVERS_PREFIX,
 )
@@ -93,6 +96,8 @@
             take_config=self._apply_config,
             take_servers=self._apply_servers,
             pool_label=POOL_LABEL,
+            evacuations=Evacuations(is_enabled=_reads_evacuations(settings)),
+            data_centres=(settings.data_centre, *settings.data_centres),
         )
         self.node = ForwardNode(
             loop,
@@ -162,11 +167,7 @@
             self._servers_listener,
             self.node.servers.proof_age_ms,
         )
-        config_watch = self._make_watch(
-            CONFIG_KEY,
-            self._config_listener,
-            self.node.holder.proof_age_ms,
-        )
+        config_watch = self._make_config_watch()
         # The connection of the other watch may be lost, too.
         config_watch.on_recovered = servers_watch.refresh
         self._servers_listener.watches = (servers_watch, config_watch)
@@ -174,6 +175,16 @@
         config_watch.start()
         self.timers.every(_STALE_CHECK_MS, self._resume_watches)
 
+    def _make_config_watch(self):
+        """Return the watch of the configuration, and of evacuations if read."""
+        prefix, listener = CONFIG_KEY, self._config_listener
+        if self.node.fleet.evacuations.is_enabled:
+            prefix = OPERATOR_PREFIX
+            listener = PublishedOperatorKeys(
+                self.node.peers.evacuations, listener
+            )
+        return self._make_watch(prefix, listener, self.node.holder.proof_age_ms)
+
     def _make_watch(self, prefix, listener, proof_age_ms):
         """Return a watch that is idle while other instances provide its data."""
 
@@ -200,7 +211,11 @@
         return StoreWatch(self, prefix, listener, policy)
 
     def _stale_ms(self):
-        return choose_max_age_ms(self.settings.bounds.config_apply_ms)
+        bounds = self.settings.bounds
+        in_force_ms = bounds.config_apply_ms
+        if bounds.evacuate_ms is not None:
+            in_force_ms = min(in_force_ms, bounds.evacuate_ms)
+        return choose_max_age_ms(in_force_ms)
 
     def _is_reader(self):
         return self.node.peers.sharing.is_top_ranked(_READERS)
@@ -256,6 +271,10 @@
         self._server.is_closing = True
 
 
+def _reads_evacuations(settings):
+    return settings.bounds.evacuate_ms is not None
+
+
 def _read_identity(settings):
     return InstanceIdentity(
         settings.instance,
--- a/crankchute/platform/published.py
+++ b/crankchute/platform/published.py
@@ -35,7 +35,9 @@
         for entry in entries:
             if entry.key == CONFIG_KEY and entry.payload is not None:
                 self.apply(entry.payload)
-        self._holder.confirm(self._holder.version, sent_ms)
+        # Without a time some of the entries may be outdated.
+        if sent_ms is not None:
+            self._holder.confirm(self._holder.version, sent_ms)
 
     def apply(self, payload):
         """Apply a configuration from the store or from another instance.
--- a/crankchute/platform/settings.py
+++ b/crankchute/platform/settings.py
@@ -62,6 +62,8 @@
     Attributes:
       grace_ms: The longest time from the signal to stop to the exit.
       config_apply_ms: The longest time until a new configuration applies.
+      evacuate_ms: The longest time until a request to evacuate a data centre
+        takes effect, or None if such requests are not read.
       revoke_ms: The longest time until a revoked API key is rejected.
       retry_ratio: Retries allowed per request, over all instances.
       retry_slack: Retries allowed in a window beyond the ratio.
@@ -73,6 +75,7 @@
 
     __slots__ = (
         'config_apply_ms',
+        'evacuate_ms',
         'grace_ms',
         'is_revocation_strict',
         'retry_ratio',
@@ -98,6 +101,7 @@
     Attributes:
       instance: The id of this instance.
       data_centre: The data centre that it runs in.
+      data_centres: The names of all data centres in the settings, a tuple.
       listeners: Listeners.
       seeds: Peer addresses of other instances, pairs of IP and port.
       peer_ports: The first and last port for messages between instances.
@@ -110,6 +114,7 @@
     __slots__ = (
         'bounds',
         'data_centre',
+        'data_centres',
         'instance',
         'listeners',
         'millicores',
@@ -185,6 +190,7 @@
     settings = InstanceSettings(
         instance=reader.read('node-name', str),
         data_centre=reader.read('zone', str),
+        data_centres=reader.read('zones', _read_names, ()),
         listeners=_read_listeners(reader),
         seeds=reader.read('seeds', _read_addresses, ()),
         peer_ports=reader.read('internal-port-range', _read_range),
@@ -226,6 +232,12 @@
     return tuple(read_address(text) for text in texts)
 
 
+def _read_names(setting):
+    """Return the names in a list or a table; others are ignored."""
+    names = setting if isinstance(setting, (dict, list)) else ()
+    return tuple(name for name in names if isinstance(name, str))
+
+
 def _read_range(ports):
     first, last = ports
     return int(first), int(last)
@@ -245,6 +257,7 @@
 _BOUNDS = (
     ('grace_ms', 'grace-s', _read_seconds, 8000),
     ('config_apply_ms', 'config-apply-ms', float, 3000),
+    ('evacuate_ms', 'evacuate-ms', float, None),
     ('revoke_ms', 'revoke-ms', float, 5000),
     ('retry_ratio', 'retry-budget-ratio', float, 0.1),
     ('retry_slack', 'retry-slack', float, 10),
--- a/crankchute/platform/standin_store.py
+++ b/crankchute/platform/standin_store.py
@@ -12,7 +12,11 @@
 
 import orjson
 
-from crankchute.platform.wire import CONFIG_KEY, SERVERS_PREFIX
+from crankchute.platform.wire import (
+    CONFIG_KEY,
+    OPERATOR_PREFIX,
+    SERVERS_PREFIX,
+)
 
 _ROUTES = 120
 _SERVERS = 150
@@ -40,7 +44,7 @@
         if wait_ms:
             time.sleep(int(wait_ms) / _MS_PER_SECOND)
             self._reply({'events': [], 'at': REVISION})
-        elif prefix == CONFIG_KEY:
+        elif prefix in {CONFIG_KEY, OPERATOR_PREFIX}:
             self._reply(_list_page([(CONFIG_KEY, _make_config())]))
         else:
             listed = [entry for entry in _make_servers() if entry[0] > after]
--- a/crankchute/platform/wire.py
+++ b/crankchute/platform/wire.py
@@ -40,6 +40,10 @@
 
 #: The key of the configuration and the key prefix of backend servers.
 CONFIG_KEY = 'op/config'
+#: The prefix of the operator's keys, CONFIG_KEY among them.
+OPERATOR_PREFIX = 'op/'
+#: Followed by the name of a data centre that the operator evacuates.
+EVACUATE_PREFIX = 'op/evacuate/'
 SERVERS_PREFIX = 'servers/'
 
 #: Hop-by-hop headers, which are not forwarded.
