Order requests by the priorities of account and route

Change: an urgency rank orders by the priority in force, then by that of the route. Refused and sent demand are counted by it.

--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -69,6 +69,7 @@
             request=job.request_id,
             code=refusal.code,
             priority=job.priority,
+            urgency_rank=job.urgency_rank,
             returning=job.is_returning,
             retry_after_ms=_round(refusal.retry_after_ms),
             **{
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -173,7 +173,7 @@
         long_threshold = self._figures.usual_prompt * LONG_PROMPT_FACTOR
         is_long = job.size.prompt > long_threshold
         usable = self._candidate_filter.restrict(
-            usable, job.priority, self.now_ms(), is_long=is_long
+            usable, job.urgency_rank, self.now_ms(), is_long=is_long
         )
         candidates = self._make_candidates(usable, is_long=is_long)
         if is_long:
@@ -378,7 +378,7 @@
             is_decoding=False,
             gap_ms=job.gap_ms or job.goal_ms,
             weight=estimate_worth(self._figures, job),
-            priority=job.priority,
+            priority=job.urgency_rank,
             until_ms=job.deadline_ms,
             due_ms=job.arrived_ms + job.goal_ms,
             first_event_at_ms=self.now_ms() + plan.first_ms,
--- a/crankchute/core/engine_work.py
+++ b/crankchute/core/engine_work.py
@@ -44,7 +44,7 @@
       is_decoding: Whether the engine also decodes the answer, a bool.
       gap_ms: The goal for the time between its events.
       weight: Its value if on time, relative to that of a usual prompt.
-      priority: The priority of its request, from 0 (highest) to 9.
+      priority: The urgency rank of its request, lower is more urgent.
       until_ms: The deadline of the request, on this process's clock.
       due_ms: The goal for the time of the first event.
       first_event_at_ms: The predicted time of the first event.
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -468,6 +468,7 @@
         'timeout_ms': _DEADLINE_MS,
     }
     fields.update(changes)
+    fields.setdefault('urgency_rank', fields['priority'])
     return ForwardJob(**fields)
 
 
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -6,6 +6,7 @@
 #: A request with at least this share of its route's timeout left is new: callers
 #: that return after a refusal have waited for longer than the rest.
 _NEW_REQUEST_SHARE = 0.95
+_LOWEST_PRIORITY = 9
 
 
 class RetryMode(enum.Enum):
@@ -19,6 +20,26 @@
     RESUME = 'resume'
 
 
+def make_urgency_rank(priority, route_priority):
+    """Return the urgency rank of a request.
+
+    The priority of a client account takes precedence over that of a route.
+    Among the requests of accounts with the same priority, the route decides.
+
+    Args:
+      priority: The priority in force for the request.
+      route_priority: The priority of its route.
+    Returns:
+      An int from 0 to 99.
+    """
+    levels = _LOWEST_PRIORITY + 1
+    return _clamp(priority) * levels + _clamp(route_priority)
+
+
+def _clamp(priority):
+    return min(max(priority, 0), _LOWEST_PRIORITY)
+
+
 class PromptSize:
     """The size of a prompt and of its answer, in tokens.
 
@@ -54,6 +75,8 @@
       account: The client account's name, or None.
       size: A PromptSize, or None for a plain service.
       priority: From 0 (highest) to 9.
+      urgency_rank: An int that orders requests of a pool, lower is more
+        urgent: by priority, then by the priority of the route.
       arrived_ms: The arrival time on this process's clock.
       deadline_ms: The deadline of the whole answer on the same clock.
       goal_ms: The target latency of the answer, or of the first event of a
@@ -84,6 +107,7 @@
         'resume_after',
         'size',
         'timeout_ms',
+        'urgency_rank',
     )
 
     def __init__(self, **fields):
--- a/crankchute/core/length_demand.py
+++ b/crankchute/core/length_demand.py
@@ -111,22 +111,16 @@
         Returns:
           A float; 0 if no short prompt is more urgent than a long one.
         """
-        sums = {
-            priority: self._sums_of(priority, now_ms)
-            for priority in self._by_priority
-        }
-        total_long_ms = sum(one.long_ms for one in sums.values())
-        if total_long_ms < _NEGLIGIBLE_MS:
+        weighted_ms = 0
+        less_urgent_ms = 0
+        for priority in sorted(self._by_priority, reverse=True):
+            sums = self._sums_of(priority, now_ms)
+            short_ms = sums.short_ms + sums.short_count * slot_ms
+            weighted_ms += short_ms * less_urgent_ms
+            less_urgent_ms += sums.long_ms
+        if less_urgent_ms < _NEGLIGIBLE_MS:
             return 0
-        urgent_ms = 0
-        for priority, one in sums.items():
-            less_urgent_ms = sum(
-                other.long_ms
-                for other_priority, other in sums.items()
-                if other_priority > priority
-            )
-            short_ms = one.short_ms + one.short_count * slot_ms
-            urgent_ms += short_ms * less_urgent_ms / total_long_ms
+        urgent_ms = weighted_ms / less_urgent_ms
         return urgent_ms * math.log(2) / _URGENT_HALF_LIFE_MS
 
     def is_deferrable(self, priority, now_ms):
--- a/crankchute/core/overload_control.py
+++ b/crankchute/core/overload_control.py
@@ -39,7 +39,7 @@
             worth=estimate_worth(self._figures, job),
             harm=plan.harm,
             prefill_ms=plan.prefill_ms,
-            priority=job.priority,
+            priority=job.urgency_rank,
             is_returning=job.is_returning,
         )
         if self._admission.admits(estimate, now_ms):
--- a/crankchute/core/prompt_admission.py
+++ b/crankchute/core/prompt_admission.py
@@ -61,7 +61,7 @@
       harm: The worth that other requests would lose, in the same unit.
       prefill_ms: Its prefill time, the part of first_ms that does not depend
         on the load.
-      priority: From 0 (highest) to 9.
+      priority: Its urgency rank, lower is more urgent.
       is_returning: Whether its caller was probably refused before, a bool.
       excess: How much of the engines its client account has recently used, in
         multiples of its fair share; at least 1.
--- a/crankchute/core/service_router.py
+++ b/crankchute/core/service_router.py
@@ -182,6 +182,7 @@
             resume_after=None,
             payload=call,
             timeout_ms=call.deadline_ms - now_ms,
+            urgency_rank=0,
         )
         self._forwarder.submit(job, ServiceSink(on_end))
 
--- a/crankchute/platform/requests.py
+++ b/crankchute/platform/requests.py
@@ -2,7 +2,11 @@
 
 from http import HTTPStatus
 
-from crankchute.core.forward_job import ForwardJob, PromptSize
+from crankchute.core.forward_job import (
+    ForwardJob,
+    PromptSize,
+    make_urgency_rank,
+)
 from crankchute.core.hashing import make_fingerprint
 from crankchute.errors import RequestRefused
 from crankchute.platform.wire import (
@@ -163,6 +167,7 @@
             resume_after=_parse_last_event_id(exchange),
             payload=_build_payload(exchange),
             timeout_ms=route.timeout_ms,
+            urgency_rank=make_urgency_rank(priority, route.priority),
         )
 
     def _default_size(self, pool):
--- a/crankchute/platform/requests_test.py
+++ b/crankchute/platform/requests_test.py
@@ -13,7 +13,7 @@
     PoolConfig,
 )
 from crankchute.core.forward_fakes import make_figures
-from crankchute.core.forward_job import RetryMode
+from crankchute.core.forward_job import RetryMode, make_urgency_rank
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.route_table import PoolShare, Route
 from crankchute.errors import RequestRefused
@@ -252,3 +252,30 @@
         setattr(repeated, name, text)
     expected = reader.read(FakeExchange()).fingerprint
     assert (reader.read(repeated).fingerprint == expected) == is_same
+
+
+@pytest.mark.parametrize(
+    ('priority', 'route_priority', 'other', 'other_route'),
+    [
+        # The priority of the account takes precedence.
+        (0, 2, 1, 0),
+        # Among accounts with the same priority, the route decides.
+        (1, 0, 1, 1),
+        (1, 1, 1, 2),
+        # Priorities beyond the range count as its ends.
+        (-5, 1, 0, 2),
+        (0, 12, 1, 0),
+    ],
+)
+def test_urgency_follows_account_and_route(
+    priority, route_priority, other, other_route
+):
+    """Accounts that all have one priority made all their requests equal."""
+    first = make_urgency_rank(priority, route_priority)
+    assert first < make_urgency_rank(other, other_route)
+
+
+def test_urgency_combines_the_priorities_of_account_and_route():
+    job = ReaderHarness().read(FakeExchange())
+    assert job.priority == 1
+    assert job.urgency_rank == make_urgency_rank(1, 3)
