--- a/crankchute/core/engine_work.py
+++ b/crankchute/core/engine_work.py
@@ -134,14 +134,11 @@
         """Return the estimated ratio of actual to published durations.
 
         The estimate decays towards 1, so that an engine without traffic is
-        tried again.  While such a trial has no first event, the engine counts
-        as slow as before: otherwise a burst would follow the first prompt.
+        tried again.
 
         Args:
           now_ms: The time.
         """
-        if self._slowness >= _SLOW_THRESHOLD and self._has_trial():
-            return self._slowness
         age_ms = now_ms - self._slowness_at_ms
         decay = 0.5 ** (age_ms / _SLOWNESS_HALF_LIFE_MS)
         return 1 + (self._slowness - 1) * decay
@@ -275,13 +272,6 @@
         if not work.started:
             self._shorten_wait(now_ms)
 
-    def _has_trial(self):
-        """Return whether work sent since the last observation waits."""
-        return any(
-            not work.started and work.sent_ms > self._slowness_at_ms
-            for work in self.works.values()
-        )
-
     def _postpone_waiting(self, prioritized, prefill_ms):
         """Postpone waiting works by the duration of a prioritized prefill."""
         for work in self.works.values():
--- a/crankchute/core/engine_work_test.py
+++ b/crankchute/core/engine_work_test.py
@@ -155,24 +155,3 @@
     assert world.state.memory == sum(work.memory for work in works)
     assert world.state.decode_count == sum(work.is_decoding for work in works)
     assert world.state.wait_ms(world.now_ms) <= 100 * len(works) + 1
-
-
-def test_slow_engine_is_tried_by_one_prompt_at_a_time():
-    """After a few quiet seconds a whole burst went to slow engines."""
-    world = World()
-    world.state.update_slowness(5, 0)
-    believed = world.state.slowness(0)
-    world.now_ms = 6000
-    assert world.state.slowness(6000) < believed / 1.5
-    world.work_tracker.add(make_prefill('trial', until_ms=20_000))
-    assert world.state.slowness(6000) == believed
-    world.work_tracker.start(ENGINE, 'trial')
-    assert world.state.slowness(6000) < believed / 1.5
-
-
-def test_waiting_work_does_not_make_a_sound_engine_slow():
-    world = World()
-    world.state.update_slowness(1.5, 0)
-    world.now_ms = 6000
-    world.work_tracker.add(make_prefill('a'))
-    assert round(world.state.slowness(6000), 6) == 1
--- a/crankchute/platform/requests_test.py
+++ b/crankchute/platform/requests_test.py
@@ -276,6 +276,6 @@
 
 
 def test_urgency_combines_the_priorities_of_account_and_route():
-    job = ReaderHarness().read(FakeExchange())
+    job = ReaderHarness().reader.read(FakeExchange())
     assert job.priority == 1
     assert job.urgency_rank == make_urgency_rank(1, 3)
