--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -369,7 +369,10 @@
       pool: The pool's name.
     """
     evacuated = fleet.evacuations.evacuated
-    return not fleet.members_of(pool) and any(
+    # Checked first, as it is cheap and called for each refused request.
+    if not evacuated or fleet.members_of(pool):
+        return False
+    return any(
         backend.listed.data_centre in evacuated
         for backend in fleet
         if fleet.pool_of(backend) == pool
