--- a/crankchute/platform/evacuation_test.py
+++ b/crankchute/platform/evacuation_test.py
@@ -109,6 +109,16 @@
     assert len(list_sent(engine)) > len(before)
 
 
+@pytest.mark.parametrize('is_evacuated', [True, False])
+def test_change_is_sent_without_delay(is_evacuated):
+    """The next periodic message would be up to half a second late."""
+    cluster, _engine = make_cluster(instances=2, engines=1)
+    sharing = cluster.nodes[0].peers.sharing
+    cluster.loop.run_until(lambda: sharing._flush_timer is None, 0.001)
+    evacuate(cluster, is_evacuated=is_evacuated)
+    assert sharing._flush_timer is not None
+
+
 def test_no_permit_is_borrowed_for_an_evacuated_server():
     """Instances without a share of a limit borrow permits of the others."""
     cluster, engine = make_cluster(instances=3, engines=3)
