Keep recent engine time by client account

Admission has no measure of how much of the engines each client account takes, so one account that sends more than the others displaces them.

AccountShares.excess compares a sum with the max-min fair share. The admission does not use it yet. The size of the table is a gauge, and the largest accounts are in the state dump.

--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -206,6 +206,7 @@
         due_in_ms=work.due_ms - now_ms,
         first_in_ms=work.first_event_at_ms - now_ms,
         goes_first=work.is_prioritized,
+        account=work.account,
     )
 
 
@@ -222,5 +223,6 @@
         due_ms=now_ms + record.due_in_ms,
         first_event_at_ms=now_ms + record.first_in_ms,
         is_prioritized=record.goes_first,
+        account=record.account,
     )
     return WorkChange(Change(record.change), work)
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -384,6 +384,7 @@
             due_ms=job.arrived_ms + job.goal_ms,
             first_event_at_ms=self.now_ms() + plan.first_ms,
             is_prioritized=len(plan.chosen) > 1,
+            account=self._work_tracker.account_shares.identify(job.account),
         )
 
 
--- a/crankchute/core/engine_fakes.py
+++ b/crankchute/core/engine_fakes.py
@@ -49,6 +49,7 @@
         'due_ms': _FIRST_EVENT_DUE_MS,
         'first_event_at_ms': 50,
         'is_prioritized': False,
+        'account': 0,
     }
     fields.update(changes)
     return WorkItem(key, engine, **fields)
--- a/crankchute/core/engine_model.py
+++ b/crankchute/core/engine_model.py
@@ -110,6 +110,15 @@
     return figures.usual_answer * step_ms
 
 
+def estimate_slot_ms(figures):
+    """Return the decode time of a usual answer, divided by the slots.
+
+    Args:
+      figures: EngineFigures.
+    """
+    return estimate_decode_ms(figures) / figures.slots
+
+
 def count_parts(figures, tokens, max_part_ms, max_parts):
     """Return how many engines should share a prompt's prefill.
 
--- a/crankchute/core/engine_work.py
+++ b/crankchute/core/engine_work.py
@@ -9,6 +9,7 @@
 import enum
 import heapq
 
+from crankchute.core.account_shares import NO_ACCOUNT, AccountShares
 from crankchute.core.length_demand import LengthDemand
 from crankchute.core.reported_load import UnattributedLoad
 
@@ -49,12 +50,14 @@
       first_event_at_ms: The predicted time of the first event.
       is_prioritized: Whether its prefill runs before those that wait, as for a
         prompt shared by several engines, a bool.
+      account: The hash of the client account, 0 for none.
       sent_ms: When this instance recorded it, or None.
       started: Whether its first event has arrived, a bool.
       is_delayed: Whether a gap beyond gap_ms is expected, a bool.
     """
 
     __slots__ = (
+        'account',
         'due_ms',
         'engine',
         'first_event_at_ms',
@@ -78,7 +81,7 @@
         Args:
           key: See the class.
           engine: See the class.
-          fields: Values for the attributes from prefill_ms to is_prioritized.
+          fields: Values for the attributes from prefill_ms to account.
         """
         self.key = key
         self.engine = engine
@@ -93,6 +96,7 @@
         self.due_ms = fields['due_ms']
         self.first_event_at_ms = fields['first_event_at_ms']
         self.is_prioritized = fields['is_prioritized']
+        self.account = fields['account']
         self.started = False
         self.is_delayed = False
 
@@ -289,18 +293,24 @@
 
     Attributes:
       demand: The LengthDemand of all work sent.
+      account_shares: The AccountShares of all work sent.
     """
 
-    def __init__(self, now_ms):
+    def __init__(self, now_ms, estimate_slot_ms=None):
         """Create an empty work_tracker.
 
         Args:
           now_ms: A function that returns the time in milliseconds.
+          estimate_slot_ms: A function of an engine's id that returns the
+            decode time of a usual answer there, divided by the slots of the
+            engine.  None if only prefills count as the cost of work.
         """
         self._now_ms = now_ms
+        self._estimate_slot_ms = estimate_slot_ms
         self._states = {}
         self._expiries = []
         self.demand = LengthDemand()
+        self.account_shares = AccountShares()
 
     def state(self, engine):
         """Return the EngineState of an engine.
@@ -320,6 +330,7 @@
         state = self.state(work.engine)
         if work.key not in state.works:
             self.demand.record(work, now_ms)
+            self._record_cost(work, now_ms)
         state.add(work, now_ms)
         heapq.heappush(self._expiries, (work.until_ms, work.key, work.engine))
         self._drop_expired()
@@ -392,6 +403,14 @@
             if update.change == Change.STARTED:
                 self.start(update.work.engine, update.work.key)
 
+    def _record_cost(self, work, now_ms):
+        if work.account == NO_ACCOUNT:
+            return
+        cost_ms = work.prefill_ms
+        if work.is_decoding and self._estimate_slot_ms is not None:
+            cost_ms += self._estimate_slot_ms(work.engine)
+        self.account_shares.record(work.account, cost_ms, now_ms)
+
     def _drop_expired(self):
         now_ms = self._now_ms()
         while self._expiries and self._expiries[0][0] < now_ms:
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -24,6 +24,7 @@
 from crankchute.core.reservations import ReservationManager
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_list import ServerList
+from crankchute.entry.engine_costs import EngineCosts
 from crankchute.entry.forward_peers import ForwardPeers
 from crankchute.entry.limit_prober import LimitProber
 
@@ -144,7 +145,10 @@
         self.holder = ForwardConfigHolder()
         self.fleet = ForwardFleet(loop.timers, wiring.pool_label)
         self.servers = ServerList()
-        self.work_tracker = EngineWorkTracker(self.now_ms)
+        self.work_tracker = EngineWorkTracker(
+            self.now_ms,
+            EngineCosts(self.fleet, self.holder).estimate_slot_ms,
+        )
         self.crashes = CrashHistory(self.now_ms, self._on_request_blocked)
         self._hints = RetryHints(self.random)
         self._limits = limits
@@ -284,6 +288,13 @@
                 'Entry instances not believed dead.',
                 lambda: len(self.peers.membership.live_members()),
             ),
+            (
+                'accounts_tracked',
+                'Client accounts with recent engine time.',
+                lambda: self.work_tracker.account_shares.count_accounts(
+                    self.now_ms()
+                ),
+            ),
         )
         for name, help_text, function in gauges:
             self.metrics.add_gauge(name, help_text, function)
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -2,6 +2,8 @@
 
 from crankchute.adapters.forward_journal import write_fingerprint
 
+_LISTED_ACCOUNTS = 10
+
 
 def dump_forward_node(node):
     """Return the state of an instance for operators.
@@ -40,6 +42,7 @@
             _dump_held(entry, now_ms) for entry in node.crashes.quarantined
         ],
         'crashes_remembered': len(node.crashes),
+        'accounts': _dump_accounts(node.work_tracker.account_shares, now_ms),
         'counters': _dump_counters(node.metrics.counts),
     }
 
@@ -84,6 +87,21 @@
     }
 
 
+def _dump_accounts(account_shares, now_ms):
+    return {
+        'tracked': account_shares.count_accounts(now_ms),
+        'largest': [
+            {
+                'account': usage.name,
+                'hash': f'{usage.account:08x}',
+                'share': round(usage.share, 3),
+                'excess': round(usage.excess, 2),
+            }
+            for usage in account_shares.list_largest(_LISTED_ACCOUNTS, now_ms)
+        ],
+    }
+
+
 def _dump_counters(counts):
     return {
         key if isinstance(key, str) else '/'.join(key): count
