--- a/crankchute/adapters/peer_records_test.py
+++ b/crankchute/adapters/peer_records_test.py
@@ -8,6 +8,7 @@
     write_member,
     write_message,
 )
+from crankchute.core.account_shares import NO_ACCOUNT, hash_account
 from crankchute.core.advertised_limits import AdvertisedLimit
 from crankchute.core.crash_report import (
     ClearedRequest,
@@ -82,6 +83,24 @@
     assert work.first_event_at_ms == pytest.approx(RECEIVER_MS + 40)
 
 
+@pytest.mark.parametrize('is_snapshot', [True, False])
+@pytest.mark.parametrize(
+    ('account', 'expected'),
+    [(hash_account('acc'), {hash_account('acc')}), (NO_ACCOUNT, set())],
+)
+def test_receiver_records_the_work_for_the_account(
+    account, expected, is_snapshot
+):
+    """Otherwise an instance would compute shares from its own work only."""
+    news = [WorkChange(Change.SENT, make_sent_work(account=account))]
+    work_tracker = EngineWorkTracker(lambda: RECEIVER_MS)
+    message = make_message(news, is_snapshot=is_snapshot)
+    apply_batch(work_tracker, SENDER, send_and_receive(message).batch)
+    shares = work_tracker.account_shares
+    listed = shares.list_largest(2, RECEIVER_MS)
+    assert {usage.account for usage in listed} == expected
+
+
 @pytest.mark.parametrize(
     ('changes', 'known', 'started'),
     [
--- a/crankchute/core/engine_chooser_test.py
+++ b/crankchute/core/engine_chooser_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from crankchute.core.account_shares import NO_ACCOUNT, hash_account
 from crankchute.core.engine_fakes import make_work_item
 from crankchute.core.engine_chooser import EngineChooser
 from crankchute.core.engine_work import Change
@@ -62,6 +63,22 @@
     assert set(chosen) == {'server-02', 'server-03'}
 
 
+@pytest.mark.parametrize('size', [SHORT, LONG])
+@pytest.mark.parametrize(
+    ('account', 'expected'), [('acc', hash_account('acc')), (None, NO_ACCOUNT)]
+)
+def test_work_is_charged_to_the_account(size, account, expected):
+    """Each part of a split prefill uses engine time."""
+    world = World()
+    job = make_job(size=size, account=account)
+    placement = world.chooser.choose(job, set())
+    world.chooser.record_sent(job, placement)
+    assert {work.account for work in placement.key.works} == {expected}
+    listed = world.work_tracker.account_shares.list_largest(1, 0)
+    names = [] if account is None else [account]
+    assert [usage.name for usage in listed] == names
+
+
 def test_long_prompt_avoids_decoding_engines():
     world = World()
     for engine in ('server-00', 'server-01', 'server-02'):
--- a/crankchute/core/engine_work_test.py
+++ b/crankchute/core/engine_work_test.py
@@ -36,6 +36,33 @@
     assert world.state.wait_ms(60) == 90
 
 
+@pytest.mark.parametrize(
+    ('changes', 'share'),
+    [
+        # 100 ms of prefill and 300 ms of decoding, beside 600 ms of another.
+        ({'account': 7}, 0.4),
+        ({'account': 7, 'is_decoding': False}, 1 / 7),
+        ({'account': 7, 'prefill_ms': 900}, 2 / 3),
+    ],
+)
+def test_accounts_are_charged_for_prefill_and_decode(changes, share):
+    """Accounts with long prompts or many short ones are charged alike."""
+    costs_ms = {ENGINE: 300, 'engine-2': 500}
+    world = World()
+    work_tracker = EngineWorkTracker(lambda: world.now_ms, costs_ms.get)
+    other = make_work_item('other', 'engine-2', prefill_ms=100, account=8)
+    work_tracker.add(other)
+    # A key that is known already is not charged again.
+    for key in ('a', 'a', 'b'):
+        work_changes = changes if key == 'a' else {}
+        work_tracker.add(make_prefill(key, **work_changes))
+    shares = {
+        usage.account: usage.share
+        for usage in work_tracker.account_shares.list_largest(9, 0)
+    }
+    assert shares == {7: pytest.approx(share), 8: pytest.approx(1 - share)}
+
+
 def test_first_event_ends_the_prefill():
     world = World()
     world.work_tracker.add(make_prefill('a'))
