--- a/crankchute/core/account_shares_test.py
+++ b/crankchute/core/account_shares_test.py
@@ -1,8 +1,11 @@
 """Tests of the shares of client accounts, replaying their loads."""
 
 import random
+from collections import Counter
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from crankchute.core.account_shares import (
     MAX_ACCOUNTS,
@@ -224,6 +227,45 @@
     assert replay.excess(HEAVY) == pytest.approx(before, rel=0.01)
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(1, 2 * MAX_ACCOUNTS),
+            st.floats(1, 10_000),
+            st.sampled_from([0, 1, STEP_MS, 30 * HALF_LIFE_MS]),
+        ),
+    ),
+    st.integers(0, 2 * MAX_ACCOUNTS),
+)
+def test_shares_are_never_overstated(records, accounts):
+    """The bounded table may miss work of an account, but not add any."""
+    shares = AccountShares()
+    exact_ms = Counter()
+    now_ms = 0
+    for account in range(1, accounts + 1):
+        shares.record(account, COST_MS, now_ms)
+        exact_ms[account] += COST_MS
+    for account, cost_ms, pause_ms in records:
+        now_ms += pause_ms
+        for known in exact_ms:
+            exact_ms[known] *= 0.5 ** (pause_ms / HALF_LIFE_MS)
+        shares.record(account, cost_ms, now_ms)
+        exact_ms[account] += cost_ms
+        assert shares.excess(account, now_ms) >= 1
+    total_ms = exact_ms.total()
+    usages = shares.list_largest(2 * MAX_ACCOUNTS, now_ms)
+    assert len(usages) <= MAX_ACCOUNTS
+    for usage in usages:
+        # Entries below 0.1 ms are removed, and with them their part.
+        share = (exact_ms[usage.account] + 0.1) / max(total_ms - 200, 0.1)
+        assert 0 <= usage.share <= share * 1.001
+    found = {one.account for one in usages}
+    for account, account_ms in exact_ms.items():
+        # Removed entries lose little over 0.1 ms of an account.
+        if account_ms > total_ms / MAX_ACCOUNTS * 1.001 + 0.3:
+            assert account in found
+
+
 def test_work_without_an_account_is_not_recorded():
     """Deployments without client accounts keep no table."""
     shares = AccountShares()
