--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -215,6 +215,7 @@
         first_in_ms=work.first_event_at_ms - now_ms,
         goes_first=work.is_prioritized,
         priority=work.priority,
+        account=work.account,
     )
 
 
@@ -232,5 +233,6 @@
         first_event_at_ms=now_ms + record.first_in_ms,
         is_prioritized=record.goes_first,
         priority=record.priority,
+        account=record.account,
     )
     return WorkChange(Change(record.change), work)
