Refuse prompts of accounts over their fair share first

Cause: an account that floods took the room of the others while a pool was short of engines.

Change: while a pool is short, prompts of accounts from 1.5 times their max-min share on count for as little as half, and must be on time with twice the margin. The line not_admitted tells the excess, and the counter refused_over_share counts these refusals.

--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -154,6 +154,8 @@
             chooser.record_sent(flow.job, choice)
         elif choice.inputs:
             self.journal.log_not_admitted(flow.job, choice)
+            if choice.inputs['excess'] > 1:
+                self.metrics.count('refused_over_share')
         return choice
 
     def stalled_at_ms(self, flow, attempt):
--- a/crankchute/core/overload_control.py
+++ b/crankchute/core/overload_control.py
@@ -33,6 +33,7 @@
             only for a refused one, whose demand counts.
         """
         now_ms = self._parts.timers.clock.now_ms()
+        shares = self._parts.work_tracker.account_shares
         estimate = AdmissionEstimate(
             plan.first_ms,
             job.remaining_goal_ms(now_ms),
@@ -41,6 +42,7 @@
             prefill_ms=plan.prefill_ms,
             priority=job.urgency_rank,
             is_returning=job.is_returning,
+            excess=shares.excess(shares.identify(job.account), now_ms),
         )
         if self._admission.admits(estimate, now_ms):
             return None
@@ -67,6 +69,7 @@
             'predicted_ms': estimate.first_ms,
             'remaining_goal_ms': estimate.remaining_ms,
             'harm': estimate.harm,
+            'excess': estimate.excess,
             'heard_ms_ago': self._parts.last_peer_message_age_ms(),
             **self.describe(),
         }
--- a/crankchute/core/prompt_admission.py
+++ b/crankchute/core/prompt_admission.py
@@ -43,6 +43,12 @@
 #: refusal: those go first, since few callers return twice.
 _NEW_TIME_SHARE = 0.8
 _RETURNING_TIME_SHARE = 0.9
+#: An account counts as over its fair share from this multiple of it on; the
+#: work of accounts that send alike varies by less.
+_EXCESS_TOLERANCE = 1.5
+#: The largest divisor for accounts over their share.  Their prompts then need
+#: twice the room of others, which they find only when others leave it.
+_MAX_EXCESS = 2
 #: The half-life of loss rates: short enough to follow a burst of seconds.
 _LOSS_HALF_LIFE_MS = 1000
 #: A priority is short of capacity if it loses a larger share of its prompts.
@@ -63,8 +69,8 @@
         on the load.
       priority: Its urgency rank, lower is more urgent.
       is_returning: Whether its caller was probably refused before, a bool.
-      excess: How much of the engines its client account has recently used, in
-        multiples of its fair share; at least 1.
+      excess: The divisor for an account that has recently used more of the
+        engines than its fair share, 1 for others.
     """
 
     __slots__ = (
@@ -88,7 +94,7 @@
           harm: See the class.
           details: The other attributes of the class, all optional.
         """
-        self.excess = details.get('excess', 1)
+        self.excess = limit_excess(details.get('excess', 1))
         self.prefill_ms = details.get('prefill_ms', 0)
         self.priority = details.get('priority', 0)
         self.is_returning = details.get('is_returning', False)
@@ -98,6 +104,15 @@
         self.harm = harm
 
 
+def limit_excess(excess):
+    """Return the divisor of what a prompt of an account counts for.
+
+    Args:
+      excess: What the account has used, in multiples of its fair share.
+    """
+    return 1 if excess < _EXCESS_TOLERANCE else min(excess, _MAX_EXCESS)
+
+
 def is_worth_admitting(estimate, excess=1):
     """Return whether a prompt gains at least what other requests lose.
 
--- a/crankchute/core/prompt_admission_test.py
+++ b/crankchute/core/prompt_admission_test.py
@@ -112,7 +112,7 @@
 
 
 @pytest.mark.parametrize(
-    ('excess', 'is_admitted'), [(1, True), (1.5, False), (3, False)]
+    ('excess', 'is_admitted'), [(1, True), (1.4, True), (1.5, False), (3, False)]
 )
 def test_equal_priorities_are_refused_only_for_harm_or_excess(
     excess, is_admitted
