Limit the requests that all instances send to cold servers

A server is cold after its start and may become cold again; it fails well above the rate that it is made for then. LimitsInForce is the lower of the advertised and the cold limit, and is used wherever permits are given, lent and borrowed. Without bounds.cold-overage nothing changes.

--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -29,16 +29,24 @@
       born: When it started, in Unix milliseconds, or None if unknown.
       identity: A key that differs for each start; state about the instance is
         kept under it.
+      cold_remaining_ms: For how long it is cold from when the entry was
+        written, or None if no entry of this start is known.
+      revision: The revision of the entry in the store, or None if unknown.
+      is_restored: Whether the entry is from a store that was restored from an
+        older copy, a bool.
     """
 
     __slots__ = (
         'address',
         'born',
+        'cold_remaining_ms',
         'data_centre',
         'identity',
+        'is_restored',
         'kind',
         'labels',
         'listed_id',
+        'revision',
         'state',
     )
 
@@ -47,7 +55,8 @@
 
         Args:
           document: A map with `id`, `kind`, `address` ("IP:port") and
-            `data_centre`; optionally `labels`, `state` and `born`.
+            `data_centre`; optionally `labels`, `state`, `born` and
+            `cold_remaining_ms`.
         """
         self.listed_id = document['id']
         self.born = document.get('born')
@@ -57,6 +66,9 @@
         self.data_centre = document['data_centre']
         self.labels = document.get('labels', {})
         self.state = document.get('state', LIVE)
+        self.cold_remaining_ms = document.get('cold_remaining_ms')
+        self.revision = None
+        self.is_restored = False
 
     def copy_restarted(self, born):
         """Return the record of another start of the same instance.
--- a/crankchute/core/forward_config.py
+++ b/crankchute/core/forward_config.py
@@ -19,11 +19,27 @@
       engine_figures: The EngineFigures of the pool's engines, or None for
         services.
       health_path: The path of the servers' health check.
+      cold_start_ms: How long a server is cold after a start.
+      cold_per_second: The requests a second that a cold server is made for.
     """
 
-    __slots__ = ('engine_figures', 'health_path', 'max_connections', 'name')
+    __slots__ = (
+        'cold_per_second',
+        'cold_start_ms',
+        'engine_figures',
+        'health_path',
+        'max_connections',
+        'name',
+    )
 
-    def __init__(self, name, max_connections, engine_figures, health_path='/'):
+    def __init__(
+        self,
+        name,
+        max_connections,
+        engine_figures,
+        health_path='/',
+        **cold_figures,
+    ):
         """Create a pool.
 
         Args:
@@ -31,11 +47,20 @@
           max_connections: An int.
           engine_figures: EngineFigures or None.
           health_path: A string.
+          cold_figures: Values for cold_start_ms and cold_per_second, 0 by
+            default.
         """
         self.name = name
         self.max_connections = max_connections
         self.engine_figures = engine_figures
         self.health_path = health_path
+        self.cold_start_ms = cold_figures.get('cold_start_ms', 0)
+        self.cold_per_second = cold_figures.get('cold_per_second', 0)
+
+    @property
+    def can_be_cold(self):
+        """Whether the servers of the pool are ever cold, a bool."""
+        return self.cold_start_ms > 0 and self.cold_per_second > 0
 
 
 class RequestLimits:
--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -36,10 +36,22 @@
 _FRESH_MS = 3000
 
 
+class NullListingObserver:
+    """Ignores which servers are listed."""
+
+    def record_listed(self, listed, pool):
+        """Do nothing; see ColdServers."""
+
+    def record_unlisted(self, identity):
+        """Do nothing; see ColdServers."""
+
+
 class ForwardFleet:
     """Backend servers by identity and by pool.
 
     Attributes:
+      listing_observer: Told of each entry and of each server that is dropped,
+        a ColdServers.
       pauses: The ServerPauses.
     """
 
@@ -52,6 +64,7 @@
         """
         self._timers = timers
         self.pauses = ServerPauses(timers.clock)
+        self.listing_observer = NullListingObserver()
         self._pool_label = pool_label
         self._on_restarted = []
         self._latest_starts = {}
@@ -287,6 +300,7 @@
             self._backends[listed.identity] = backend
         backend.listed = listed
         self._latest_starts[listed.listed_id] = listed
+        self.listing_observer.record_listed(listed, self.pool_of(backend))
         self._pools = {}
         if listed.state == LEAVING:
             self.record_drained(listed.identity)
@@ -311,6 +325,7 @@
             # The pause that it asked for, perhaps through another server,
             # outlasts the entry.
             self.pauses.pause_until(identity, backend.paused_until_ms)
+        self.listing_observer.record_unlisted(identity)
         self._listed_at_ms.pop(identity, None)
         self._removed_at_ms[identity] = self._now_ms()
         self._pools = {}
--- a/crankchute/core/limit_permits.py
+++ b/crankchute/core/limit_permits.py
@@ -2,7 +2,8 @@
 
 A token bucket per server enforces this instance's share of the limit.  Its
 capacity is small, so that there is no burst after an idle period or at the
-start.  Everything sent to the server takes a token: requests, memory
+start.  The bucket of a cold server starts empty, since requests may have been
+sent there until this instance learned that it is cold.  Everything sent to the server takes a token: requests, memory
 reservations and probes.  Messages that may not wait, such as the release of
 memory, are sent even without a token and delay later requests.
 """
@@ -13,8 +14,6 @@
 from crankchute.core.limit_shares import WINDOW_MS
 
 _MS_PER_SECOND = 1000
-#: The capacity of a bucket, as the time in which it fills; at least one token.
-_BURST_MS = 500
 #: A limited server that did not answer for this long is probed, since its limit
 #: may be too low for it to get any requests.
 PROBE_INTERVAL_MS = 2500
@@ -36,20 +35,22 @@
 
     __slots__ = ('tokens', 'updated_ms')
 
-    def __init__(self, now_ms):
-        self.tokens = inf
-        self.updated_ms = now_ms
+    def __init__(self, now_ms, since_ms):
+        self.tokens = inf if since_ms is None else 0
+        self.updated_ms = now_ms if since_ms is None else since_ms
 
-    def refill(self, rate, now_ms):
+    def refill(self, rate, now_ms, burst_ms):
         """Add the tokens earned since the last refill.
 
         Args:
           rate: Requests per millisecond.
           now_ms: The time in milliseconds.
+          burst_ms: The time in which the bucket fills; it holds at least one
+            token.
         """
         self.tokens += (now_ms - self.updated_ms) * rate
         self.updated_ms = now_ms
-        capacity = max(1, rate * _BURST_MS) if rate else 0
+        capacity = max(1, rate * burst_ms) if rate else 0
         self.tokens = min(self.tokens, capacity)
 
     def take(self, rate):
@@ -70,7 +71,7 @@
 
         Args:
           clock: A Clock.
-          limits: The limits that servers advertise.
+          limits: The LimitsInForce.
           shares: This instance's shares of the limits.
         """
         self._clock = clock
@@ -120,10 +121,14 @@
         Args:
           server: The server's id.
         """
-        limit = self._limits.limit_of(server)
+        limit = self._limits.find(server)
         if limit is None:
             return True
-        return self._rate(server) * _MS_PER_SECOND >= _MIN_HELPER_RATE
+        if self._rate(server) * _MS_PER_SECOND < _MIN_HELPER_RATE:
+            return False
+        # Reservations are sent without a permit, and a cold server fails if too
+        # many requests reach it at once.
+        return limit.since_ms is None or self.has_permit(server)
 
     def record_sent(self, server):
         """Count a request or message sent to a server.
@@ -158,14 +163,18 @@
 
     def _refill(self, server):
         now_ms = self._clock.now_ms()
+        limit = self._limits.find(server)
         bucket = self._buckets.get(server)
         if bucket is None:
-            bucket = _TokenBucket(now_ms)
+            bucket = _TokenBucket(now_ms, limit.since_ms)
             self._buckets[server] = bucket
-        bucket.refill(self._rate(server), now_ms)
+        bucket.refill(self._share_of(server, limit), now_ms, limit.burst_ms)
         return bucket
 
     def _rate(self, server):
         """Return this instance's rate for a server, per millisecond."""
-        limit = self._limits.limit_of(server)
-        return limit * self._shares.share_of(server, limit) / _MS_PER_SECOND
+        return self._share_of(server, self._limits.find(server))
+
+    def _share_of(self, server, limit):
+        share = self._shares.share_of(server, limit.spread)
+        return limit.rate * share / _MS_PER_SECOND
--- a/crankchute/core/permit_lending.py
+++ b/crankchute/core/permit_lending.py
@@ -76,14 +76,14 @@
           servers: The ids of servers that a request may be sent to, a list.
         """
         limits = {
-            identity: self._limits.advertised.limit_of(identity)
+            identity: self._limits.in_force.find(identity)
             for identity in servers
         }
         holders = {
             holder
             for server, limit in limits.items()
-            if limit
-            for holder in self._limits.shares.list_holders(server, limit)
+            if limit and limit.rate
+            for holder in self._limits.shares.list_holders(server, limit.spread)
         }
         now_ms = self._clock.now_ms()
         lenders = [
--- a/crankchute/core/server_notice.py
+++ b/crankchute/core/server_notice.py
@@ -16,11 +16,15 @@
       names_limit: Whether it names a limit, valid or not, a bool.
       limit: The requests a second that it accepts from all instances together,
         a float, or None if it names no valid limit.
+      cold_ms: For how long it is cold, in milliseconds, or None if it does not
+        say so.
     """
 
-    __slots__ = ('is_leaving', 'limit', 'names_limit', 'pause_ms')
+    __slots__ = ('cold_ms', 'is_leaving', 'limit', 'names_limit', 'pause_ms')
 
-    def __init__(self, *, is_leaving=False, pause_ms=0, limits=()):
+    def __init__(
+        self, *, is_leaving=False, pause_ms=0, limits=(), cold_ms=None
+    ):
         """Create the notice.
 
         Args:
@@ -28,7 +32,9 @@
           pause_ms: See the class.
           limits: The limits in the answer, floats, and None for each that is
             not a number; the smallest one counts.
+          cold_ms: See the class.
         """
+        self.cold_ms = cold_ms
         self.is_leaving = is_leaving
         self.pause_ms = pause_ms
         self.names_limit = bool(limits)
@@ -57,6 +63,7 @@
         self._fleet = fleet
         self._journal = journal
         self._limits = limits.advertised
+        self._cold = limits.cold
         self._permits = limits.permits
 
     def record_sent(self, backend):
@@ -83,6 +90,8 @@
         if notice.pause_ms:
             # The server looks idle, so it would be preferred to all others.
             self._pause(backend.identity, notice.pause_ms)
+        if notice.cold_ms is not None:
+            self._cold.record_answer(backend.identity, notice.cold_ms, sent_ms)
         # A limit ends with an answer that names none; an invalid one neither
         # sets nor ends it.
         if notice.limit is not None or not notice.names_limit:
--- a/crankchute/core/server_rate_limits.py
+++ b/crankchute/core/server_rate_limits.py
@@ -1,9 +1,11 @@
-"""Rate limits that backend servers advertise, as one instance applies them."""
+"""Rate limits of backend servers, as one instance applies them."""
 
 from crankchute.core.advertised_limits import AdvertisedLimits
+from crankchute.core.cold_servers import ColdServers
 from crankchute.core.limit_permits import LimitPermits
 from crankchute.core.limit_probes import LimitProber
 from crankchute.core.limit_shares import LimitShares, ParticipantTracker
+from crankchute.core.limits_in_force import LimitsInForce
 
 _PARTICIPANT_POLL_MS = 250
 
@@ -13,6 +15,8 @@
 
     Attributes:
       advertised: The limits that servers advertise.
+      cold: The ColdServers.
+      in_force: The LimitsInForce, the lower of both.
       permits: The permits of this instance to send to these servers.
       shares: This instance's shares of the limits.
     """
@@ -29,7 +33,9 @@
         self._participant_tracker = ParticipantTracker(instance)
         self.shares = LimitShares(timers.clock, instance)
         self.advertised = AdvertisedLimits(timers.clock, f'{instance}-{boot}')
-        self.permits = LimitPermits(timers.clock, self.advertised, self.shares)
+        self.cold = ColdServers(timers.clock)
+        self.in_force = LimitsInForce(self.advertised, self.cold)
+        self.permits = LimitPermits(timers.clock, self.in_force, self.shares)
 
     def start(self, list_active, is_unreachable, send_probe):
         """Start tracking the participants and probing limited servers.
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -24,6 +24,7 @@
 from crankchute.core.reservations import ReservationManager
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_list import ServerList
+from crankchute.entry.cold_server_setup import connect_cold_servers
 from crankchute.entry.forward_peers import ForwardPeers
 from crankchute.entry.limit_prober import LimitProber
 
@@ -88,11 +89,14 @@
       address_ttl_ms: How long callers may cache an address response.
       grace_ms: How long a shutdown may take.
       unused_ms: How long reserved engine memory may stay unused.
+      cold: The ColdBounds, or None if no server counts as cold.
     """
 
-    __slots__ = ('address_ttl_ms', 'grace_ms', 'retries', 'unused_ms')
+    __slots__ = ('address_ttl_ms', 'cold', 'grace_ms', 'retries', 'unused_ms')
 
-    def __init__(self, *, retries, address_ttl_ms, grace_ms, unused_ms):
+    def __init__(
+        self, *, retries, address_ttl_ms, grace_ms, unused_ms, cold=None
+    ):
         """Create the limits.
 
         Args:
@@ -100,7 +104,9 @@
           address_ttl_ms: Milliseconds.
           grace_ms: Milliseconds.
           unused_ms: Milliseconds.
+          cold: ColdBounds or None.
         """
+        self.cold = cold
         self.retries = retries
         self.address_ttl_ms = address_ttl_ms
         self.grace_ms = grace_ms
@@ -189,6 +195,8 @@
             limit_prober.probe,
         )
         self.holder.subscribe(self._on_config)
+        if limits.cold is not None:
+            connect_cold_servers(self, limits.cold)
         self._add_gauges()
         self.timers.every(
             _INSTANCE_COUNT_INTERVAL_MS, self._update_instance_count
@@ -305,7 +313,7 @@
         backend = self.fleet.get(engine)
         if backend is None:
             return []
-        limit_of = self.peers.limits.advertised.limit_of
+        limit_of = self.peers.limits.in_force.limit_of
         now_ms = self.now_ms()
         return [
             sibling
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -1,6 +1,7 @@
 """The state dump of an instance that forwards requests."""
 
 from crankchute.adapters.forward_journal import write_fingerprint
+from crankchute.entry.cold_server_setup import dump_cold_server
 
 
 def dump_forward_node(node):
@@ -66,7 +67,8 @@
         'in_flight': backend.in_flight,
         'left_alone': backend.breaker.is_open,
         'rests_for_ms': round(max(backend.paused_until_ms - node.now_ms(), 0)),
-        'limit': node.peers.limits.advertised.limit_of(backend.identity),
+        'limit': node.peers.limits.in_force.limit_of(backend.identity),
+        'cold': dump_cold_server(node.peers.limits.cold, backend.identity),
         'next_turn_ms': round(
             node.peers.limits.permits.wait_ms(backend.identity)
         ),
--- a/crankchute/entry/permit_lending.py
+++ b/crankchute/entry/permit_lending.py
@@ -93,7 +93,7 @@
         The borrower may not know yet that the server is leaving.
         """
         backend = self._fleet.get(server)
-        if backend is None or self._limits.advertised.limit_of(server) is None:
+        if backend is None or self._limits.in_force.limit_of(server) is None:
             return False
         return accepts_requests(self._fleet, backend, self._now_ms())
 
--- a/crankchute/platform/documents.py
+++ b/crankchute/platform/documents.py
@@ -101,9 +101,16 @@
         document.get('max-connections') or _DEFAULT_CONNECTIONS,
         None if engine is None else _decode_engine(engine, stall_ms),
         document.get('health-path') or _DEFAULT_HEALTH_PATH,
+        cold_start_ms=_read_number(document, 'cold-start-s') * _MS_PER_SECOND,
+        cold_per_second=_read_number(document, 'coldstart-per-s'),
     )
 
 
+def _read_number(document, name):
+    """Return a number of a document, 0 if it is missing."""
+    return float(document.get(name) or 0)
+
+
 def _decode_engine(engine, stall_ms):
     typical = engine.get('usual', {})
     return EngineFigures(
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -6,6 +6,7 @@
 from crankchute.adapters.http_intake import IntakeLimits
 from crankchute.adapters.operator_pages import OperatorPages
 from crankchute.core.admission import make_key_admission
+from crankchute.core.cold_servers import ColdBounds
 from crankchute.core.freshness_proof import choose_max_age_ms
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_notice import ServerNotices
@@ -278,4 +279,11 @@
         address_ttl_ms=ADDRESS_TTL_MS,
         grace_ms=bounds.grace_ms,
         unused_ms=bounds.unused_ms,
+        cold=_read_cold_bounds(bounds),
     )
+
+
+def _read_cold_bounds(bounds):
+    if bounds.cold_overage is None:
+        return None
+    return ColdBounds(bounds.cold_overage, bounds.cold_slack)
--- a/crankchute/platform/published.py
+++ b/crankchute/platform/published.py
@@ -86,7 +86,7 @@
                 )
                 for entry in entries
             }
-            listed = self._decode_entries(servers)
+            listed = self._decode_entries(servers, position)
             is_restored = self._is_restored(position)
             self._servers.replace_all(servers, position)
             self._replace_all(servers, listed, is_restored=is_restored)
@@ -122,7 +122,7 @@
         known = self._servers.revision
         if changes.revision <= known or changes.since > known:
             return False
-        listed = self._decode_entries(changes.entries)
+        listed = self._decode_entries(changes.entries, changes.revision)
         is_restored = self._is_restored(changes.revision)
         self._servers.apply_changes(changes)
         if changes.since:
@@ -131,14 +131,16 @@
             self._replace_all(changes.entries, listed, is_restored=is_restored)
         return True
 
-    def _decode_entries(self, entries):
+    def _decode_entries(self, entries, position):
         """Decode entries, and clear the payload of malformed ones.
 
         Args:
           entries: A map from id to Entry.
+          position: The position of the store that they lead to.
         Returns:
           A map from id to ListedServer.
         """
+        is_restored = self._is_restored(position)
         listed = {}
         for identity, entry in entries.items():
             if entry.payload is None:
@@ -148,6 +150,9 @@
             except ConfigError as exc:
                 self._log_rejected(identity, entry.revision, exc)
                 entry.payload = None
+        for identity, record in listed.items():
+            record.revision = entries[identity].revision
+            record.is_restored = is_restored
         return listed
 
     def _is_restored(self, position):
--- a/crankchute/platform/server_calls.py
+++ b/crankchute/platform/server_calls.py
@@ -11,7 +11,7 @@
 from crankchute.adapters.retry_after import read_retry_after_ms
 from crankchute.core.server_notice import ServerNotice
 from crankchute.platform.named_limits import parse_limits
-from crankchute.platform.wire import LEAVING, LIMIT, RETRY_AFTER
+from crankchute.platform.wire import COLD_MS, LEAVING, LIMIT, RETRY_AFTER
 from crankchute.ports.http import ResponseSink
 
 _TRUE_FLAG = '1'
@@ -131,4 +131,15 @@
         is_leaving=is_leaving,
         pause_ms=pause_ms,
         limits=parse_limits(limits),
+        cold_ms=_parse_cold_ms(status, headers),
     )
+
+
+def _parse_cold_ms(status, headers):
+    """Return the longest cold time in a response, None if it has none."""
+    if status == HTTPStatus.MISDIRECTED_REQUEST or COLD_MS not in headers:
+        # A misdirected request is answered by another server.
+        return None
+    times = parse_limits([headers[COLD_MS]])
+    # A value that is no number neither sets nor ends the cold time.
+    return max((one for one in times if one is not None), default=None)
--- a/crankchute/platform/server_entries.py
+++ b/crankchute/platform/server_entries.py
@@ -65,6 +65,7 @@
             'labels': {POOL_LABEL: document['service']},
             'state': _STATES[document['state']],
             'born': document.get('born'),
+            'cold_remaining_ms': document['cold-remaining-ms'],
         }
     )
 
--- a/crankchute/platform/settings.py
+++ b/crankchute/platform/settings.py
@@ -2,6 +2,7 @@
 
 import os
 import tomllib
+from math import inf
 
 from crankchute.errors import Finding, SettingsError
 from crankchute.settings import read_address
@@ -69,9 +70,14 @@
       unused_ms: How long a memory reservation may stay unused.
       is_revocation_strict: Whether requests are rejected when the instance
         cannot know if their key was revoked, a bool.
+      cold_overage: The tolerated factor on the request rate of cold servers,
+        or None if no server counts as cold.
+      cold_slack: The requests tolerated beyond that in each second.
     """
 
     __slots__ = (
+        'cold_overage',
+        'cold_slack',
         'config_apply_ms',
         'grace_ms',
         'is_revocation_strict',
@@ -235,6 +241,13 @@
     return float(number) * _MS_PER_SECOND
 
 
+def _read_non_negative(number):
+    number = float(number)
+    if not 0 <= number < inf:
+        raise ValueError('must be a number of at least 0')
+    return number
+
+
 def _read_bool(setting):
     if not isinstance(setting, bool):
         raise TypeError('must be true or false')
@@ -251,4 +264,6 @@
     ('retry_window_ms', 'retry-window-s', _read_seconds, 10_000),
     ('unused_ms', 'idle_max_ms', float, 9000),
     ('is_revocation_strict', 'strict-revocation', _read_bool, True),
+    ('cold_overage', 'cold-overage', _read_non_negative, None),
+    ('cold_slack', 'cold-slack', _read_non_negative, 0),
 )
--- a/crankchute/platform/wire.py
+++ b/crankchute/platform/wire.py
@@ -21,6 +21,8 @@
 #: The requests per second, a decimal number, that the responding server accepts
 #: from all instances together.  Applies while its responses contain it.
 LIMIT = 'server-limit'
+#: For how many milliseconds the responding server is cold; 0 if it is not.
+COLD_MS = 'x-crankchute-cold-ms'
 #: How often the store was restored from an older snapshot; in all responses.
 STORE_ERA = 'store-era'
 #: With a 503: for how many seconds the server must not be called again.
