--- a/bench/limit_ways.py
+++ b/bench/limit_ways.py
@@ -266,7 +266,7 @@
         def take_offer():
             offer = None
             if lender_instance is not None:
-                words = lender_instance.limits.advertised
+                words = lender_instance.limits.in_force
                 limited = [
                     wanted for wanted in servers if words.limit_of(wanted)
                 ]
--- a/crankchute/core/cold_servers.py
+++ b/crankchute/core/cold_servers.py
@@ -249,7 +249,7 @@
 
     def _is_cold(self, identity, state):
         pool = self.pools.get(state.pool)
-        if pool is None or not pool.can_be_cold:
+        if self.bounds is None or pool is None or not pool.can_be_cold:
             return False
         self._apply_withdrawal(identity, state)
         return state.until_ms > self._clock.now_ms()
--- a/crankchute/core/cold_servers_test.py
+++ b/crankchute/core/cold_servers_test.py
@@ -9,13 +9,14 @@
 
 SERVER = 'i-1'
 POOL = 'pool'
+BOUNDS = ColdBounds(1.5, 5)
 _COLD_START_MS = 10_000
 
 
 class ColdHarness:
     """One server, and the reports of its cold time."""
 
-    def __init__(self, bounds=ColdBounds(1.5, 5), **figures):
+    def __init__(self, bounds=BOUNDS, **figures):
         self.timers = ManualTimers()
         self.cold = ColdServers(self.timers.clock)
         self.cold.bounds = bounds
@@ -64,8 +65,8 @@
     ('bounds', 'figures'),
     [
         (None, {}),
-        (ColdBounds(1.5, 5), {'cold_start_ms': 0}),
-        (ColdBounds(1.5, 5), {'cold_per_second': 0}),
+        (BOUNDS, {'cold_start_ms': 0}),
+        (BOUNDS, {'cold_per_second': 0}),
     ],
 )
 def test_nothing_is_cold_unless_configured(bounds, figures):
--- a/crankchute/entry/cold_server_setup.py
+++ b/crankchute/entry/cold_server_setup.py
@@ -26,6 +26,18 @@
     )
 
 
+def reload_cold_bounds(node, bounds):
+    """Apply changed bounds; the limits of cold servers are only enabled at start.
+
+    Args:
+      node: The ForwardNode.
+      bounds: ColdBounds, or None to limit no requests to cold servers.
+    """
+    cold = node.peers.limits.cold
+    if node.fleet.listing_observer is cold:
+        cold.bounds = bounds
+
+
 def log_cold_server(identity, remaining_ms, source):
     """Log that a server becomes cold, or that its cold time changes.
 
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -24,7 +24,10 @@
 from crankchute.core.reservations import ReservationManager
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_list import ServerList
-from crankchute.entry.cold_server_setup import connect_cold_servers
+from crankchute.entry.cold_server_setup import (
+    connect_cold_servers,
+    reload_cold_bounds,
+)
 from crankchute.entry.forward_peers import ForwardPeers
 from crankchute.entry.limit_prober import LimitProber
 
@@ -221,6 +224,7 @@
         self._limits = limits
         self.desk.change_limits(limits.retries)
         self._reservations.change_limits(limits.unused_ms)
+        reload_cold_bounds(self, limits.cold)
         self.peers.replace_seeds(seeds)
 
     def stop(self):
--- a/crankchute/platform/documents_test.py
+++ b/crankchute/platform/documents_test.py
@@ -118,3 +118,25 @@
     with pytest.raises(ConfigError) as raised:
         decode_config(payload)
     assert raised.value.findings[0].location == 'op/config'
+
+
+@pytest.mark.parametrize(
+    ('fields', 'cold_start_ms', 'per_second', 'can_be_cold'),
+    [
+        ({}, 0, 0, False),
+        ({'cold-start-s': 30, 'coldstart-per-s': 26}, 30_000, 26, True),
+        ({'cold-start-s': 0, 'coldstart-per-s': 26}, 0, 26, False),
+        ({'cold-start-s': 30, 'coldstart-per-s': 0}, 30_000, 0, False),
+        ({'cold-start-s': 30, 'coldstart-per-s': None}, 30_000, 0, False),
+        ({'cold-start-s': 0.5, 'coldstart-per-s': 0.5}, 500, 0.5, True),
+    ],
+)
+def test_cold_figures_of_a_service_are_optional(
+    fields, cold_start_ms, per_second, can_be_cold
+):
+    """A service without both must never count as cold."""
+    config = decode_with(services=[{'name': 'plain', **fields}])
+    pool = config.pools['plain']
+    assert pool.cold_start_ms == cold_start_ms
+    assert pool.cold_per_second == per_second
+    assert pool.can_be_cold is can_be_cold
--- a/crankchute/platform/published_test.py
+++ b/crankchute/platform/published_test.py
@@ -10,6 +10,7 @@
 from crankchute.platform.published import PublishedServers
 from crankchute.platform.server_entries import POOL_LABEL
 from crankchute.platform.store_pages import StoreEntry
+from crankchute.platform.store_position import make_position
 from crankchute.platform.wire import SERVERS_PREFIX
 
 POOL = 'pool-a'
@@ -231,3 +232,17 @@
     late = ChangeSet(7, 8, {'a': Entry(8, write_server('draining', born=100))})
     harness.published.apply(late)
     assert 'a@200' in harness.members()
+
+
+@pytest.mark.parametrize(
+    ('position', 'is_restored'),
+    [(6, False), (make_position(1, 6), True)],
+)
+def test_age_of_an_entry_is_passed_on(position, is_restored):
+    """The cold time in an entry that is read again has passed meanwhile."""
+    harness = Harness()
+    entry = make_entry('a', 3, write_server())
+    harness.published.on_entries([entry], 0, position)
+    listed = harness.fleet.get('a').listed
+    assert listed.revision == 3
+    assert listed.is_restored is is_restored
--- a/crankchute/platform/server_calls_test.py
+++ b/crankchute/platform/server_calls_test.py
@@ -39,6 +39,26 @@
     assert describe(parse_notice(status, headers)) == expected
 
 
+@pytest.mark.parametrize(
+    ('status', 'headers', 'cold_ms'),
+    [
+        (200, {}, None),
+        (200, {'x-crankchute-cold-ms': '1500'}, 1500),
+        (200, {'x-crankchute-cold-ms': '0'}, 0),
+        (503, {'x-crankchute-cold-ms': '20.5'}, 20.5),
+        # Of two values, the longer time counts.
+        (200, {'x-crankchute-cold-ms': '0, 900'}, 900),
+        (200, {'x-crankchute-cold-ms': '-1'}, None),
+        (200, {'x-crankchute-cold-ms': 'soon'}, None),
+        # Another server answers; its cold time is not this server's.
+        (421, {'x-crankchute-cold-ms': '0'}, None),
+    ],
+)
+def test_cold_time_is_parsed_from_response_head(status, headers, cold_ms):
+    """An invalid time must not end that of a cold server."""
+    assert parse_notice(status, headers).cold_ms == cold_ms
+
+
 class FakeClient:
     """Records the sink of the last call."""
 
--- a/crankchute/platform/server_entries_test.py
+++ b/crankchute/platform/server_entries_test.py
@@ -40,6 +40,13 @@
     assert listed.address == ('10.0.0.1', 80)
     assert listed.state == expected
     assert listed.born is None
+    assert listed.cold_remaining_ms == 0
+
+
+def test_cold_time_of_an_entry_is_kept():
+    """A cold server that counts as warm fails under the load."""
+    entry = {**ENTRY, 'cold-remaining-ms': 1500}
+    assert read_server('i-1', orjson.dumps(entry)).cold_remaining_ms == 1500
 
 
 def test_identity_includes_the_start_time():
--- a/crankchute/platform/settings_test.py
+++ b/crankchute/platform/settings_test.py
@@ -94,3 +94,27 @@
 def test_strict_revocation_must_be_a_boolean():
     with pytest.raises(SettingsError):
         read_settings({**DOCUMENT, 'bounds': {'strict-revocation': 'no'}})
+
+
+@pytest.mark.parametrize(
+    ('fields', 'overage', 'slack'),
+    [
+        ({}, None, 0),
+        ({'cold-overage': 1.5}, 1.5, 0),
+        ({'cold-overage': 1.5, 'cold-slack': 5}, 1.5, 5),
+    ],
+)
+def test_cold_bounds_are_optional(fields, overage, slack):
+    """Without the overage, requests to cold servers are not limited."""
+    bounds = read_settings({**DOCUMENT, 'bounds': fields}).bounds
+    assert bounds.cold_overage == overage
+    assert bounds.cold_slack == slack
+
+
+@pytest.mark.parametrize('name', ['cold-overage', 'cold-slack'])
+@pytest.mark.parametrize('number', [-1, float('nan'), float('inf'), 'much'])
+def test_invalid_cold_bounds_are_refused(name, number):
+    """They would stop all requests to cold servers, or none."""
+    with pytest.raises(SettingsError) as raised:
+        read_settings({**DOCUMENT, 'bounds': {name: number}})
+    assert raised.value.findings[0].location == f'bounds.{name}'
--- a/crankchute/platform/standin_engine.py
+++ b/crankchute/platform/standin_engine.py
@@ -111,6 +111,7 @@
       rest: The Retry-After header with which it rejects all requests, a
         string, or None if it accepts them.
       limits: The texts of the limit headers in its responses; empty for none.
+      cold_ms: The text of the header with its cold time, or None for none.
       arrivals: The number of requests received, an int.
       reached_ms: The times at which requests, orders and probes arrived, on
         the loop's clock, a list.
@@ -149,6 +150,7 @@
         self.is_leaving = False
         self.rest = None
         self.limits = ()
+        self.cold_ms = None
         self.arrivals = 0
         self.reached_ms = []
         self.probes = 0
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -9,6 +9,7 @@
 
 from crankchute.adapters.http_client import HttpClient
 from crankchute.adapters.loop import Loop
+from crankchute.core.cold_servers import ColdBounds
 from crankchute.core.fleet import ListedServer
 from crankchute.core.forward_config import ForwardConfig, PoolConfig
 from crankchute.core.forward_fakes import (
@@ -58,6 +59,8 @@
 _UNUSED_MS = 9000
 #: How many of the newest instances are seeds of the next.
 _SEEDS = 3
+#: The bound on requests to cold servers.
+COLD_BOUNDS = ColdBounds(overage=1.5, slack=5)  # noqa: WPS432
 _RETRIES = RetryLimits(ratio=0, slack=100, window_ms=1000)
 
 
@@ -70,14 +73,18 @@
       nodes: The ForwardNodes, a list.
     """
 
-    def __init__(self, instances=3, engines=12, *, is_plain=False):
+    def __init__(
+        self, instances=3, engines=12, *, is_plain=False, cold_per_second=0
+    ):
         """Start all, and wait until the instances know each other.
 
         Args:
           instances: The number of instances.
           engines: The number of servers.
           is_plain: Whether the servers are plain ones instead of engines.
+          cold_per_second: The rate of cold servers; 0 if none counts as cold.
         """
+        self._cold_per_second = cold_per_second
         self.loop = Loop()
         self._by_address = {}
         figures = make_figures(memory_tokens=_MEMORY)
@@ -100,6 +107,7 @@
             address_ttl_ms=1000,
             grace_ms=_DEADLINE_MS,
             unused_ms=_UNUSED_MS,
+            cold=COLD_BOUNDS if self._cold_per_second else None,
         )
         client = HttpClient(
             f'hub-{identity.instance}',
@@ -123,8 +131,15 @@
             node.peers.limits,
         )
         self.nodes.append(node)
-        pools = [PoolConfig(POOL, _CONNECTIONS, self._figures, HEALTH_PATH)]
-        node.holder.offer(ForwardConfig(1, [], pools), b'')
+        pool = PoolConfig(
+            POOL,
+            _CONNECTIONS,
+            self._figures,
+            HEALTH_PATH,
+            cold_start_ms=_DEADLINE_MS,
+            cold_per_second=self._cold_per_second,
+        )
+        node.holder.offer(ForwardConfig(1, [], [pool]), b'')
         for engine in self.engines:
             if engine.is_up:
                 node.fleet.put(list_engine(engine))
@@ -275,6 +290,7 @@
             'data_centre': 'here',
             'labels': {'pool': POOL},
             'born': engine.born,
+            'cold_remaining_ms': 0,
         }
     )
 
