--- a/crankchute/core/cold_servers_test.py
+++ b/crankchute/core/cold_servers_test.py
@@ -238,3 +238,12 @@
         assert 2 * burst + limit.rate * 1.25 * 1.2 <= allowed + 1e-6
     elif limit.rate:
         assert burst + limit.rate * 1.2 <= allowed
+
+
+def test_reload_without_the_setting_ends_all_limits():
+    """The known cold times must not be applied without a bound."""
+    harness = ColdHarness()
+    harness.put(5000)
+    harness.cold.bounds = None
+    assert harness.cold.rate_of(SERVER) is None
+    assert not harness.cold.count()
--- a/crankchute/core/limits_in_force_test.py
+++ b/crankchute/core/limits_in_force_test.py
@@ -6,6 +6,7 @@
 from crankchute.core.fakes import ManualTimers
 from crankchute.core.fleet import ListedServer
 from crankchute.core.forward_config import PoolConfig
+from crankchute.core.hashing import rank_by_hash
 from crankchute.core.server_rate_limits import ServerRateLimits
 
 SERVER = 'i-1'
@@ -13,6 +14,18 @@
 _WINDOW_MS = 4000
 
 
+def make_listed(remaining_ms):
+    return ListedServer(
+        {
+            'id': SERVER,
+            'kind': 'backend',
+            'address': '10.0.0.1:80',
+            'data_centre': 'here',
+            'cold_remaining_ms': remaining_ms,
+        }
+    )
+
+
 class LimitsHarness:
     """An instance, and a server that may be cold and advertise a limit."""
 
@@ -38,15 +51,7 @@
 
     def put(self, remaining_ms):
         self._revision += 1
-        listed = ListedServer(
-            {
-                'id': SERVER,
-                'kind': 'backend',
-                'address': '10.0.0.1:80',
-                'data_centre': 'here',
-                'cold_remaining_ms': remaining_ms,
-            }
-        )
+        listed = make_listed(remaining_ms)
         listed.revision = self._revision
         self.limits.cold.record_listed(listed, POOL)
 
@@ -134,3 +139,67 @@
     harness.put(60_000)
     harness.timers.advance(20_000)
     assert not harness.probed
+
+
+class PartitionHarness:
+    """Five instances that send all that they may; two are cut off for a time."""
+
+    def __init__(self, per_second, cut_off):
+        self.timers = ManualTimers()
+        self.names = [f'entry-{number}' for number in range(5)]
+        self.cut_off = cut_off
+        self.is_partitioned = False
+        self.sent_ms = []
+        self.limits = [
+            self.start_instance(name, per_second) for name in self.names
+        ]
+
+    def start_instance(self, name, per_second):
+        limits = ServerRateLimits(self.timers, name, 'boot')
+        limits.cold.bounds = ColdBounds(1.5, 5)
+        limits.cold.pools = {
+            POOL: PoolConfig(
+                POOL, 8, None, cold_start_ms=9000, cold_per_second=per_second
+            )
+        }
+        limits.cold.record_listed(make_listed(60_000), POOL)
+        limits.start(
+            lambda: [one for one in self.names if self.reaches(name, one)],
+            lambda other: not self.reaches(name, other),
+            lambda _server: None,
+        )
+        return limits
+
+    def reaches(self, first, second):
+        is_same_side = (first in self.cut_off) == (second in self.cut_off)
+        return is_same_side or not self.is_partitioned
+
+    def send_all(self, for_ms):
+        for _ in range(for_ms // 10):
+            for limits in self.limits:
+                while limits.permits.has_permit(SERVER):
+                    limits.permits.record_sent(SERVER)
+                    self.sent_ms.append(self.timers.clock.now_ms())
+            self.timers.advance(10)
+
+    def max_per_second(self):
+        return max(
+            sum(start <= sent_ms < start + 1000 for sent_ms in self.sent_ms)
+            for start in self.sent_ms
+        )
+
+
+@pytest.mark.parametrize('per_second', [1, 5, 26])
+@pytest.mark.parametrize('first', [0, 1, 3])
+def test_bound_holds_while_holders_are_cut_off(per_second, first):
+    """Both sides send then; at worst, all holders are in the smaller part."""
+    names = [f'entry-{number}' for number in range(5)]
+    cut_off = rank_by_hash(SERVER, names)[first : first + 2]
+    harness = PartitionHarness(per_second, cut_off)
+    harness.send_all(8000)
+    for is_partitioned in (True, False):
+        harness.is_partitioned = is_partitioned
+        harness.timers.advance(700)
+        harness.send_all(8000)
+    assert harness.max_per_second() <= per_second * 1.5 + 5
+    assert len(harness.sent_ms) > per_second * 24 * 0.5
