--- a/bench/cold_return.py
+++ b/bench/cold_return.py
@@ -11,7 +11,7 @@
 
 from bench.limit_ways import Case, World, ways
 from bench.model_desk import EndSink
-from crankchute.core.cold_servers import ColdBounds
+from crankchute.core.cold_bounds import ColdBounds
 from crankchute.core.fleet import ListedServer
 from crankchute.core.forward_config import PoolConfig
 from crankchute.core.forward_fakes import POOL, make_backends, make_job
--- a/crankchute/core/cold_servers_test.py
+++ b/crankchute/core/cold_servers_test.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from crankchute.core.cold_servers import ColdBounds, ColdServers
+from crankchute.core.cold_bounds import ColdBounds
+from crankchute.core.cold_servers import ColdServers
 from crankchute.core.fakes import ManualTimers
 from crankchute.core.fleet import ListedServer
 from crankchute.core.forward_config import PoolConfig
--- a/crankchute/core/limits_in_force_test.py
+++ b/crankchute/core/limits_in_force_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from crankchute.core.cold_servers import ColdBounds
+from crankchute.core.cold_bounds import ColdBounds
 from crankchute.core.fakes import ManualTimers
 from crankchute.core.fleet import ListedServer
 from crankchute.core.forward_config import PoolConfig
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -6,7 +6,7 @@
 from crankchute.adapters.http_intake import IntakeLimits
 from crankchute.adapters.operator_pages import OperatorPages
 from crankchute.core.admission import make_key_admission
-from crankchute.core.cold_servers import ColdBounds
+from crankchute.core.cold_bounds import ColdBounds
 from crankchute.core.freshness_proof import choose_max_age_ms
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_notice import ServerNotices
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -9,7 +9,7 @@
 
 from crankchute.adapters.http_client import HttpClient
 from crankchute.adapters.loop import Loop
-from crankchute.core.cold_servers import ColdBounds
+from crankchute.core.cold_bounds import ColdBounds
 from crankchute.core.fleet import ListedServer
 from crankchute.core.forward_config import ForwardConfig, PoolConfig
 from crankchute.core.forward_fakes import (
