Merge the limits of cold servers, and defer prompts only behind their competitors

Urgent long prompts of some accounts that were refused deferred the short prompts of all others, though they compete for other engines. The clean-up of the merge moves the converters of settings and the limits of an instance to modules of their own.

--- a/crankchute/core/engine_work.py
+++ b/crankchute/core/engine_work.py
@@ -25,6 +25,22 @@
 _SLOWNESS_HALF_LIFE_MS = 3000
 
 
+#: The attributes of a WorkItem that its constructor takes.
+_GIVEN_FIELDS = (
+    'prefill_ms',
+    'memory',
+    'is_decoding',
+    'gap_ms',
+    'weight',
+    'priority',
+    'until_ms',
+    'due_ms',
+    'first_event_at_ms',
+    'is_prioritized',
+    'account',
+)
+
+
 class Change(enum.IntEnum):
     """A state change of a piece of work."""
 
@@ -89,17 +105,8 @@
         self.engine = engine
         self.origin = None
         self.sent_ms = None
-        self.prefill_ms = fields['prefill_ms']
-        self.memory = fields['memory']
-        self.is_decoding = fields['is_decoding']
-        self.gap_ms = fields['gap_ms']
-        self.weight = fields['weight']
-        self.priority = fields['priority']
-        self.until_ms = fields['until_ms']
-        self.due_ms = fields['due_ms']
-        self.first_event_at_ms = fields['first_event_at_ms']
-        self.is_prioritized = fields['is_prioritized']
-        self.account = fields['account']
+        for name in _GIVEN_FIELDS:
+            setattr(self, name, fields[name])
         self.started = False
         self.is_delayed = False
 
--- a/crankchute/core/prompt_admission.py
+++ b/crankchute/core/prompt_admission.py
@@ -26,6 +26,7 @@
 import math
 
 from crankchute.core.engine_plans import is_safely_on_time
+from crankchute.core.length_demand import LONG_PROMPT_FACTOR
 from crankchute.core.outcomes import refuse_not_run
 
 #: The share of its worth that a prompt on time loses by a retry: an answer
@@ -103,6 +104,11 @@
         self.worth = worth
         self.harm = harm
 
+    @property
+    def is_long(self):
+        """Whether it competes for the engines reserved for long prompts."""
+        return self.worth > LONG_PROMPT_FACTOR
+
 
 def limit_excess(excess):
     """Return the divisor of what a prompt of an account counts for.
@@ -209,13 +215,13 @@
 class PromptAdmission:
     """The admission control of one pool."""
 
-    __slots__ = ('_by_priority', '_by_size', '_overall')
+    __slots__ = ('_by_size', '_losses', '_overall')
 
     def __init__(self):
         """Create the state without any decisions."""
         self._overall = AdmissionRate()
         self._by_size = {}
-        self._by_priority = {}
+        self._losses = {}
 
     def admits(self, estimate, now_ms):
         """Decide whether a prompt is admitted, and record the decision.
@@ -229,7 +235,8 @@
         # Each size class spans a factor of two.
         size_class = math.floor(math.log2(estimate.worth))
         similar = self._by_size.setdefault(size_class, AdmissionRate())
-        losses = self._losses_of(estimate.priority)
+        key = (estimate.priority, estimate.is_long)
+        losses = self._losses.setdefault(key, LossRate())
         is_admitted = self._is_timely(estimate, losses, now_ms)
         if is_admitted:
             is_admitted = self._is_due(estimate, similar, losses, now_ms)
@@ -247,7 +254,7 @@
         """
         return [
             priority
-            for priority, losses in self._by_priority.items()
+            for (priority, _is_long), losses in self._losses.items()
             if losses.is_high(now_ms)
         ]
 
@@ -262,15 +269,23 @@
         share = _NEW_TIME_SHARE
         if estimate.is_returning:
             share = _RETURNING_TIME_SHARE
-        if len(self._by_priority) == 1:
+        if not self._has_priorities():
             share = 1 if estimate.excess > 1 else math.inf
         return not is_late_by_load(estimate, share / estimate.excess)
 
+    def _has_priorities(self):
+        return len({priority for priority, _is_long in self._losses}) > 1
+
     def _is_due(self, estimate, similar, losses, now_ms):
-        """Return whether a prompt is admitted before its competitors."""
+        """Return whether a prompt is admitted before its competitors.
+
+        Short prompts do not wait for long ones, however urgent, since these
+        are limited by the engines reserved for them.
+        """
         is_deferred = any(
-            other < estimate.priority
-            for other in self.list_short_priorities(now_ms)
+            losses.is_high(now_ms)
+            for (priority, is_long), losses in self._losses.items()
+            if priority < estimate.priority and is_long <= estimate.is_long
         )
         min_rate = _MIN_DEFERRED_RATE if is_deferred else _MIN_RELATIVE_RATE
         is_underserved = similar.rate() < self._overall.rate() * min_rate
@@ -279,9 +294,6 @@
         excess = estimate.excess if losses.is_high(now_ms) else 1
         return is_worth_admitting(estimate, excess)
 
-    def _losses_of(self, priority):
-        return self._by_priority.setdefault(priority, LossRate())
-
 
 def refuse_overloaded(hints, remaining_ms, inputs=None):
     """Return the refusal of a prompt that is not admitted.
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -10,13 +10,7 @@
 from crankchute.core.freshness_proof import choose_max_age_ms
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_notice import ServerNotices
-from crankchute.core.sliding_budget import RetryLimits
-from crankchute.entry.forward_node import (
-    ForwardLimits,
-    ForwardNode,
-    ForwardWiring,
-    InstanceIdentity,
-)
+from crankchute.entry.forward_node import ForwardNode, ForwardWiring
 from crankchute.entry.forward_state import dump_forward_node
 from crankchute.errors import RequestRefused
 from crankchute.platform.answers import ExchangeAnswer
@@ -24,6 +18,11 @@
 from crankchute.platform.directory import DirectoryHandler, ReadinessHandler
 from crankchute.platform.engine_orders import EngineOrders
 from crankchute.platform.engine_reports import EngineReports
+from crankchute.platform.instance_limits import (
+    ADDRESS_TTL_MS,
+    read_identity,
+    read_limits,
+)
 from crankchute.platform.published import PublishedConfig, PublishedServers
 from crankchute.platform.published_evacuations import PublishedOperatorKeys
 from crankchute.platform.requests import RequestReader
@@ -37,9 +36,6 @@
     SERVERS_PREFIX,
 )
 
-#: How long callers may cache addresses: short enough to stop using a lost
-#: instance soon, long enough to keep the load of lookups low.
-ADDRESS_TTL_MS = 1000
 #: How long a watch call waits.  The proof that data is current is less than
 #: twice as old, and a reader notices after this time that the store is lost.
 _WATCH_WAIT_MS = 1200
@@ -101,8 +97,8 @@
         )
         self.node = ForwardNode(
             loop,
-            _read_identity(settings),
-            _read_limits(settings.bounds),
+            read_identity(settings),
+            read_limits(settings.bounds),
             wiring,
         )
         calls.listener = ServerNotices(
@@ -135,7 +131,7 @@
         """
         self.settings = settings
         self._reader.admission = make_key_admission(settings.bounds)
-        self.node.reload(_read_limits(settings.bounds), settings.seeds)
+        self.node.reload(read_limits(settings.bounds), settings.seeds)
 
     def _listen_all(self, loop):
         listeners = self.settings.listeners
@@ -273,28 +269,3 @@
 
 def _reads_evacuations(settings):
     return settings.bounds.evacuate_ms is not None
-
-
-def _read_identity(settings):
-    return InstanceIdentity(
-        settings.instance,
-        settings.data_centre,
-        peer_address=settings.listeners.peers,
-        caller_address=settings.listeners.callers,
-        seeds=settings.seeds,
-        strength=settings.millicores,
-    )
-
-
-def _read_limits(bounds):
-    retries = RetryLimits(
-        ratio=bounds.retry_ratio,
-        slack=bounds.retry_slack,
-        window_ms=bounds.retry_window_ms,
-    )
-    return ForwardLimits(
-        retries=retries,
-        address_ttl_ms=ADDRESS_TTL_MS,
-        grace_ms=bounds.grace_ms,
-        unused_ms=bounds.unused_ms,
-    )
--- a/crankchute/platform/settings.py
+++ b/crankchute/platform/settings.py
@@ -4,11 +4,18 @@
 import tomllib
 
 from crankchute.errors import Finding, SettingsError
+from crankchute.platform.setting_values import (
+    read_addresses,
+    read_bool,
+    read_names,
+    read_non_negative,
+    read_range,
+    read_seconds,
+)
 from crankchute.settings import read_address
 
 _PATH_VARIABLE = 'CRANKCHUTE_CONFIG'
 _DEFAULT_PATH = '/etc/crankchute/settings.toml'
-_MS_PER_SECOND = 1000
 _MILLICORES_PER_CORE = 1000
 _MISSING = object()
 
@@ -71,9 +78,14 @@
       unused_ms: How long a memory reservation may stay unused.
       is_revocation_strict: Whether requests are rejected when the instance
         cannot know if their key was revoked, a bool.
+      cold_overage: The tolerated factor on the request rate of cold servers,
+        or None if no server counts as cold.
+      cold_slack: The requests tolerated beyond that in each second.
     """
 
     __slots__ = (
+        'cold_overage',
+        'cold_slack',
         'config_apply_ms',
         'evacuate_ms',
         'grace_ms',
@@ -190,10 +202,10 @@
     settings = InstanceSettings(
         instance=reader.read('node-name', str),
         data_centre=reader.read('zone', str),
-        data_centres=reader.read('zones', _read_names, ()),
+        data_centres=reader.read('zones', read_names, ()),
         listeners=_read_listeners(reader),
-        seeds=reader.read('seeds', _read_addresses, ()),
-        peer_ports=reader.read('internal-port-range', _read_range),
+        seeds=reader.read('seeds', read_addresses, ()),
+        peer_ports=reader.read('internal-port-range', read_range),
         store=reader.read('platform.address', read_address),
         bounds=_read_bounds(reader),
         millicores=_read_millicores(reader),
@@ -228,40 +240,17 @@
     return round(share * cores * _MILLICORES_PER_CORE)
 
 
-def _read_addresses(texts):
-    return tuple(read_address(text) for text in texts)
-
-
-def _read_names(setting):
-    """Return the names in a list or a table; others are ignored."""
-    names = setting if isinstance(setting, (dict, list)) else ()
-    return tuple(name for name in names if isinstance(name, str))
-
-
-def _read_range(ports):
-    first, last = ports
-    return int(first), int(last)
-
-
-def _read_seconds(number):
-    return float(number) * _MS_PER_SECOND
-
-
-def _read_bool(setting):
-    if not isinstance(setting, bool):
-        raise TypeError('must be true or false')
-    return setting
-
-
 #: The attributes of Bounds: attribute, key in the file, converter, default.
 _BOUNDS = (
-    ('grace_ms', 'grace-s', _read_seconds, 8000),
+    ('grace_ms', 'grace-s', read_seconds, 8000),
     ('config_apply_ms', 'config-apply-ms', float, 3000),
     ('evacuate_ms', 'evacuate-ms', float, None),
     ('revoke_ms', 'revoke-ms', float, 5000),
     ('retry_ratio', 'retry-budget-ratio', float, 0.1),
     ('retry_slack', 'retry-slack', float, 10),
-    ('retry_window_ms', 'retry-window-s', _read_seconds, 10_000),
+    ('retry_window_ms', 'retry-window-s', read_seconds, 10_000),
     ('unused_ms', 'idle_max_ms', float, 9000),
-    ('is_revocation_strict', 'strict-revocation', _read_bool, True),
+    ('is_revocation_strict', 'strict-revocation', read_bool, True),
+    ('cold_overage', 'cold-overage', read_non_negative, None),
+    ('cold_slack', 'cold-slack', read_non_negative, 0),
 )
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -10,6 +10,7 @@
 from crankchute.adapters.http_client import HttpClient
 from crankchute.adapters.loop import Loop
 from crankchute.core.evacuations import Evacuations
+from crankchute.core.cold_bounds import ColdBounds
 from crankchute.core.fleet import ListedServer
 from crankchute.core.forward_config import ForwardConfig, PoolConfig
 from crankchute.core.forward_fakes import (
@@ -59,6 +60,8 @@
 _UNUSED_MS = 9000
 #: How many of the newest instances are seeds of the next.
 _SEEDS = 3
+#: The bound on requests to cold servers.
+COLD_BOUNDS = ColdBounds(overage=1.5, slack=5)  # noqa: WPS432
 _RETRIES = RetryLimits(ratio=0, slack=100, window_ms=1000)
 
 
@@ -72,7 +75,13 @@
     """
 
     def __init__(
-        self, instances=3, engines=12, *, is_plain=False, evacuates=False
+        self,
+        instances=3,
+        engines=12,
+        *,
+        is_plain=False,
+        evacuates=False,
+        cold_per_second=0,
     ):
         """Start all, and wait until the instances know each other.
 
@@ -82,8 +91,10 @@
           is_plain: Whether the servers are plain ones instead of engines.
           evacuates: Whether instances heed evacuations, which a test must pass
             to them before they serve.
+          cold_per_second: The rate of cold servers; 0 if none counts as cold.
         """
         self._evacuates = evacuates
+        self._cold_per_second = cold_per_second
         self.loop = Loop()
         self._by_address = {}
         figures = make_figures(memory_tokens=_MEMORY)
@@ -106,6 +117,7 @@
             address_ttl_ms=1000,
             grace_ms=_DEADLINE_MS,
             unused_ms=_UNUSED_MS,
+            cold=COLD_BOUNDS if self._cold_per_second else None,
         )
         client = HttpClient(
             f'hub-{identity.instance}',
@@ -129,8 +141,15 @@
             node.peers.limits,
         )
         self.nodes.append(node)
-        pools = [PoolConfig(POOL, _CONNECTIONS, self._figures, HEALTH_PATH)]
-        node.holder.offer(ForwardConfig(1, [], pools), b'')
+        pool = PoolConfig(
+            POOL,
+            _CONNECTIONS,
+            self._figures,
+            HEALTH_PATH,
+            cold_start_ms=_DEADLINE_MS,
+            cold_per_second=self._cold_per_second,
+        )
+        node.holder.offer(ForwardConfig(1, [], [pool]), b'')
         for engine in self.engines:
             if engine.is_up:
                 node.fleet.put(list_engine(engine))
@@ -282,6 +301,7 @@
             'data_centre': data_centre,
             'labels': {'pool': POOL},
             'born': engine.born,
+            'cold_remaining_ms': 0,
         }
     )
 
