Bound the memory held for callers and servers that read slowly

A caller that did not read let the process buffer its whole answer. SendBuffers decides which answers pause, resume and end; Backpressure applies this to the sockets where the settings hold limits.memory-mb.

--- a/crankchute/adapters/forward_server.py
+++ b/crankchute/adapters/forward_server.py
@@ -15,12 +15,20 @@
 
 from crankchute.adapters.http_intake import DEFAULT_LIMITS, RequestReader
 from crankchute.adapters.log import log_change
-from crankchute.adapters.sockets import DirectServer, set_tcp_options
+from crankchute.adapters.sockets import (
+    DirectServer,
+    bound_buffer,
+    set_tcp_options,
+)
 from crankchute.errors import RequestRefused
 
 _TIMEOUT_CHECK_MS = 500
 #: Limit on the bytes buffered of a next request while one is being answered.
 _MAX_PENDING_BYTES = 65_536
+#: TCP_USER_TIMEOUT for callers whose unsent bytes are bounded.  The system also
+#: applies it to callers that do not read, so it must be longer than
+#: NO_PROGRESS_MS: otherwise their disconnection would not be logged.
+_BOUNDED_TIMEOUT_MS = 6000
 _JSON_TYPE = 'application/json'
 _NO_BODY_STATUSES = frozenset((204, 304))
 _HEAD = 'HEAD'
@@ -36,6 +44,8 @@
       body: Bytes.
       arrived_ms: When its first bytes arrived, on this process's clock.
       on_gone: Called if the caller disconnects before the response ends.
+      request_id: The id of the request for logs, or None.
+      source: The AnswerReading of the request, or None.
       started: Whether the head of a response was sent, a bool.
     """
 
@@ -49,6 +59,8 @@
         'headers',
         'method',
         'on_gone',
+        'request_id',
+        'source',
         'started',
         'target',
     )
@@ -74,6 +86,8 @@
         self.body = b''.join(reader.parts)
         self.arrived_ms = reader.started_ms
         self.on_gone = None
+        self.request_id = None
+        self.source = None
         self.started = False
 
     def serve(self, function):
@@ -117,6 +131,7 @@
           body: Bytes.
           headers: Pairs of name and text.
         """
+        self.record_collected(0)
         if status in _NO_BODY_STATUSES:
             body = b''
         length = ('Content-Length', str(len(body)))
@@ -162,6 +177,14 @@
         self._server.write(self._sock, b'0\r\n\r\n')
         self._end_exchange()
 
+    def record_collected(self, size):
+        """Record the size of an answer that is collected before it is sent.
+
+        Args:
+          size: The bytes collected so far, an int.
+        """
+        self._server.record_held(self._sock, size)
+
     def abort(self):
         """Close the connection, so that the response is seen as incomplete."""
         self.on_gone = None
@@ -169,6 +192,8 @@
 
     def _end_exchange(self):
         self.on_gone = None
+        self.source = None
+        self.record_collected(0)
         self._server.end_exchange(self._sock, closes=self._closes)
 
     def _render_head(self, status, headers):
@@ -258,6 +283,42 @@
         self._connections.pop(sock, None)
         self._close(sock)
 
+    def end_slow(self, sock):
+        """Disconnect a caller that is too slow, and cancel its request."""
+        self._notify_gone(sock)
+        self.drop(sock)
+
+    def label_of(self, sock):
+        """Return the id of the request that a caller waits for, or None."""
+        exchange = self._exchange_of(sock)
+        return None if exchange is None else exchange.request_id
+
+    def pause_source(self, sock):
+        """Pause reading the answer for a caller from its server."""
+        exchange = self._exchange_of(sock)
+        if exchange is not None and exchange.source is not None:
+            exchange.source.pause_reading()
+
+    def resume_source(self, sock):
+        """Read the answer for a caller from its server again."""
+        exchange = self._exchange_of(sock)
+        if exchange is not None and exchange.source is not None:
+            exchange.source.resume_reading()
+
+    def record_held(self, sock, size):
+        """Record the bytes of a request or answer that is being collected.
+
+        Args:
+          sock: A caller's socket.
+          size: The number of bytes.
+        """
+        if self.unsent is not None:
+            self.unsent.record_held(sock, size)
+
+    def _exchange_of(self, sock):
+        connection = self._connections.get(sock)
+        return None if connection is None else connection.exchange
+
     def _read(self, sock):
         """Read without the event that the base class fires."""
         if sock not in self._clients:
@@ -280,7 +341,11 @@
             self._buffer_pending(sock, connection, chunk)
 
     def _open_connection(self, sock):
-        set_tcp_options(sock)
+        if self.unsent is None:
+            set_tcp_options(sock)
+        else:
+            set_tcp_options(sock, _BOUNDED_TIMEOUT_MS)
+            bound_buffer(sock, socket.SO_SNDBUF)
         reader = RequestReader(
             self.limits, lambda reply: self.write(sock, reply)
         )
@@ -301,6 +366,7 @@
         except RequestRefused as refusal:
             self._reject(sock, refusal)
             return
+        self.record_held(sock, 0 if reader.done else reader.body_size)
         if reader.done and _is_closed_by_caller(sock):
             # The caller disconnected while the loop was blocked or the process
             # was suspended, so the request must not reach a server.
--- a/crankchute/adapters/http_client.py
+++ b/crankchute/adapters/http_client.py
@@ -160,6 +160,16 @@
             self._finished = True
             self._client.detach(self, keep=False)
 
+    def pause_reading(self):
+        """Stop reading the response, so that the server must wait."""
+        if not self._finished:
+            self._client.hub.pause_reading(self.sock)
+
+    def resume_reading(self):
+        """Read the response again."""
+        if not self._finished:
+            self._client.hub.resume_reading(self.sock)
+
     def fail(self, text, *, connection_lost=False):
         """End the call with an error.
 
@@ -340,6 +350,8 @@
         sock = call.sock
         if self._calls.pop(sock, None) is None:
             return
+        # A response can end in the bytes that caused a pause.
+        self.hub.resume_reading(sock)
         kept = keep and self._idle.add(call.address, sock, call.headers)
         if not kept:
             self.hub.abort(sock)
@@ -350,6 +362,27 @@
             self._idle.remove(sock)
             self.hub.abort(sock)
 
+    def label_of(self, sock):
+        """Return the server's "IP:port", or None if a socket has no call."""
+        call = self._calls.get(sock)
+        return None if call is None else '{0}:{1}'.format(*call.address)
+
+    def count_queued(self, sock):
+        """See DirectServer."""
+        return self.hub.count_queued(sock)
+
+    def end_slow(self, sock):
+        """Fail the call whose request the server does not read.
+
+        Args:
+          sock: The socket of the call.
+        """
+        call = self._calls.get(sock)
+        if call is None:
+            self.discard(sock)
+        else:
+            call.fail('the backend server does not read the request')
+
     def _now_ms(self):
         return 0 if self._timers is None else self._timers.clock.now_ms()
 
--- a/crankchute/adapters/http_intake.py
+++ b/crankchute/adapters/http_intake.py
@@ -110,6 +110,11 @@
         self.started_ms = None
         self.target = b''
 
+    @property
+    def body_size(self):
+        """The bytes of the body that have arrived, an int."""
+        return self._body_size
+
     @property
     def method(self):
         """The request's method, a string."""
--- a/crankchute/adapters/metrics.py
+++ b/crankchute/adapters/metrics.py
@@ -30,6 +30,9 @@
     ('group_restarts', 'Groups that freed everything to start over.', None),
     ('bad_requests', 'Requests refused for what they said.', 'code'),
     ('orders_sent', 'Orders sent to engines.', None),
+    ('answers_paused', 'Pauses of reading answers for slow callers.', None),
+    ('caller_too_slow', 'Callers disconnected as too slow.', 'cause'),
+    ('server_too_slow', 'Servers that did not read a request.', 'cause'),
     ('peer_messages', 'Messages to other instances.', 'method'),
     ('peer_bytes', 'Bytes of messages to other instances.', None),
 )
--- a/crankchute/adapters/sockets.py
+++ b/crankchute/adapters/sockets.py
@@ -7,7 +7,10 @@
 """
 
 import errno
+import fcntl
 import socket
+import sys
+import termios
 
 from circuits import handler
 from circuits.core.utils import findcmp
@@ -27,12 +30,24 @@
 #: TCP keep-alive: idle time before the first probe and interval between probes,
 #: in seconds.
 _KEEPALIVE_S = 1
+#: Size of the buffers of sockets whose unsent or unread bytes are bounded; the
+#: system doubles it.  Its default bound is several megabytes for a socket.
+_BOUNDED_BUFFER_BYTES = 131_072
+#: Buffered bytes from this size on are sent from a view, since a large rest
+#: would otherwise be copied after every send.
+_VIEW_BYTES = 65_536
+_INT_BYTES = 4
 #: Number of unanswered keep-alive probes that close the connection.
 _KEEPALIVE_PROBES = 2
 
 
 class DirectServer(TCPServer):
-    """A TCP server that writes to the socket without an event."""
+    """A TCP server that writes to the socket without an event.
+
+    Attributes:
+      unsent: The listener for buffered bytes, or None; see
+        crankchute.adapters.backpressure.
+    """
 
     def __init__(self, bind, **options):
         """Listen on an address.
@@ -44,6 +59,7 @@
         options['bufsize'] = _READ_SIZE
         super().__init__(bind, **options)
         self._clients = FdSet()
+        self.unsent = None
 
     @handler('write')
     def write(self, sock, data):  # noqa: WPS110  (keyword of circuits)
@@ -58,9 +74,13 @@
         if not self._buffers[sock]:
             data = self._send_now(sock, data)  # noqa: WPS110
         if data and sock in self._clients:
+            if self.unsent is not None and len(data) > _VIEW_BYTES:
+                data = memoryview(data)  # noqa: WPS110
             self._buffers[sock].append(data)
             if not self._poller.isWriting(sock):
                 self._poller.addWriter(self, sock)
+            if self.unsent is not None:
+                self.unsent.record_unsent(sock, len(data))
 
     @property
     def has_unsent(self):
@@ -98,6 +118,35 @@
         for client in tuple(self._clients):
             super().close(client)
 
+    def count_queued(self, sock):
+        """Return how many sent bytes the peer has not acknowledged, an int.
+
+        Args:
+          sock: A connected socket of this server.
+        """
+        return _query_size(sock, termios.TIOCOUTQ)
+
+    def _write(self, sock, data):  # noqa: WPS110  (as in the base class)
+        """Send buffered bytes and report the progress."""
+        if self.unsent is None:
+            super()._write(sock, data)
+            return
+        if sock not in self._clients:
+            return
+        rest = self._send_now(sock, data)
+        if sock not in self._clients:
+            return
+        if rest:
+            self._buffers[sock].appendleft(rest)
+        self.unsent.record_sent(sock, len(data) - len(rest))
+
+    def _close(self, sock):
+        super()._close(sock)
+        if self.unsent is not None:
+            self.unsent.forget(sock)
+            if sock in self._closeq:
+                self._closeq.remove(sock)
+
     def _send_now(self, sock, payload):
         try:
             sent = sock.send(payload)
@@ -127,6 +176,7 @@
         """
         super().__init__(None, channel=channel)
         self._connecting = {}
+        self._paused = set()
         self._receive = receive
         self._broken = set()
 
@@ -150,6 +200,8 @@
         sock.setblocking(False)
         set_tcp_options(sock, _SERVER_TIMEOUT_MS)
         enable_keepalive(sock)
+        if self.unsent is not None:
+            bound_buffer(sock, socket.SO_RCVBUF)
         code = sock.connect_ex((host, port))
         if code and code not in _IN_PROGRESS:
             sock.close()
@@ -193,6 +245,30 @@
         """
         self._close(sock)
 
+    def pause_reading(self, sock):
+        """Stop reading from a connection, so that its sender must wait.
+
+        Args:
+          sock: A socket that connect_to provided.
+        """
+        if sock in self._clients and sock not in self._paused:
+            self._paused.add(sock)
+            self._poller.removeReader(sock)
+
+    def resume_reading(self, sock):
+        """Read from a connection again after pause_reading.
+
+        Args:
+          sock: A socket that connect_to provided.
+        """
+        if sock in self._paused:
+            self._paused.remove(sock)
+            self._poller.addReader(self, sock)
+
+    def count_unread(self):
+        """Return the bytes that have arrived on paused connections, an int."""
+        return sum(_query_size(sock, termios.FIONREAD) for sock in self._paused)
+
     @handler('registered', 'started', channel='*')
     def _on_registered_or_started(self, component, manager=None):
         self._find_poller()
@@ -215,7 +291,7 @@
 
     def _read(self, sock):
         """Read without the event that the base class fires."""
-        if sock not in self._clients:
+        if sock not in self._clients or sock in self._paused:
             return
         try:
             chunk = sock.recv(_READ_SIZE)
@@ -229,6 +305,10 @@
         else:
             self._close(sock)
 
+    def _close(self, sock):
+        self._paused.discard(sock)
+        super()._close(sock)
+
     def _find_poller(self):
         if self._poller is None:
             self._poller = findcmp(self.root, IndexedPoller)
@@ -248,6 +328,25 @@
         """Create no socket, since nothing is listened on."""
 
 
+def bound_buffer(sock, option):
+    """Bound the memory of the system for a socket.
+
+    Args:
+      sock: A socket.
+      option: SO_RCVBUF, before it is connected, or SO_SNDBUF.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, option, _BOUNDED_BUFFER_BYTES)
+
+
+def _query_size(sock, request):
+    """Return the size of a queue of a socket, or 0 if it is closed."""
+    try:
+        answer = fcntl.ioctl(sock, request, bytes(_INT_BYTES))
+    except (OSError, ValueError):
+        return 0
+    return int.from_bytes(answer, sys.byteorder)
+
+
 def set_tcp_options(sock, timeout_ms=_DEFAULT_TIMEOUT_MS):
     """Disable Nagle's algorithm and set TCP_USER_TIMEOUT.
 
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -25,11 +25,13 @@
     __slots__ = (
         '_body',
         '_call',
+        '_collected',
         '_context',
         '_flow',
         '_head',
         '_is_closed',
         '_is_overdue',
+        '_paused_ms',
         '_reservation',
         '_watchdog',
         'first_ms',
@@ -51,9 +53,11 @@
         self._context = context
         self._body = []
         self._call = None
+        self._collected = 0
         self._head = None
         self._is_closed = False
         self._is_overdue = False
+        self._paused_ms = None
         self._reservation = None
         self._watchdog = None
         self.first_ms = None
@@ -97,6 +101,27 @@
         self._call.cancel()
         return self._call.sent
 
+    def pause_reading(self):
+        """Stop reading from the server."""
+        if self._is_closed or self._call is None or self._paused_ms is not None:
+            return
+        self._paused_ms = self._context.now_ms()
+        self._call.pause_reading()
+
+    def resume_reading(self):
+        """Read from the server again.
+
+        The server could not send during the pause, so the pause counts neither
+        as its silence nor as a gap between its events.
+        """
+        if self._is_closed or self._paused_ms is None:
+            return
+        self.last_event_ms += self._context.now_ms() - self._paused_ms
+        self._paused_ms = None
+        self._call.resume_reading()
+        if self._watchdog is None:
+            self._arm_watchdog()
+
     def end_restarted(self, backend):
         """End the attempt because a server that it uses restarted.
 
@@ -131,6 +156,8 @@
     def on_body(self, chunk):
         """See AttemptListener."""
         self._body.append(chunk)
+        self._collected += len(chunk)
+        self._flow.record_collected(self._collected)
 
     def on_event(self, event):
         """See AttemptListener."""
@@ -204,8 +231,11 @@
         """Wait until the server is overdue or has stalled.
 
         The timer is rearmed only when it expires, since a timer reset for each
-        event would be too expensive.
+        event would be too expensive.  A paused attempt is not judged;
+        resume_reading rearms the timer.
         """
+        if self._paused_ms is not None:
+            return
         stalled_at_ms = self._stalled_at_ms()
         checks_overdue = not self.started and not self._is_overdue
         if stalled_at_ms is None and not checks_overdue:
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -43,6 +43,7 @@
       listener: The AttemptListener.
       sent: Whether any bytes may have been sent, a bool.
       cancelled: Whether the attempt was cancelled, a bool.
+      paused: Whether reading of the answer is paused, a bool.
     """
 
     def __init__(self, placement, order, listener):
@@ -52,11 +53,20 @@
         self.listener = listener
         self.sent = True
         self.cancelled = False
+        self.paused = False
 
     def cancel(self):
         """Record the cancellation."""
         self.cancelled = True
 
+    def pause_reading(self):
+        """Record the pause."""
+        self.paused = True
+
+    def resume_reading(self):
+        """Record the end of the pause."""
+        self.paused = False
+
 
 class FakeForwardPort(ForwardPort):
     """Records the requests that are sent.
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -91,6 +91,16 @@
         self._cancel_attempt()
         self._end(Outcome.FAILED, 'caller_gone')
 
+    def record_collected(self, size):
+        """Record the bytes of an answer that the attempt has collected.
+
+        Args:
+          size: The number of bytes.
+        """
+        if self._last_answer is not None:
+            size += len(self._last_answer[1])
+        self._sink.on_collected(size)
+
     def now_ms(self):
         """Return the current time on this process's clock."""
         return self._context.now_ms()
@@ -99,7 +109,7 @@
         """Forward an event, unless the caller already received it."""
         if self._expire_if_late():
             return
-        if not self._is_new(event):
+        if not _is_new(event, self.last_event_id):
             self._context.record_dropped(self, attempt)
             return
         if not self._streaming:
@@ -113,6 +123,8 @@
     def on_attempt_sent(self, attempt):
         """Count an attempt that is being sent."""
         self.attempts += 1
+        if self.attempts > 1:
+            self.record_collected(0)
         self._context.record_attempt(self, attempt, self._cause)
 
     def on_reservation_refused(self, attempt, refused):
@@ -222,11 +234,6 @@
         has_attempts = self.attempts < self.job.max_attempts
         return has_attempts and self._context.take_retry(self.job)
 
-    def _is_new(self, event):
-        if event.number is None or self.last_event_id is None:
-            return True
-        return event.number > self.last_event_id
-
     def _expire_if_late(self):
         if not self.ended and self.job.remaining_ms(self.now_ms()) < 0:
             self._on_deadline()
@@ -289,3 +296,33 @@
         if self._timer is not None:
             self._timer.cancel()
         self._context.record_end(self, outcome, code)
+
+
+class AnswerReading:
+    """Pauses and resumes reading the answer of a flow from its server."""
+
+    __slots__ = ('_flow',)
+
+    def __init__(self, flow):
+        """Create the control.
+
+        Args:
+          flow: A ForwardFlow.
+        """
+        self._flow = flow
+
+    def pause_reading(self):
+        """Stop reading, since the caller reads too slowly."""
+        if self._flow.attempt is not None:
+            self._flow.attempt.pause_reading()
+
+    def resume_reading(self):
+        """Read again."""
+        if self._flow.attempt is not None:
+            self._flow.attempt.resume_reading()
+
+
+def _is_new(event, last_event_id):
+    if event.number is None or last_event_id is None:
+        return True
+    return event.number > last_event_id
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -3,11 +3,12 @@
 from crankchute.adapters.forward_journal import write_fingerprint
 
 
-def dump_forward_node(node):
+def dump_forward_node(node, backpressure=None):
     """Return the state of an instance for operators.
 
     Args:
       node: A ForwardNode.
+      backpressure: The Backpressure, or None where it is not enabled.
     Returns:
       A dict of JSON values.
     """
@@ -36,6 +37,7 @@
         'servers_drained': node.fleet.list_drained(),
         'servers_gone': node.fleet.list_recently_removed(),
         'requests_in_progress': node.desk.in_progress,
+        'send_buffers': None if backpressure is None else backpressure.dump(),
         'requests_held': [
             _dump_held(entry, now_ms) for entry in node.crashes.quarantined
         ],
--- a/crankchute/platform/answers.py
+++ b/crankchute/platform/answers.py
@@ -22,6 +22,10 @@
         """
         self._exchange = exchange
 
+    def on_collected(self, size):
+        """See AnswerSink."""
+        self._exchange.record_collected(size)
+
     def on_answer(self, head, body):
         """See AnswerSink."""
         self._exchange.reply(head.status, body, head.headers)
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -1,11 +1,13 @@
 """Connects a node of the core to the adapters of the platform."""
 
+from crankchute.adapters.backpressure import Backpressure
 from crankchute.adapters.early_requests import EarlyRequests
 from crankchute.adapters.forward_server import ForwardServer
 from crankchute.adapters.http_client import HttpClient
 from crankchute.adapters.http_intake import IntakeLimits
 from crankchute.adapters.operator_pages import OperatorPages
 from crankchute.core.admission import make_key_admission
+from crankchute.core.forward_flow import AnswerReading
 from crankchute.core.freshness_proof import choose_max_age_ms
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_notice import ServerNotices
@@ -116,6 +118,7 @@
             make_key_admission(settings.bounds),
             RetryHints(self.node.random),
         )
+        self._backpressure = self._make_backpressure()
         self._listen_all(loop)
         self.node.holder.subscribe(self._on_config)
         self.node.on_draining = self._on_draining
@@ -130,8 +133,26 @@
         """
         self.settings = settings
         self._reader.admission = make_key_admission(settings.bounds)
+        if self._backpressure is not None and settings.memory_bytes is not None:
+            self._backpressure.buffers.change_memory(settings.memory_bytes)
         self.node.reload(_read_limits(settings.bounds), settings.seeds)
 
+    def _make_backpressure(self):
+        """Return a Backpressure, or None without a memory limit."""
+        if self.settings.memory_bytes is None:
+            return None
+        metrics = self.node.metrics
+        backpressure = Backpressure(
+            self.settings.memory_bytes, self.timers, metrics
+        )
+        backpressure.watch_servers(self.http_client)
+        metrics.add_gauge(
+            'unsent_bytes',
+            'Bytes in memory for callers and servers that read slowly.',
+            lambda: backpressure.buffers.total,
+        )
+        return backpressure
+
     def _listen_all(self, loop):
         listeners = self.settings.listeners
         self._early_requests = EarlyRequests(
@@ -144,11 +165,13 @@
             listeners.callers,
             self._early_requests.take,
         )
+        if self._backpressure is not None:
+            self._backpressure.watch_callers(self._server)
         readiness = ReadinessHandler(lambda: self.node.is_accepting)
         self._listen(loop, listeners.readiness, readiness.respond)
         pages = OperatorPages(
             self.node.metrics,
-            lambda: dump_forward_node(self.node),
+            lambda: dump_forward_node(self.node, self._backpressure),
         )
         self._listen(loop, listeners.metrics, pages.answer)
         if listeners.directory is not None:
@@ -234,6 +257,8 @@
         flow = self.node.desk.submit(job, ExchangeAnswer(exchange))
         if not flow.ended:
             exchange.on_gone = flow.cancel
+            exchange.request_id = job.request_id
+            exchange.source = AnswerReading(flow)
 
     def _apply_config(self, payload):
         self._config_listener.apply(payload)
--- a/crankchute/platform/settings.py
+++ b/crankchute/platform/settings.py
@@ -9,6 +9,7 @@
 _PATH_VARIABLE = 'CRANKCHUTE_CONFIG'
 _DEFAULT_PATH = '/etc/crankchute/settings.toml'
 _MS_PER_SECOND = 1000
+_BYTES_PER_MB = 1_048_576
 _MILLICORES_PER_CORE = 1000
 _MISSING = object()
 
@@ -105,6 +106,7 @@
       bounds: Bounds.
       millicores: The processor share of the instance in thousandths of a
         core, or 0 if unknown.
+      memory_bytes: The memory limit of the process, or None if there is none.
     """
 
     __slots__ = (
@@ -112,6 +114,7 @@
         'data_centre',
         'instance',
         'listeners',
+        'memory_bytes',
         'millicores',
         'peer_ports',
         'seeds',
@@ -190,6 +193,7 @@
         peer_ports=reader.read('internal-port-range', _read_range),
         store=reader.read('platform.address', read_address),
         bounds=_read_bounds(reader),
+        memory_bytes=reader.read('limits.memory-mb', _read_megabytes, None),
         millicores=_read_millicores(reader),
     )
     if reader.findings:
@@ -231,6 +235,12 @@
     return int(first), int(last)
 
 
+def _read_megabytes(number):
+    if float(number) <= 0:
+        raise ValueError('must be positive')
+    return round(float(number) * _BYTES_PER_MB)
+
+
 def _read_seconds(number):
     return float(number) * _MS_PER_SECOND
 
--- a/crankchute/ports/forwarding.py
+++ b/crankchute/ports/forwarding.py
@@ -134,7 +134,9 @@
           listener: An AttemptListener.
         Returns:
           An object whose cancel() cancels the attempt, and whose `sent` is
-          whether any byte of the request may have been sent.
+          whether any byte of the request may have been sent.  Where answers
+          can be paused, pause_reading() and resume_reading() stop and continue
+          reading the answer.
         """
 
     def is_connected(self, _backend):
@@ -169,6 +171,13 @@
 class AnswerSink(abc.ABC):
     """Receives the answer of a forwarded request, and exactly one end."""
 
+    def on_collected(self, size):
+        """Handle the growth of an answer that is collected before it is sent.
+
+        Args:
+          size: The bytes held for this request, an int.
+        """
+
     @abc.abstractmethod
     def on_answer(self, head, body):
         """Handle a complete answer that is not a stream.
