--- a/crankchute/adapters/sockets.py
+++ b/crankchute/adapters/sockets.py
@@ -133,6 +133,7 @@
             return
         if sock not in self._clients:
             return
+        data = _join_small(data, self._buffers[sock])  # noqa: WPS110
         rest = self._send_now(sock, data)
         if sock not in self._clients:
             return
@@ -339,6 +340,26 @@
     sock.setsockopt(socket.SOL_SOCKET, option, _BOUNDED_BUFFER_BYTES)
 
 
+def _join_small(first, buffered):
+    """Return bytes to send at once, taking small ones from a buffer.
+
+    A stream of small events would otherwise need a poll for each event.
+
+    Args:
+      first: Bytes that precede those in the buffer.
+      buffered: A deque of bytes.
+    """
+    if len(first) > _VIEW_BYTES:
+        return first
+    parts = [first]
+    size = len(first)
+    while buffered and size + len(buffered[0]) <= _VIEW_BYTES:
+        part = buffered.popleft()
+        parts.append(part)
+        size += len(part)
+    return b''.join(parts)
+
+
 def _query_size(sock, request):
     """Return the size of a queue of a socket, or 0 if it is closed."""
     try:
