--- a/crankchute/core/send_buffers.py
+++ b/crankchute/core/send_buffers.py
@@ -1,8 +1,7 @@
 """Bounds the memory held for callers and servers that read slowly.
 
-Each connection with bytes in memory has a Transfer.  SendBuffers decides when
-reading from the server of an answer pauses and resumes, and which transfers
-are ended.  It uses no sockets; callers pass the time and apply the decisions.
+SendBuffers decides when reading an answer pauses and resumes, and which
+transfers are ended.  Callers pass the time and apply the decisions.
 """
 
 #: Unsent bytes of one answer above which reading from its server pauses.
