--- a/crankchute/core/send_buffers.py
+++ b/crankchute/core/send_buffers.py
@@ -9,13 +9,12 @@
 #: How long a transfer over its limit may make no progress, in milliseconds.
 #: Backend servers cut an answer that stays unread for some seconds.
 NO_PROGRESS_MS = 4000
-#: A pause during which the caller has read something is interrupted after this
-#: time for one read, so that the server does not cut the answer as unread.
+#: A pause in which the caller has read something is interrupted after this time
+#: for one read, so that the server does not cut the answer.
 INTERRUPT_MS = 2000
 #: Unsent bytes of one answer above which pauses are not interrupted.
 _INTERRUPT_LIMIT_BYTES = 1_048_576
-#: A transfer without progress for this time counts as slow when one must be
-#: ended for the total: about the longest delay of a loop that is overloaded.
+#: Time without progress from which a transfer may be ended for the total first.
 _SLOW_MS = 200
 _PAUSE_FRACTION = 8
 _END_FRACTION = 4
--- a/crankchute/platform/slow_readers_test.py
+++ b/crankchute/platform/slow_readers_test.py
@@ -8,12 +8,8 @@
 from crankchute.adapters import backpressure, forward_server, sockets
 from crankchute.core.forward_job import RetryMode
 from crankchute.core.send_buffers import ANSWER_LIMIT_BYTES, NO_PROGRESS_MS
-from crankchute.platform.slow_readers_relay_test import (
-    MEMORY,
-    READ,
-    Relay,
-    find_header,
-)
+from crankchute.platform.slow_readers_peers_test import READ, find_header
+from crankchute.platform.slow_readers_relay_test import MEMORY, Relay
 from crankchute.platform.wire import LAST_EVENT
 
 
