--- a/crankchute/platform/setting_values.py
+++ b/crankchute/platform/setting_values.py
@@ -8,6 +8,7 @@
 from crankchute.settings import read_address
 
 _MS_PER_SECOND = 1000
+_BYTES_PER_MB = 1_048_576
 
 
 def read_addresses(texts):
@@ -27,6 +28,13 @@
     return int(first), int(last)
 
 
+def read_megabytes(number):
+    """Return megabytes as bytes."""
+    if float(number) <= 0:
+        raise ValueError('must be positive')
+    return round(float(number) * _BYTES_PER_MB)
+
+
 def read_seconds(number):
     """Return seconds as milliseconds."""
     return float(number) * _MS_PER_SECOND
--- a/crankchute/platform/settings.py
+++ b/crankchute/platform/settings.py
@@ -7,6 +7,7 @@
 from crankchute.platform.setting_values import (
     read_addresses,
     read_bool,
+    read_megabytes,
     read_names,
     read_non_negative,
     read_range,
@@ -121,6 +122,7 @@
       bounds: Bounds.
       millicores: The processor share of the instance in thousandths of a
         core, or 0 if unknown.
+      memory_bytes: The memory limit of the process, or None if there is none.
     """
 
     __slots__ = (
@@ -129,6 +131,7 @@
         'data_centres',
         'instance',
         'listeners',
+        'memory_bytes',
         'millicores',
         'peer_ports',
         'seeds',
@@ -208,6 +211,7 @@
         peer_ports=reader.read('internal-port-range', read_range),
         store=reader.read('platform.address', read_address),
         bounds=_read_bounds(reader),
+        memory_bytes=reader.read('limits.memory-mb', read_megabytes, None),
         millicores=_read_millicores(reader),
     )
     if reader.findings:
