Place prompts only where known work leaves enough memory

Refused reservations led to further attempts at other engines without a bound, and orders could exceed an engine's memory. Engines without room are excluded, a request is placed at most three times, and one that cannot fit is refused.

--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -153,6 +153,40 @@
             took_ms=_round(took_ms),
         )
 
+    def log_memory_refused(self, request_id, helper, known_tokens):
+        """Log that an engine refused a reservation and is left out for it.
+
+        Args:
+          request_id: The request's id.
+          helper: The PrefillHelper.
+          known_tokens: The memory of the known work there, in tokens.
+        """
+        log_change(
+            'memory_refused',
+            failed=True,
+            request=request_id,
+            ticket=helper.ticket,
+            server=helper.backend.identity,
+            tokens=helper.tokens,
+            known=known_tokens,
+        )
+
+    def log_no_memory(self, request_id, refusal):
+        """Log that the engines have no memory for a request.
+
+        Args:
+          request_id: The request's id.
+          refusal: A Refusal with inputs.
+        """
+        log_change(
+            'no_memory',
+            failed=True,
+            request=request_id,
+            code=refusal.code,
+            retry_after_ms=_round(refusal.retry_after_ms),
+            **refusal.inputs,
+        )
+
     def log_order_unanswered(self, name, request_id, helper):
         """Log that an engine did not answer a request about memory.
 
--- a/crankchute/adapters/metrics.py
+++ b/crankchute/adapters/metrics.py
@@ -23,6 +23,7 @@
     ('retries', 'Attempts repeated after a failure.', None),
     ('retries_denied', 'Retries that the budget did not allow.', None),
     ('requests_held', 'Requests found to crash servers.', None),
+    ('reservations', 'Memory reservations at single engines.', 'outcome'),
     ('renewals_lost', 'Reservations that could not be renewed.', None),
     ('orders_unanswered', 'Orders that engines did not answer.', 'order'),
     ('frames_dropped', 'Frames that belonged to no attempt here.', None),
--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -204,6 +204,29 @@
     def record_polled_load(self, backend, load):
         """Record a load report that was polled from a server."""
 
+    def record_memory_refused(self, helper):
+        """Record that an engine refused a reservation.
+
+        Args:
+          helper: The PrefillHelper of the reservation.
+        Returns:
+          The memory of the known work there, in tokens.
+        """
+        state = self._parts.work_tracker.state(helper.backend.identity)
+        state.record_refused(helper.tokens, self.now_ms())
+        return state.memory
+
+    def still_fits(self, placement):
+        """Return whether the decoding engine has memory, as far as is known.
+
+        Asked after the helpers have reserved theirs: other instances may have
+        announced work at the engine meanwhile.
+
+        Args:
+          placement: A Placement whose sending was recorded.
+        """
+        return True
+
     def record_end(self, job, placement):
         """Record the end of a job."""
 
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -26,12 +26,9 @@
     estimate_worth,
 )
 from crankchute.core.engine_work import Change, WorkItem
-from crankchute.core.forward_job import (
-    Placement,
-    PlacementEstimate,
-    PrefillHelper,
-)
+from crankchute.core.forward_job import Placement, PlacementEstimate
 from crankchute.core.length_demand import LONG_PROMPT_FACTOR
+from crankchute.core.memory_planning import USABLE_MEMORY_SHARE, MemoryPlanner
 from crankchute.core.prompt_admission import (
     AdmissionEstimate,
     PromptAdmission,
@@ -40,9 +37,6 @@
 
 #: The default chooser of model engines.
 PREDICTED = 'predicted'
-#: The largest number of engines for one prompt: the published maximum number
-#: of helpers, plus one.
-_MAX_PARTS = 17
 #: Cost of a short prompt at an engine reserved for long ones: about the
 #: probability that a long one arrives during its decode.
 _RESERVED_ENGINE_COST = 0.12
@@ -52,10 +46,6 @@
 _COST_PER_ENGINE = 0.01
 #: Cost of a memory shortage, which preempts a request and repeats its prefill.
 _MEMORY_SHORTAGE_COST = 2
-_USABLE_MEMORY_SHARE = 0.97
-#: Helpers reserve more than an even share, so that a prompt still fits if its
-#: decoding engine fills up.
-_RESERVATION_MARGIN = 1.05
 _FIRST_EVENT_TIMEOUT_MS = 1500
 #: A first event this much later than the queued prefills and a multiple of its
 #: own prediction explain is a sign of a fault.  Lower limits would report
@@ -80,6 +70,7 @@
         self._decode_ms = estimate_decode_ms(parts.pool.engine_figures)
         self._candidate_filter = CandidateFilter(parts)
         self._admission = PromptAdmission()
+        self._memory = MemoryPlanner(self._figures, self._work_tracker.state)
         self._placement_count = 0
 
     def choose(self, job, avoided):
@@ -90,14 +81,31 @@
         usable = self.usable(avoided, window) or self.usable(avoided)
         if not usable:
             return self.refuse()
-        plans = self._make_plans(job, usable)
+        # Admission control applies to first attempts only.
+        is_first_attempt = not avoided and job.resume_after is None
+        # A repeated request may wait for memory until its deadline, since a
+        # refusal would waste the work that was done for it.
+        remaining_ms = job.remaining_ms(self.now_ms())
+        fitting = self._memory.select(
+            job,
+            usable,
+            self.now_ms(),
+            self._remaining_goal_ms(job) if is_first_attempt else remaining_ms,
+        )
+        if not fitting:
+            return self._memory.refuse(
+                job,
+                usable,
+                self._parts.hints,
+                now_ms=self.now_ms(),
+                engine_count=len(self._parts.members()),
+                heard_ms_ago=self._parts.last_peer_message_age_ms(),
+            )
+        plans = self._make_plans(job, fitting)
         if not plans:
             return self.refuse()
         plan = min(plans, key=_cost_of)
-        # Admission control applies to first attempts only.
-        is_first_attempt = not avoided and job.resume_after is None
         if is_first_attempt and not self._is_admitted(job, plan):
-            remaining_ms = job.remaining_ms(self.now_ms())
             return refuse_overloaded(self._parts.hints, remaining_ms)
         return self._make_placement(job, plan)
 
@@ -156,6 +164,10 @@
         load.age_ms = self._figures.report_lag_ms
         self.record_load(backend, load)
 
+    def still_fits(self, placement):
+        """See Chooser."""
+        return self._memory.still_fits(placement.key.works[0])
+
     def record_end(self, job, placement):
         """See Chooser."""
         for work in placement.key.works:
@@ -165,7 +177,10 @@
     def _make_plans(self, job, usable):
         """Return the Plans to compare."""
         long_threshold = self._figures.usual_prompt * LONG_PROMPT_FACTOR
-        is_long = job.size.prompt > long_threshold
+        is_long = (
+            job.size.prompt > long_threshold
+            or not self._memory.fits_one_engine(job)
+        )
         candidates = self._make_candidates(usable, is_long=is_long)
         if is_long:
             return self._plan_split(job, candidates)
@@ -241,11 +256,11 @@
             if may_take_reservations(candidate.backend.identity)
         ]
         required_parts = count_required_parts(self._figures, job)
-        min_parts = max(min(required_parts, len(available)), 1)
-        max_parts = min(_MAX_PARTS, len(available))
         plans = [
-            self._plan_parts(job, available, parts)
-            for parts in range(min_parts, max_parts + 1)
+            self._plan_parts(job, fitting, parts)
+            for parts, fitting in self._memory.list_splits(
+                job, available, self.now_ms()
+            )
         ]
         if required_parts == 1 and len(available) < len(candidates):
             plans.append(self._plan_parts(job, candidates, 1))
@@ -324,7 +339,11 @@
     def _make_placement(self, job, plan):
         self._placement_count += 1
         key = f'{job.request_id}-{self._placement_count}'
-        helpers = self._make_helpers(job, plan)
+        helpers = self._memory.make_helpers(
+            job,
+            [candidate.backend for candidate in plan.chosen[1:]],
+            self._parts.create_ticket_id,
+        )
         reserved_tokens = sum(helper.tokens for helper in helpers)
         decoder = plan.chosen[0].backend
         decoder_work = self._make_work(job, key, decoder, plan)
@@ -359,18 +378,6 @@
             heard_ms_ago=self._parts.last_peer_message_age_ms(),
         )
 
-    def _make_helpers(self, job, plan):
-        backends = [candidate.backend for candidate in plan.chosen[1:]]
-        if count_required_parts(self._figures, job) == 1:
-            return tuple(PrefillHelper(backend) for backend in backends)
-        share_tokens = (
-            int(job.size.kv_tokens / len(plan.chosen) * _RESERVATION_MARGIN) + 1
-        )
-        return tuple(
-            PrefillHelper(backend, self._parts.create_ticket_id(), share_tokens)
-            for backend in backends
-        )
-
     def _make_work(self, job, key, backend, plan):
         return WorkItem(
             key,
@@ -393,5 +400,5 @@
 
 def _cost_of_memory(figures, memory, candidate):
     needed = candidate.state.memory + memory
-    lacks = needed > figures.memory_tokens * _USABLE_MEMORY_SHARE
+    lacks = needed > figures.memory_tokens * USABLE_MEMORY_SHARE
     return _MEMORY_SHORTAGE_COST if lacks else 0
--- a/crankchute/core/engine_work.py
+++ b/crankchute/core/engine_work.py
@@ -20,6 +20,9 @@
 _SLOW_THRESHOLD = 1.8
 _MAX_SLOWNESS = 10
 _SLOWNESS_WEIGHT = 0.5
+#: How long an engine that refused a reservation is left out if no known work
+#: ends there: its memory may be held by work that this instance never hears of.
+_MAX_LEFT_OUT_MS = 500
 #: The half-life of an observed slowness.
 _SLOWNESS_HALF_LIFE_MS = 3000
 
@@ -108,6 +111,8 @@
     """
 
     __slots__ = (
+        '_left_out_until_ms',
+        '_refused_tokens',
         '_slowness',
         '_slowness_at_ms',
         '_unreported',
@@ -124,9 +129,35 @@
         self._slowness = float(1)
         self._slowness_at_ms = float(0)
         self._unreported = UnattributedLoad()
+        self._refused_tokens = None
+        self._left_out_until_ms = float(0)
         self.memory = 0
         self.decode_count = 0
 
+    def record_refused(self, tokens, now_ms):
+        """Record that the engine refused to reserve memory.
+
+        Args:
+          tokens: The size of the reservation.
+          now_ms: The time.
+        """
+        self._refused_tokens = tokens
+        self._left_out_until_ms = now_ms + _MAX_LEFT_OUT_MS
+
+    def refused_tokens(self, now_ms):
+        """Return the size of a reservation refused recently, or None.
+
+        A refusal counts until known work that held memory ends, at most 500 ms.
+
+        Args:
+          now_ms: The time.
+        """
+        return self._refused_tokens if self.left_out_ms(now_ms) else None
+
+    def left_out_ms(self, now_ms):
+        """Return for how long a refusal still counts, in milliseconds."""
+        return max(self._left_out_until_ms - now_ms, 0)
+
     def slowness(self, now_ms):
         """Return the estimated ratio of actual to published durations.
 
@@ -266,7 +297,10 @@
             return
         self.memory -= work.memory
         self.decode_count -= work.is_decoding
-        if not work.started:
+        if work.started:
+            # Work that never started may itself be a refused reservation.
+            self._left_out_until_ms = float(0)
+        else:
             self._shorten_wait(now_ms)
 
     def _postpone_waiting(self, prioritized, prefill_ms):
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -250,6 +250,14 @@
         refused_tickets = [helper.ticket for helper in refused]
         self.memory_events.append(('reservation', refused_tickets, took_ms))
 
+    def log_memory_refused(self, request_id, helper, known_tokens):
+        """See ForwardJournal."""
+        self.memory_events.append(('refused', helper.ticket, known_tokens))
+
+    def log_no_memory(self, request_id, refusal):
+        """See ForwardJournal."""
+        self.memory_events.append((refusal.code, request_id, refusal.inputs))
+
     def log_order_unanswered(self, name, request_id, helper):
         """See ForwardJournal."""
         self.memory_events.append(('unanswered', name, helper.ticket))
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -8,9 +8,14 @@
 """
 
 from crankchute.core.forward_attempt import FIRST_SERVER_ERROR, Attempt
+from crankchute.core.memory_planning import NO_MEMORY
 from crankchute.core.outcomes import Outcome, Refusal, refuse_not_run
 from crankchute.core.request_placement import place_request
 
+#: How often a request is placed again after a refused reservation.  Under
+#: overload, further attempts mostly fail too and disturb other reservations.
+_MAX_RESERVATION_RETRIES = 2
+
 
 class ForwardFlow:
     """Serves one job; its sink receives exactly one end.
@@ -33,6 +38,7 @@
         '_context',
         '_last_answer',
         '_may_have_run',
+        '_refused_reservations',
         '_sink',
         '_streaming',
         '_timer',
@@ -59,6 +65,7 @@
         self._cause = None
         self._last_answer = None
         self._may_have_run = False
+        self._refused_reservations = 0
         self._streaming = False
         self._timer = None
         self.attempts = 0
@@ -119,7 +126,11 @@
         """Choose other servers after helpers refused to reserve memory."""
         self.attempt = None
         self._avoided.update(one.backend.identity for one in refused)
-        self._try_next('no_memory')
+        self._refused_reservations += 1
+        if self._refused_reservations > _MAX_RESERVATION_RETRIES:
+            self._fail(NO_MEMORY, 'engines refused to reserve its memory')
+        else:
+            self._try_next(NO_MEMORY)
 
     def on_attempt_end(self, attempt, head, body):
         """End with the server's answer, or retry after a 5xx status."""
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -11,7 +11,7 @@
 )
 from crankchute.core.crash_detector import CrashDetector
 from crankchute.core.forward_flow import ForwardFlow
-from crankchute.core.forward_job import Placement
+from crankchute.core.forward_job import Placement, PrefillHelper
 from crankchute.core.outcomes import Outcome, refuse_not_run
 from crankchute.core.permit_lending import NoLending
 from crankchute.core.sliding_budget import SlidingRetryBudget
@@ -151,6 +151,8 @@
             choice = chooser.choose(flow.job, avoided)
         if isinstance(choice, Placement):
             chooser.record_sent(flow.job, choice)
+        elif choice.inputs is not None:
+            self.journal.log_no_memory(flow.job.request_id, choice)
         return choice
 
     def stalled_at_ms(self, flow, attempt):
@@ -184,10 +186,29 @@
         Returns:
           A Reservation.
         """
+        chooser = self.find_chooser(flow.job.pool)
+
+        def on_refused(helper):
+            if chooser is not None:
+                known_tokens = chooser.record_memory_refused(helper)
+                self.journal.log_memory_refused(
+                    flow.job.request_id, helper, known_tokens
+                )
+
+        def on_reserved(refused):
+            decoder = PrefillHelper(placement.backend)
+            if not refused and chooser and not chooser.still_fits(placement):
+                self.journal.log_memory_refused(
+                    flow.job.request_id, decoder, None
+                )
+                refused = [decoder]
+            on_done(refused)
+
         return self._reservations.reserve(
             flow.job.request_id,
             placement.tickets,
-            on_done,
+            on_reserved,
+            on_refused,
         )
 
     def record_freed(self, flow, placement):
--- a/crankchute/core/outcomes.py
+++ b/crankchute/core/outcomes.py
@@ -26,9 +26,17 @@
         does not help.
       was_dispatched: Whether the request was sent to a backend server or to
         another entry instance, a bool.
+      inputs: A dict of the inputs of the decision, to be logged, or None.
     """
 
-    __slots__ = ('code', 'outcome', 'retry_after_ms', 'text', 'was_dispatched')
+    __slots__ = (
+        'code',
+        'inputs',
+        'outcome',
+        'retry_after_ms',
+        'text',
+        'was_dispatched',
+    )
 
     def __init__(self, outcome, code, text, **details):
         """Create a refusal.
@@ -39,6 +47,7 @@
           text: A sentence for people.
           details: The other attributes of the class, all optional.
         """
+        self.inputs = None
         self.outcome = outcome
         self.code = code
         self.text = text
--- a/crankchute/core/reservations.py
+++ b/crankchute/core/reservations.py
@@ -20,6 +20,10 @@
 _NETWORK_DELAY_MS = 1500
 
 
+def _ignore(_helper):
+    """Ignore a refused reservation."""
+
+
 class ReservationPort(abc.ABC):
     """Sends orders about memory to engines; answers arrive asynchronously."""
 
@@ -56,9 +60,11 @@
 
     __slots__ = (
         '_ended',
+        '_granted',
         '_is_used',
         '_leases',
         '_on_done',
+        '_on_refused',
         '_pending',
         '_refused',
         '_renewal_timer',
@@ -68,7 +74,9 @@
         'use_deadline_ms',
     )
 
-    def __init__(self, reservation_manager, request_id, helpers, on_done):
+    def __init__(
+        self, reservation_manager, request_id, helpers, on_done, on_refused
+    ):
         """Create the reservation; start() sends the orders.
 
         Args:
@@ -77,6 +85,8 @@
           helpers: PrefillHelpers with tickets.
           on_done: A function of a list of the PrefillHelpers whose engines
             reserved no memory; the list is empty if all did.
+          on_refused: A function of each PrefillHelper whose engine answered
+            that it has no memory.
         """
         self._reservation_manager = reservation_manager
         self._request_id = request_id
@@ -84,6 +94,8 @@
             Lease(reservation_manager, request_id, helper) for helper in helpers
         ]
         self._on_done = on_done
+        self._on_refused = on_refused
+        self._granted = 0
         self._pending = len(helpers)
         self._refused = []
         self._renewal_timer = None
@@ -103,6 +115,7 @@
         """Note that the request started to run, and resume paused renewals."""
         if not self._is_used:
             self._is_used = True
+            self._count('used', self._granted)
             if self._renewal_timer is not None and self._is_start_overdue():
                 self._renew()
 
@@ -111,6 +124,8 @@
         if self._ended:
             return
         self._ended = True
+        if not self._is_used:
+            self._count('unused', self._granted)
         if self._renewal_timer is not None:
             self._renewal_timer.cancel()
         for lease in self._leases:
@@ -119,13 +134,28 @@
     def _acquire(self, lease):
         def on_acquired(is_reserved):
             self._pending -= 1
-            if not is_reserved:
+            if is_reserved:
+                self._record_granted()
+            else:
                 self._refused.append(lease.helper)
+            if is_reserved is False:
+                self._count('refused')
+                self._on_refused(lease.helper)
             if not self._pending and not self._ended:
                 self._on_all_answered()
 
         lease.acquire(on_acquired)
 
+    def _record_granted(self):
+        self._granted += 1
+        self._count('granted')
+        if self._ended:
+            # The answer arrived after the release.
+            self._count('unused')
+
+    def _count(self, outcome, amount=1):
+        self._reservation_manager.metrics.count('reservations', outcome, amount)
+
     def _on_all_answered(self):
         self._reservation_manager.journal.log_reserved(
             self._request_id,
@@ -208,16 +238,19 @@
         """Return a unique ticket id."""
         return f'{self._owner}-{next(self._ticket_numbers)}'
 
-    def reserve(self, request_id, helpers, on_done):
+    def reserve(self, request_id, helpers, on_done, on_refused=_ignore):
         """Reserve memory at all given engines or at none.
 
         Args:
           request_id: The id of the request, for logs.
           helpers: PrefillHelpers with tickets.
           on_done: See Reservation.
+          on_refused: See Reservation.
         Returns:
           A Reservation.
         """
-        reservation = Reservation(self, request_id, helpers, on_done)
+        reservation = Reservation(
+            self, request_id, helpers, on_done, on_refused
+        )
         reservation.start()
         return reservation
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -73,6 +73,7 @@
         'wait_ms': round(state.wait_ms(node.now_ms()), 1),
         'writers': state.decode_count,
         'memory': state.memory,
+        'memory_refused_for_ms': round(state.left_out_ms(node.now_ms())),
     }
 
 
