--- a/crankchute/core/reservations.py
+++ b/crankchute/core/reservations.py
@@ -8,10 +8,14 @@
 
 import abc
 import itertools
+from functools import partial
 
 from crankchute.core.lease import HOLD_MS, Lease
 
 _RENEWAL_MS = 1200
+#: How long engines are asked one after the other once one has refused: longer
+#: than a refused prompt takes to be placed again and to be retried once.
+_CONTENTION_MS = 2000
 #: How long memory may be reserved without being used, in milliseconds, unless
 #: the settings say otherwise.
 _DEFAULT_MAX_UNUSED_MS = 9000
@@ -24,6 +28,10 @@
     """Ignore a refused reservation."""
 
 
+def _identity_of(lease):
+    return lease.helper.backend.identity
+
+
 class ReservationPort(abc.ABC):
     """Sends orders about memory to engines; answers arrive asynchronously."""
 
@@ -71,6 +79,7 @@
         '_request_id',
         '_reservation_manager',
         '_start_ms',
+        '_unsent',
         'use_deadline_ms',
     )
 
@@ -90,13 +99,14 @@
         """
         self._reservation_manager = reservation_manager
         self._request_id = request_id
-        self._leases = [
+        self._leases = []
+        self._unsent = [
             Lease(reservation_manager, request_id, helper) for helper in helpers
         ]
         self._on_done = on_done
         self._on_refused = on_refused
         self._granted = 0
-        self._pending = len(helpers)
+        self._pending = 0
         self._refused = []
         self._renewal_timer = None
         self._start_ms = reservation_manager.now_ms()
@@ -107,9 +117,22 @@
         )
 
     def start(self):
-        """Send reserve orders to all engines."""
+        """Send reserve orders to all engines.
+
+        If engines refused lately, they are asked one after the other in the
+        order of their ids, until one refuses.  Of prompts that compete for
+        several engines, the first to get their first common engine then gets
+        all, while the others have reserved little in vain.
+        """
+        if self._reservation_manager.is_contended():
+            self._unsent.sort(key=_identity_of, reverse=True)
+            self._acquire(self._unsent.pop())
+            return
+        self._leases = self._unsent
+        self._unsent = []
+        self._pending = len(self._leases)
         for lease in self._leases:
-            self._acquire(lease)
+            lease.acquire(partial(self._on_acquired, lease))
 
     def record_used(self):
         """Note that the request started to run, and resume paused renewals."""
@@ -132,19 +155,26 @@
             lease.release()
 
     def _acquire(self, lease):
-        def on_acquired(is_reserved):
-            self._pending -= 1
-            if is_reserved:
-                self._record_granted()
-            else:
-                self._refused.append(lease.helper)
-            if is_reserved is False:
-                self._count('refused')
-                self._on_refused(lease.helper)
-            if not self._pending and not self._ended:
-                self._on_all_answered()
-
-        lease.acquire(on_acquired)
+        self._leases.append(lease)
+        self._pending += 1
+        lease.acquire(partial(self._on_acquired, lease))
+
+    def _on_acquired(self, lease, is_reserved):
+        self._pending -= 1
+        if is_reserved:
+            self._record_granted()
+        else:
+            self._refused.append(lease.helper)
+        if is_reserved is False:
+            self._count('refused')
+            self._reservation_manager.record_refused()
+            self._on_refused(lease.helper)
+        if self._ended or self._pending:
+            return
+        if self._unsent and not self._refused:
+            self._acquire(self._unsent.pop())
+        else:
+            self._on_all_answered()
 
     def _record_granted(self):
         self._granted += 1
@@ -216,6 +246,7 @@
         self.journal = journal
         self._owner = owner
         self._ticket_numbers = itertools.count()
+        self._contended_until_ms = float(0)
         self.change_limits(_DEFAULT_MAX_UNUSED_MS)
 
     def now_ms(self):
@@ -234,6 +265,14 @@
         # even if this instance fails before it releases the memory.
         self.unused_renewal_ms = self.max_unused_ms - HOLD_MS
 
+    def record_refused(self):
+        """Record that an engine refused a reservation."""
+        self._contended_until_ms = self.now_ms() + _CONTENTION_MS
+
+    def is_contended(self):
+        """Return whether an engine refused a reservation recently."""
+        return self.now_ms() < self._contended_until_ms
+
     def create_ticket_id(self):
         """Return a unique ticket id."""
         return f'{self._owner}-{next(self._ticket_numbers)}'
