Reuse connections within half of the stated keep-alive for any request

Requests that run at most once opened a new connection after 700 ms of idle time. A server that states Keep-Alive: timeout=N does not close an idle connection before that. A connection on which a close has arrived but is not yet read is no longer reused by any request.

--- a/crankchute/adapters/idle_connections.py
+++ b/crankchute/adapters/idle_connections.py
@@ -1,6 +1,7 @@
 """A pool of idle connections for reuse."""
 
 import re
+import socket
 from collections import OrderedDict, defaultdict
 
 _MAX_PER_ADDRESS = 32
@@ -9,21 +10,28 @@
 #: A connection is not reused within this time, in milliseconds, before the
 #: announced end of its keep-alive, so that no request races with the close.
 _CLOSE_MARGIN_MS = 900
+#: The part of a stated keep-alive within which any request may be sent: the
+#: server's idle time and the one measured here differ by network delays.
+_SAFE_STATED_SHARE = 0.5
 
 
 class _IdleEntry:
     """When a connection became idle and its keep-alive limit."""
 
-    __slots__ = ('allowed_ms', 'since_ms')
+    __slots__ = ('since_ms', 'stated_ms')
 
-    def __init__(self, since_ms, allowed_ms):
+    def __init__(self, since_ms, stated_ms):
         self.since_ms = since_ms
-        self.allowed_ms = allowed_ms
+        self.stated_ms = stated_ms
 
-    def is_usable(self, now_ms, idle_ms):
+    def is_usable(self, now_ms, idle_ms, stated_idle_ms):
         age_ms = now_ms - self.since_ms
-        if self.allowed_ms is not None and age_ms > self.allowed_ms:
-            return False
+        if self.stated_ms is not None:
+            if age_ms > max(self.stated_ms - _CLOSE_MARGIN_MS, 0):
+                return False
+            safe_ms = self.stated_ms * _SAFE_STATED_SHARE
+            if age_ms < min(safe_ms, stated_idle_ms):
+                return True
         return idle_ms is None or age_ms <= idle_ms
 
 
@@ -55,8 +63,8 @@
         idle = self._by_address[address]
         if len(idle) >= _MAX_PER_ADDRESS:
             return False
-        allowed_ms = _read_allowed_ms(headers.get('keep-alive'))
-        idle[sock] = _IdleEntry(self._now_ms(), allowed_ms)
+        stated_ms = _read_stated_ms(headers.get('keep-alive'))
+        idle[sock] = _IdleEntry(self._now_ms(), stated_ms)
         self._addresses[sock] = address
         return True
 
@@ -66,11 +74,12 @@
         if address is not None:
             self._by_address[address].pop(sock, None)
 
-    def has(self, address, idle_ms=None):
+    def has(self, address, idle_ms=None, stated_idle_ms=0):
         """Tell whether take() would return a connection."""
         now_ms = self._now_ms()
         return any(
-            one.is_usable(now_ms, idle_ms) and self._is_open(sock)
+            one.is_usable(now_ms, idle_ms, stated_idle_ms)
+            and self._is_open(sock)
             for sock, one in self._by_address[address].items()
         )
 
@@ -82,30 +91,45 @@
         """Return the pooled sockets to an address, a list."""
         return list(self._by_address.get(address, ()))
 
-    def take(self, address, idle_ms=None):
+    def take(self, address, idle_ms=None, stated_idle_ms=0):
         """Remove and return a usable connection.
 
         Args:
           address: A pair of IP number and port.
           idle_ms: The longest time it may have been idle, or None.
+          stated_idle_ms: The same where the server stated a keep-alive of more
+            than twice its idle time, if that is longer.
         Returns:
           A socket, or None.
         """
         idle = self._by_address[address]
         now_ms = self._now_ms()
         for sock in reversed(tuple(idle)):
-            if not idle[sock].is_usable(now_ms, idle_ms):
+            if not idle[sock].is_usable(now_ms, idle_ms, stated_idle_ms):
                 continue
             self.remove(sock)
-            if self._is_open(sock):
+            if self._is_open(sock) and not _has_input(sock):
                 return sock
         return None
 
 
-def _read_allowed_ms(text):
-    """Return the idle limit of a Keep-Alive header, or None."""
+def _has_input(sock):
+    """Tell whether a close or other bytes have arrived but are not yet read.
+
+    A request must not be sent on such a connection: it would be lost.
+    """
+    try:
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
+def _read_stated_ms(text):
+    """Return the timeout of a Keep-Alive header, or None."""
     found = _KEEP_ALIVE_TIMEOUT.search(text or '')
     if found is None:
         return None
-    seconds = int(found.group(1))
-    return max(seconds * _MS_PER_SECOND - _CLOSE_MARGIN_MS, 0)
+    return int(found.group(1)) * _MS_PER_SECOND
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -34,6 +34,8 @@
 _CONNECT_TIMEOUT_MS = 400
 #: The longest idle time of a reused connection.  It is shorter for requests
 #: that must not be repeated: a server may close an idle connection at any time.
+#: Where the server states for how long it keeps one, half of that time, up to
+#: the longer limit, holds for all requests.
 _NON_REPEATABLE_MAX_IDLE_MS = 700
 _REPEATABLE_MAX_IDLE_MS = 8000
 _FIRST_REDIRECT_STATUS = 300
@@ -169,7 +171,11 @@
             if is_non_repeatable
             else _REPEATABLE_MAX_IDLE_MS
         )
-        options = CallOptions(idle_ms=idle_ms, connect_ms=_CONNECT_TIMEOUT_MS)
+        options = CallOptions(
+            idle_ms=idle_ms,
+            connect_ms=_CONNECT_TIMEOUT_MS,
+            stated_idle_ms=_REPEATABLE_MAX_IDLE_MS,
+        )
         sink = AttemptResponseSink(job, listener)
         sink.call = self._calls.send(backend, request, sink, options)
         return sink.call
