--- a/crankchute/entry/forward_state_test.py
+++ b/crankchute/entry/forward_state_test.py
@@ -25,6 +25,21 @@
     assert [member['strength'] for member in members] == [0]
 
 
+def test_state_holds_how_long_a_refusal_counts():
+    """Operators see which engines an instance leaves out, and for how long."""
+    node = SingleInstance().node
+    node.fleet.put(make_listed('a'))
+    node.fleet.put(make_listed('b'))
+    refusing = next(iter(node.fleet)).identity
+    node.work_tracker.state(refusing).record_refused(1000, node.now_ms())
+    left_out_ms = {
+        server['server']: server['memory_refused_for_ms']
+        for server in dump_forward_node(node)['servers']
+    }
+    assert 0 < left_out_ms.pop(refusing) <= 500
+    assert list(left_out_ms.values()) == [0]
+
+
 def test_state_holds_the_backoff_of_servers():
     node = SingleInstance().node
     node.fleet.pauses.request_pause('a', 60_000)
