Compare the memory of engines with fewer calls for each prompt

A test of orders without an answer now waits until they have timed out; it passed before even if such engines were left out.

--- a/crankchute/core/engine_work.py
+++ b/crankchute/core/engine_work.py
@@ -154,6 +154,17 @@
         """
         return self._refused_tokens if self.left_out_ms(now_ms) else None
 
+    def refuses(self, tokens, now_ms):
+        """Return whether a reservation of at most this size was refused.
+
+        Args:
+          tokens: The memory needed.
+          now_ms: The time.
+        """
+        return (
+            now_ms < self._left_out_until_ms and tokens >= self._refused_tokens
+        )
+
     def left_out_ms(self, now_ms):
         """Return for how long a refusal still counts, in milliseconds."""
         return max(self._left_out_until_ms - now_ms, 0)
--- a/crankchute/core/memory_planning.py
+++ b/crankchute/core/memory_planning.py
@@ -82,20 +82,6 @@
             for backend in backends
         )
 
-    def has_room(self, engine, tokens, now_ms):
-        """Return whether an engine has memory, as far as is known.
-
-        Args:
-          engine: The engine's id.
-          tokens: The memory needed.
-          now_ms: The time.
-        """
-        state = self._find_state(engine)
-        if state.memory + tokens > self._usable_tokens:
-            return False
-        refused_tokens = state.refused_tokens(now_ms)
-        return refused_tokens is None or tokens < refused_tokens
-
     def may_reserve(self, engine, tokens, now_ms):
         """Return whether an engine may take part in a joint prefill.
 
@@ -123,15 +109,18 @@
         if count_required_parts(self._figures, job) > 1:
             return self._list_for_parts(job, backends, now_ms)
         tokens = job.size.kv_tokens
-        with_room = [
-            backend
-            for backend in backends
-            if self.has_room(backend.identity, tokens, now_ms)
-        ]
+        with_room = []
+        # This runs for every prompt and many engines, so calls are saved.
+        find_state = self._find_state
+        max_known = self._usable_tokens - tokens
+        for backend in backends:
+            state = find_state(backend.identity)
+            if state.memory <= max_known and not state.refuses(tokens, now_ms):
+                with_room.append(backend)
         return with_room or [
-            backend
-            for backend in backends
-            if self._wait_ms(backend.identity, tokens, now_ms) <= max_wait_ms
+            full
+            for full in backends
+            if self._wait_ms(full.identity, tokens, now_ms) <= max_wait_ms
         ]
 
     def list_splits(self, job, candidates, now_ms):
--- a/crankchute/core/reservation_refusal_test.py
+++ b/crankchute/core/reservation_refusal_test.py
@@ -62,7 +62,8 @@
     helper = harness.backends[-1]
     submit_joint(harness)
     harness.reservations.answer(is_done)
-    harness.timers.advance(0)
+    # Orders without an answer are repeated for 250 ms.
+    harness.timers.advance(260)
     state = harness.chooser._parts.work_tracker.state(helper.identity)  # noqa: SLF001
     assert state.left_out_ms(0) == left_out_ms
     logged = ('refused', 'ticket-1', 0) in harness.journal.memory_events
