Keep the shorter idle limit for requests that run at most once

Half of a stated keep-alive would admit reuse after seconds. A server that shuts down closes connections before that time, and a failed host is noticed only after about 3 s by TCP keep-alive; a request sent then is lost, while a new connection fails before the request is sent. Connections on which a close has arrived unread are still not reused.

--- a/crankchute/adapters/http_client.py
+++ b/crankchute/adapters/http_client.py
@@ -26,29 +26,23 @@
         one that did.
       idle_ms: The longest time that a reused connection may have been idle,
         in milliseconds, or None.
-      stated_idle_ms: The same, if longer, for a connection whose server stated
-        a keep-alive of more than twice its idle time.
       connect_ms: Time limit for opening a connection, in milliseconds, or None
         for the limit of the system.
     """
 
-    __slots__ = ('connect_ms', 'fresh', 'idle_ms', 'stated_idle_ms')
+    __slots__ = ('connect_ms', 'fresh', 'idle_ms')
 
-    def __init__(
-        self, *, fresh=False, idle_ms=None, connect_ms=None, stated_idle_ms=0
-    ):
+    def __init__(self, *, fresh=False, idle_ms=None, connect_ms=None):
         """Create the options.
 
         Args:
           fresh: See the class.
           idle_ms: See the class.
           connect_ms: See the class.
-          stated_idle_ms: See the class.
         """
         self.fresh = fresh
         self.idle_ms = idle_ms
         self.connect_ms = connect_ms
-        self.stated_idle_ms = stated_idle_ms
 
 
 _DEFAULT_OPTIONS = CallOptions()
@@ -263,9 +257,7 @@
         call = HttpCall(self, address, payload, sink)
         sock = None
         if not options.fresh:
-            sock = self._idle.take(
-                address, options.idle_ms, options.stated_idle_ms
-            )
+            sock = self._idle.take(address, options.idle_ms)
         if sock is not None:
             call.start(sock, None)
             return call
--- a/crankchute/adapters/idle_connections.py
+++ b/crankchute/adapters/idle_connections.py
@@ -10,28 +10,21 @@
 #: A connection is not reused within this time, in milliseconds, before the
 #: announced end of its keep-alive, so that no request races with the close.
 _CLOSE_MARGIN_MS = 900
-#: The part of a stated keep-alive within which any request may be sent: the
-#: server's idle time and the one measured here differ by network delays.
-_SAFE_STATED_SHARE = 0.5
 
 
 class _IdleEntry:
     """When a connection became idle and its keep-alive limit."""
 
-    __slots__ = ('since_ms', 'stated_ms')
+    __slots__ = ('allowed_ms', 'since_ms')
 
-    def __init__(self, since_ms, stated_ms):
+    def __init__(self, since_ms, allowed_ms):
         self.since_ms = since_ms
-        self.stated_ms = stated_ms
+        self.allowed_ms = allowed_ms
 
-    def is_usable(self, now_ms, idle_ms, stated_idle_ms):
+    def is_usable(self, now_ms, idle_ms):
         age_ms = now_ms - self.since_ms
-        if self.stated_ms is not None:
-            if age_ms > max(self.stated_ms - _CLOSE_MARGIN_MS, 0):
-                return False
-            safe_ms = self.stated_ms * _SAFE_STATED_SHARE
-            if age_ms < min(safe_ms, stated_idle_ms):
-                return True
+        if self.allowed_ms is not None and age_ms > self.allowed_ms:
+            return False
         return idle_ms is None or age_ms <= idle_ms
 
 
@@ -63,8 +56,8 @@
         idle = self._by_address[address]
         if len(idle) >= _MAX_PER_ADDRESS:
             return False
-        stated_ms = _read_stated_ms(headers.get('keep-alive'))
-        idle[sock] = _IdleEntry(self._now_ms(), stated_ms)
+        allowed_ms = _read_allowed_ms(headers.get('keep-alive'))
+        idle[sock] = _IdleEntry(self._now_ms(), allowed_ms)
         self._addresses[sock] = address
         return True
 
@@ -74,12 +67,11 @@
         if address is not None:
             self._by_address[address].pop(sock, None)
 
-    def has(self, address, idle_ms=None, stated_idle_ms=0):
+    def has(self, address, idle_ms=None):
         """Tell whether take() would return a connection."""
         now_ms = self._now_ms()
         return any(
-            one.is_usable(now_ms, idle_ms, stated_idle_ms)
-            and self._is_open(sock)
+            one.is_usable(now_ms, idle_ms) and self._is_open(sock)
             for sock, one in self._by_address[address].items()
         )
 
@@ -91,21 +83,19 @@
         """Return the pooled sockets to an address, a list."""
         return list(self._by_address.get(address, ()))
 
-    def take(self, address, idle_ms=None, stated_idle_ms=0):
+    def take(self, address, idle_ms=None):
         """Remove and return a usable connection.
 
         Args:
           address: A pair of IP number and port.
           idle_ms: The longest time it may have been idle, or None.
-          stated_idle_ms: The same where the server stated a keep-alive of more
-            than twice its idle time, if that is longer.
         Returns:
           A socket, or None.
         """
         idle = self._by_address[address]
         now_ms = self._now_ms()
         for sock in reversed(tuple(idle)):
-            if not idle[sock].is_usable(now_ms, idle_ms, stated_idle_ms):
+            if not idle[sock].is_usable(now_ms, idle_ms):
                 continue
             self.remove(sock)
             if self._is_open(sock) and not _has_input(sock):
@@ -127,9 +117,10 @@
     return True
 
 
-def _read_stated_ms(text):
-    """Return the timeout of a Keep-Alive header, or None."""
+def _read_allowed_ms(text):
+    """Return the idle limit of a Keep-Alive header, or None."""
     found = _KEEP_ALIVE_TIMEOUT.search(text or '')
     if found is None:
         return None
-    return int(found.group(1)) * _MS_PER_SECOND
+    seconds = int(found.group(1))
+    return max(seconds * _MS_PER_SECOND - _CLOSE_MARGIN_MS, 0)
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -34,8 +34,8 @@
 _CONNECT_TIMEOUT_MS = 400
 #: The longest idle time of a reused connection.  It is shorter for requests
 #: that must not be repeated: a server may close an idle connection at any time.
-#: Where the server states for how long it keeps one, half of that time, up to
-#: the longer limit, holds for all requests.
+#: A stated keep-alive does not extend it, since a server that shuts down or
+#: whose host fails does not keep to it, and the request would be lost.
 _NON_REPEATABLE_MAX_IDLE_MS = 700
 _REPEATABLE_MAX_IDLE_MS = 8000
 _FIRST_REDIRECT_STATUS = 300
@@ -171,11 +171,7 @@
             if is_non_repeatable
             else _REPEATABLE_MAX_IDLE_MS
         )
-        options = CallOptions(
-            idle_ms=idle_ms,
-            connect_ms=_CONNECT_TIMEOUT_MS,
-            stated_idle_ms=_REPEATABLE_MAX_IDLE_MS,
-        )
+        options = CallOptions(idle_ms=idle_ms, connect_ms=_CONNECT_TIMEOUT_MS)
         sink = AttemptResponseSink(job, listener)
         sink.call = self._calls.send(backend, request, sink, options)
         return sink.call
--- a/crankchute/platform/backend_calls_test.py
+++ b/crankchute/platform/backend_calls_test.py
@@ -289,19 +289,15 @@
     )
 
 
-@pytest.mark.parametrize(
-    ('headers', 'connection_count'),
-    [(b'', 2), (b'Keep-Alive: timeout=5\r\n', 1)],
-)
-def test_stated_keep_alive_saves_a_connection(headers, connection_count):
-    """A request that runs at most once avoids connections of unknown age."""
+@pytest.mark.parametrize('headers', [b'', b'Keep-Alive: timeout=5\r\n'])
+def test_request_that_runs_once_avoids_connections_idle_for_long(headers):
+    """A server may be closing them; the request would then be lost."""
     harness = BackendHarness()
     _call, listener = harness.send(repeat=RetryMode.ONCE)
     harness.receive()
     harness.answer(listener, make_response(200, _VALID_HEADERS + headers))
-    # Longer than such requests may rest without a statement.
     harness.loop.timers.after(750, listener.events.clear)
     harness.loop.run_until(lambda: not listener.events, 0.001)
     harness.send(repeat=RetryMode.ONCE)
     harness.receive()
-    assert len(harness.connections) == connection_count
+    assert len(harness.connections) == 2
