Merge the planning of memory under competition

The refusals of admission and of memory planning share the inputs that are logged. The composition of an instance is split.

--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -101,8 +101,8 @@
 _register(
     'joint reading',
     f'{_CORE}/engine_chooser.py',
-    'max_parts = min(_MAX_PARTS, len(available))',
-    'max_parts = min_parts',
+    'job, available, self.now_ms()\n            )\n        ]',
+    'job, available, self.now_ms()\n            )[:1]\n        ]',
 )
 _register(
     'memory set aside',
@@ -155,8 +155,10 @@
 _register(
     'overdue signs',
     f'{_CORE}/forward_attempt.py',
-    'self.backend.failure_estimator.record_failure(self._context.now_ms())',
-    'self.backend.failure_estimator.record_failure(self._context.now_ms(), 0)',
+    'self.backend.failure_estimator.record_failure(\n'
+    + '                self._context.now_ms()\n',
+    'self.backend.failure_estimator.record_failure(\n'
+    + '                self._context.now_ms(), 0\n',
 )
 _register(
     'probing of silent hosts',
--- a/crankchute/adapters/idle_connections.py
+++ b/crankchute/adapters/idle_connections.py
@@ -1,6 +1,7 @@
 """A pool of idle connections for reuse."""
 
 import re
+import socket
 from collections import OrderedDict, defaultdict
 
 _MAX_PER_ADDRESS = 32
@@ -97,11 +98,25 @@
             if not idle[sock].is_usable(now_ms, idle_ms):
                 continue
             self.remove(sock)
-            if self._is_open(sock):
+            if self._is_open(sock) and not _has_input(sock):
                 return sock
         return None
 
 
+def _has_input(sock):
+    """Tell whether a close or other bytes have arrived but are not yet read.
+
+    A request must not be sent on such a connection: it would be lost.
+    """
+    try:
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 def _read_allowed_ms(text):
     """Return the idle limit of a Keep-Alive header, or None."""
     found = _KEEP_ALIVE_TIMEOUT.search(text or '')
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -264,7 +264,11 @@
         if delay_ms > 0:
             self._watchdog = self._context.after(delay_ms, self._on_watchdog)
         elif checks_overdue:
-            self._record_overdue()
+            # A first event that is overdue is a sign of a failure.
+            self._is_overdue = True
+            self.backend.failure_estimator.record_failure(
+                self._context.now_ms()
+            )
             self._arm_watchdog()
         else:
             self._fail_stalled()
@@ -281,11 +285,6 @@
         unused_ms = self._reservation.use_deadline_ms
         return unused_ms if until_ms is None else min(until_ms, unused_ms)
 
-    def _record_overdue(self):
-        """Record a suspected failure, since the first event is overdue."""
-        self._is_overdue = True
-        self.backend.failure_estimator.record_failure(self._context.now_ms())
-
     def _on_watchdog(self):
         self._watchdog = None
         if not self._is_closed:
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -11,9 +11,10 @@
 )
 from crankchute.core.crash_detector import CrashDetector
 from crankchute.core.forward_flow import ForwardFlow
-from crankchute.core.forward_job import Placement
+from crankchute.core.forward_job import Placement, PrefillHelper
 from crankchute.core.outcomes import Outcome, refuse_not_run
 from crankchute.core.permit_lending import NoLending
+from crankchute.core.prompt_admission import OVERLOADED
 from crankchute.core.sliding_budget import SlidingRetryBudget
 from crankchute.ports.forwarding import MOVED
 
@@ -152,10 +153,8 @@
             choice = chooser.choose(flow.job, avoided)
         if isinstance(choice, Placement):
             chooser.record_sent(flow.job, choice)
-        elif choice.inputs:
-            self.journal.log_not_admitted(flow.job, choice)
-            if choice.inputs['excess'] > 1:
-                self.metrics.count('refused_over_share')
+        elif choice.inputs is not None:
+            record_not_admitted(self.journal, self.metrics, flow.job, choice)
         return choice
 
     def stalled_at_ms(self, flow, attempt):
@@ -189,10 +188,29 @@
         Returns:
           A Reservation.
         """
+        chooser = self.find_chooser(flow.job.pool)
+
+        def on_refused(helper):
+            if chooser is not None:
+                known_tokens = chooser.record_memory_refused(helper)
+                self.journal.log_memory_refused(
+                    flow.job.request_id, helper, known_tokens
+                )
+
+        def on_reserved(refused):
+            decoder = PrefillHelper(placement.backend)
+            if not refused and chooser and not chooser.still_fits(placement):
+                self.journal.log_memory_refused(
+                    flow.job.request_id, decoder, None
+                )
+                refused = [decoder]
+            on_done(refused)
+
         return self._reservations.reserve(
             flow.job.request_id,
             placement.tickets,
-            on_done,
+            on_reserved,
+            on_refused,
         )
 
     def record_freed(self, flow, placement):
@@ -264,6 +282,23 @@
         return budget
 
 
+def record_not_admitted(journal, metrics, job, refusal):
+    """Log and count the refusal of a prompt.
+
+    Args:
+      journal: A ForwardJournal.
+      metrics: A Metrics port.
+      job: A ForwardJob.
+      refusal: A Refusal with inputs.
+    """
+    if refusal.code != OVERLOADED:
+        journal.log_no_memory(job.request_id, refusal)
+        return
+    journal.log_not_admitted(job, refusal)
+    if refusal.inputs['excess'] > 1:
+        metrics.count('refused_over_share')
+
+
 def choose_isolated(chooser, job, avoided):
     """Choose a server for a request that is suspected of crashing servers.
 
--- a/crankchute/core/outcomes.py
+++ b/crankchute/core/outcomes.py
@@ -26,8 +26,7 @@
         does not help.
       was_dispatched: Whether the request was sent to a backend server or to
         another entry instance, a bool.
-      inputs: A dict of the figures on which the decision was based, for logs;
-        empty if there are none.
+      inputs: A dict of the inputs of the decision, to be logged, or None.
     """
 
     __slots__ = (
@@ -48,11 +47,11 @@
           text: A sentence for people.
           details: The other attributes of the class, all optional.
         """
+        self.inputs = None
         self.outcome = outcome
         self.code = code
         self.text = text
         self.retry_after_ms = details.get('retry_after_ms')
-        self.inputs = details.get('inputs', {})
         self.was_dispatched = details.get(
             'was_dispatched', outcome != Outcome.NOT_RUN
         )
--- a/crankchute/core/prompt_admission.py
+++ b/crankchute/core/prompt_admission.py
@@ -29,6 +29,8 @@
 from crankchute.core.length_demand import LONG_PROMPT_FACTOR
 from crankchute.core.outcomes import refuse_not_run
 
+#: Refusal code: the engines are full.
+OVERLOADED = 'crowded'
 #: The share of its worth that a prompt on time loses by a retry: an answer
 #: after its goal keeps about a quarter.  Higher values refuse fewer prompts.
 _ON_TIME_GAIN = 0.75
@@ -309,9 +311,9 @@
       A Refusal.
     """
     refusal = refuse_not_run(
-        'crowded',
+        OVERLOADED,
         'the engines are full; sending this would make others late',
         hints.choose_ms(remaining_ms, remaining_ms),
     )
-    refusal.inputs = inputs or {}
+    refusal.inputs = inputs
     return refusal
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -34,6 +34,8 @@
 _CONNECT_TIMEOUT_MS = 400
 #: The longest idle time of a reused connection.  It is shorter for requests
 #: that must not be repeated: a server may close an idle connection at any time.
+#: A stated keep-alive does not extend it, since a server that shuts down or
+#: whose host fails does not keep to it, and the request would be lost.
 _NON_REPEATABLE_MAX_IDLE_MS = 700
 _REPEATABLE_MAX_IDLE_MS = 8000
 _FIRST_REDIRECT_STATUS = 300
--- a/crankchute/platform/backend_calls_test.py
+++ b/crankchute/platform/backend_calls_test.py
@@ -287,3 +287,17 @@
     assert (
         harness.client.has_idle(harness.backend.listed.address) == is_reusable
     )
+
+
+@pytest.mark.parametrize('headers', [b'', b'Keep-Alive: timeout=5\r\n'])
+def test_request_that_runs_once_avoids_connections_idle_for_long(headers):
+    """A server may be closing them; the request would then be lost."""
+    harness = BackendHarness()
+    _call, listener = harness.send(repeat=RetryMode.ONCE)
+    harness.receive()
+    harness.answer(listener, make_response(200, _VALID_HEADERS + headers))
+    harness.loop.timers.after(750, listener.events.clear)
+    harness.loop.run_until(lambda: not listener.events, 0.001)
+    harness.send(repeat=RetryMode.ONCE)
+    harness.receive()
+    assert len(harness.connections) == 2
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -4,10 +4,8 @@
 from crankchute.adapters.early_requests import EarlyRequests
 from crankchute.adapters.forward_server import ForwardServer
 from crankchute.adapters.http_client import HttpClient
-from crankchute.adapters.http_intake import IntakeLimits
 from crankchute.adapters.operator_pages import OperatorPages
 from crankchute.core.admission import make_key_admission
-from crankchute.core.evacuations import Evacuations
 from crankchute.core.forward_flow import AnswerReading
 from crankchute.core.freshness_proof import choose_max_age_ms
 from crankchute.core.retry_hints import RetryHints
@@ -22,6 +20,8 @@
 from crankchute.platform.engine_reports import EngineReports
 from crankchute.platform.instance_limits import (
     ADDRESS_TTL_MS,
+    make_evacuations,
+    make_intake_limits,
     read_identity,
     read_limits,
 )
@@ -58,7 +58,6 @@
 #: How long an early request may wait for the first responses of the store.
 _FIRST_READ_WAIT_MS = 60
 _IDLE_TIMEOUT_MS = 15_000
-_MIN_BODY_BYTES_PER_MS = 4
 
 
 class PlatformNode:
@@ -94,7 +93,7 @@
             take_config=self._apply_config,
             take_servers=self._apply_servers,
             pool_label=POOL_LABEL,
-            evacuations=Evacuations(is_enabled=_reads_evacuations(settings)),
+            evacuations=make_evacuations(settings.bounds),
             data_centres=(settings.data_centre, *settings.data_centres),
         )
         self.node = ForwardNode(
@@ -281,16 +280,7 @@
         request_limits = config.request_limits
         if request_limits is not None:
             self._server.idle_ms = request_limits.idle_timeout_ms
-            self._server.limits = IntakeLimits(
-                max_header_bytes=request_limits.max_header_bytes,
-                max_body_bytes=request_limits.max_body_bytes,
-                header_timeout_ms=request_limits.header_timeout_ms,
-                body_rate=_MIN_BODY_BYTES_PER_MS,
-            )
+            self._server.limits = make_intake_limits(request_limits)
 
     def _on_draining(self):
         self._server.is_closing = True
-
-
-def _reads_evacuations(settings):
-    return settings.bounds.evacuate_ms is not None
