Declare the counter of refusals over the share, and weigh the excess less

Prompts of large accounts were also refused though the engines had room for them within .8 of their time.

Prompts of accounts over their share count for as little as a 1.3th instead of half.

--- a/crankchute/adapters/metrics.py
+++ b/crankchute/adapters/metrics.py
@@ -19,6 +19,7 @@
     ('requests_ended', 'Completions ended, by outcome.', 'outcome'),
     ('service_calls_ended', 'Plain service calls ended.', 'outcome'),
     ('refusals', 'Completions refused before they were admitted.', 'code'),
+    ('refused_over_share', 'Refusals to accounts over their share.', None),
     ('engine_refusals', 'Orders an engine refused to start.', 'code'),
     ('retries', 'Attempts repeated after a failure.', None),
     ('retries_denied', 'Retries that the budget did not allow.', None),
--- a/crankchute/core/prompt_admission.py
+++ b/crankchute/core/prompt_admission.py
@@ -49,9 +49,9 @@
 #: An account counts as over its fair share from this multiple of it on; the
 #: work of accounts that send alike varies by less.
 _EXCESS_TOLERANCE = 1.5
-#: The largest divisor for accounts over their share.  Their prompts then need
-#: twice the room of others, which they find only when others leave it.
-_MAX_EXCESS = 2
+#: The largest divisor for accounts over their share.  Their prompts come after
+#: those of others, but get the room that others leave.
+_MAX_EXCESS = 1.3
 #: The half-life of loss rates: short enough to follow a burst of seconds.
 _LOSS_HALF_LIFE_MS = 1000
 #: A priority is short of capacity if it loses a larger share of its prompts.
