Restore reasons behind constants in comments

Cause: a rewording of comments dropped some of the reasons, figures and faults that explain a constant or a rule.

Change: comments and docstrings of 18 modules state them again, in one or two sentences each. No code changes.

--- a/crankchute/adapters/log.py
+++ b/crankchute/adapters/log.py
@@ -18,6 +18,7 @@
 import orjson
 
 #: Limit on the lines of one kind per second, which bounds their processor time.
+#: A typical instance has some tens of requests per second and stays below it.
 LINES_PER_S = 200
 #: Limit on the failure lines of one kind per second.
 FAILURES_PER_S = 400
--- a/crankchute/adapters/sockets.py
+++ b/crankchute/adapters/sockets.py
@@ -28,7 +28,8 @@
 #: failure must be detected earlier.
 _SERVER_TIMEOUT_MS = 2500
 #: TCP keep-alive: idle time before the first probe and interval between probes,
-#: in seconds.
+#: in seconds.  They detect a failed host from which only an answer is due: with
+#: no unacknowledged bytes, TCP_USER_TIMEOUT alone would not.
 _KEEPALIVE_S = 1
 #: Size of the buffers of sockets whose unsent or unread bytes are bounded; the
 #: system doubles it.  Its default bound is several megabytes for a socket.
--- a/crankchute/core/active_instances.py
+++ b/crankchute/core/active_instances.py
@@ -34,6 +34,7 @@
 #: An active instance must have confirmed its configuration this recently.
 _MAX_PROOF_AGE_MS = 3200
 #: Limits the excluded instances to retry, as a multiple of the active ones.
+#: The best-ranked ones suffice: they would be active without their fault.
 _EXCLUDED_FACTOR = 2
 
 
--- a/crankchute/core/admission.py
+++ b/crankchute/core/admission.py
@@ -8,7 +8,8 @@
 """
 
 #: Reserved for requests that are already on the way to a backend server when
-#: the time to refuse a revoked key ends.
+#: the time to refuse a revoked key ends: over twice the 300 ms within which
+#: most requests start.
 _DISPATCH_MARGIN_MS = 700
 
 
--- a/crankchute/core/candidate_filter.py
+++ b/crankchute/core/candidate_filter.py
@@ -1,8 +1,8 @@
 """Preselection of the engines to compare for a prompt.
 
-Computing the cost of every engine would block the event loop in large pools.
-So a sample of the engines is ranked by a cheap estimate of their wait, and
-only the best are compared in full.
+Computing the cost of every engine would block the event loop, which relays all
+streams, in large pools.  So a sample of the engines is ranked by a cheap
+estimate of their wait, and only the best are compared in full.
 """
 
 import heapq
@@ -14,10 +14,11 @@
 #: those reserved for long prompts.
 _SHORT_LIMIT = 16
 _SHORT_RESERVED_LIMIT = 8
-#: The same for a long prompt, whose prefill several engines may share.
+#: The same for a long prompt, whose prefill up to 17 engines may share.
 _LONG_LIMIT = 24
 _LONG_RESERVED_LIMIT = 24
-#: The size of the random sample of engines that are ranked.
+#: The size of the random sample of engines that are ranked.  The best of so
+#: many are about as good as the best of all.
 _MAX_RANKED = 192
 #: Penalty for each decoding request, in milliseconds of wait, since a prefill
 #: may delay it.
@@ -25,9 +26,9 @@
 #: Penalty for a certain failure, in milliseconds of wait.
 _FAILURE_PENALTY_MS = 1000
 #: Penalties for a new connection and for an engine in another data centre, in
-#: seconds of wait.  They exceed the added latency, since connections cost CPU
-#: time at both ends and traffic between data centres costs money, but they
-#: are low enough to only break ties.
+#: seconds of wait.  They exceed the added latency of 1 to 5 ms, since
+#: connections cost CPU time at both ends and traffic between data centres costs
+#: money, but they are low enough to only break ties.
 _CONNECT_COST_S = 0.02
 _REMOTE_COST_S = 0.01
 _MS_PER_SECOND = 1000
--- a/crankchute/core/crash_attribution.py
+++ b/crankchute/core/crash_attribution.py
@@ -29,9 +29,10 @@
 _MIN_MARGIN = 2
 #: Crashes noticed within this time of the first one count as simultaneous: a
 #: rack that loses power stops its servers within a millisecond, and a busy
-#: instance notices some milliseconds later.  The window is not extended by
-#: later crashes, because a request that crashes servers as fast as it is sent
-#: would then count for a single crash.
+#: instance notices some milliseconds later.  Crashes by successive attempts of
+#: one request are usually further apart.  The window is not extended by later
+#: crashes, because a request that crashes servers as fast as it is sent would
+#: then count for a single crash.
 _SIMULTANEOUS_MS = 20
 
 
--- a/crankchute/core/engine_plans.py
+++ b/crankchute/core/engine_plans.py
@@ -1,6 +1,8 @@
 """Candidates, plans and cost terms of the placement of prompts."""
 
 #: The share of the time to a goal up to which a predicted duration is safe.
+#: First events may come somewhat later than predicted, and much later where a
+#: split prefill intervenes.
 _SAFE_SHARE = 0.8
 #: Passes before the first event of a prompt at a decoding engine: half of the
 #: current one on average, and the one with its prefill.
@@ -77,7 +79,8 @@
         Args:
           prefill_ms: Its duration by the published figures.
           is_prioritized: Whether it runs before those that wait, as the parts
-            of a split prefill do.
+            of a split prefill do.  First events behind such a part may take
+            several times as long as predicted.
         Returns:
           A list of WorkItem.
         """
--- a/crankchute/core/hold_release.py
+++ b/crankchute/core/hold_release.py
@@ -1,7 +1,8 @@
 """Releases the memory of an engine group, with retries until acknowledged."""
 
 #: Delay before the first retry of an unanswered release, in milliseconds.
-#: It doubles with every further retry, up to the maximum.
+#: It doubles with every further retry, up to the maximum: a busy engine answers
+#: soon, and a lost one need not be asked often.
 _FIRST_RETRY_MS = 300
 _MAX_RETRY_MS = 4800
 
--- a/crankchute/core/lease.py
+++ b/crankchute/core/lease.py
@@ -11,7 +11,8 @@
 RESERVE = 'reserve'
 RELEASE = 'release'
 #: How often a reserve order is sent while none is answered, and at which
-#: interval, in milliseconds.  Repeating it makes up for lost orders.
+#: interval, in milliseconds.  Repeating it makes up for lost orders; an
+#: answer usually takes some 5 ms.
 _RESERVE_ATTEMPTS = 3
 _RESERVE_RETRY_MS = 60
 #: Timeout of all reserve attempts together, in milliseconds; another engine is
@@ -32,8 +33,8 @@
 #: the memory, in milliseconds.  It limits the traffic while orders are delayed.
 _LATE_RETRY_MS = 1900
 #: Timeout of a single release, in milliseconds; retries are sent meanwhile.
-#: Longer than the delay of a congested link, so that releases are not given up
-#: before they arrive.
+#: Longer than the delay of a congested link, which may be 1.4 s, so that
+#: releases are not given up before they arrive.
 _RELEASE_TIMEOUT_MS = 4000
 
 
--- a/crankchute/core/peer_exchange.py
+++ b/crankchute/core/peer_exchange.py
@@ -16,7 +16,8 @@
 
 An instance that chooses engines, active or not, subscribes to the work of the
 active ones and starts with a snapshot of it.  Otherwise an instance that has
-just started would take every engine for idle.
+just started would take every engine for idle, and first events would come
+several times later than predicted.
 """
 
 from crankchute.core.active_instances import (
--- a/crankchute/core/prompt_admission.py
+++ b/crankchute/core/prompt_admission.py
@@ -32,7 +32,8 @@
 #: Refusal code: the engines are full.
 OVERLOADED = 'crowded'
 #: The share of its worth that a prompt on time loses by a retry: an answer
-#: after its goal keeps about a quarter.  Higher values refuse fewer prompts.
+#: after its goal keeps about a quarter.  Higher values refuse fewer prompts;
+#: lower ones refuse long prompts above all, within _MIN_RELATIVE_RATE.
 _ON_TIME_GAIN = 0.75
 #: The same for a late prompt, which loses the remaining quarter only if the
 #: retry fails too, as about half of them do.
--- a/crankchute/core/reported_load.py
+++ b/crankchute/core/reported_load.py
@@ -64,7 +64,8 @@
     def estimate(self, now_ms, usual_ms):
         """Estimate how many of the requests are still there, a float.
 
-        Their number falls linearly to zero over the usual duration.
+        Their number falls linearly to zero over the usual duration: a request
+        met at a random moment has on average half of its duration left.
 
         Args:
           now_ms: The time.
--- a/crankchute/core/reservations.py
+++ b/crankchute/core/reservations.py
@@ -20,7 +20,7 @@
 #: the settings say otherwise.
 _DEFAULT_MAX_UNUSED_MS = 9000
 #: Subtracted from that limit to allow for orders in transit, in milliseconds.
-#: Longer than the delay of a congested link.
+#: Longer than the delay of a congested link, which may be 1.4 s.
 _NETWORK_DELAY_MS = 1500
 
 
--- a/crankchute/core/retry_hints.py
+++ b/crankchute/core/retry_hints.py
@@ -6,7 +6,8 @@
 """
 
 #: The delay when the time to recovery is unknown, as a fraction of the caller's
-#: remaining time.
+#: remaining time, most of which is still left after it.  A fixed short delay
+#: would use up callers' retries during a restart of all instances.
 _DEFAULT_DELAY_FRACTION = 0.2
 #: The longest delay, as a fraction of the caller's remaining time.
 _MAX_DELAY_FRACTION = 0.3
--- a/crankchute/core/work_feed.py
+++ b/crankchute/core/work_feed.py
@@ -11,7 +11,7 @@
 from crankchute.core.peer_message import WorkBatch, WorkChange
 
 #: Batches may arrive out of order.  A gap that lasts longer than this, which
-#: exceeds the latency between data centres, counts as a loss.
+#: exceeds the latency between data centres (1 to 5 ms), counts as a loss.
 _REORDER_WINDOW_MS = 50
 
 
--- a/crankchute/platform/engine_orders.py
+++ b/crankchute/platform/engine_orders.py
@@ -10,7 +10,7 @@
 from crankchute.ports.http import WholeResponse
 
 #: Timeout of an order to reserve memory.  It is short because a request waits
-#: for the reservation.
+#: for the reservation, and data centres are only milliseconds apart.
 _RESERVE_TIMEOUT_MS = 250
 _MAX_IDLE_MS = 8000
 _SUCCESS_STATUSES = frozenset((HTTPStatus.OK, HTTPStatus.ACCEPTED))
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -49,13 +49,15 @@
 #: How long a new process does not watch, since it considers itself a reader
 #: until it knows the other instances.
 _STARTUP_MS = 1000
-#: How many active instances read the store for all; two of them may be lost.
+#: How many active instances read the store for all.  One is enough, so two of
+#: them may be lost at once.
 _READERS = 3
 #: The second and the longest delay between failing calls of the store.  Other
 #: instances get the data from the readers within a second and retry less often.
 _READER_DELAYS_MS = (400, 800)
 _RETRY_DELAYS_MS = (1500, 3000)
-#: How long an early request may wait for the first responses of the store.
+#: How long an early request may wait for the first responses of the store,
+#: which usually take some ten milliseconds.
 _FIRST_READ_WAIT_MS = 60
 _IDLE_TIMEOUT_MS = 15_000
 
--- a/crankchute/platform/server_entries.py
+++ b/crankchute/platform/server_entries.py
@@ -16,7 +16,8 @@
 POOL_LABEL = 'pool'
 BACKEND_KIND = 'backend'
 #: Longer entries are refused unread: decoding one of the largest size that the
-#: store accepts would block the event loop for milliseconds.
+#: store accepts would block the event loop for milliseconds.  Those of servers
+#: have some 250 bytes.
 _MAX_ENTRY_BYTES = 65_536
 #: Ids are written to headers and logs without escaping.
 _SERVER_ID = re.compile('[!-~]{1,200}')
