--- a/bench/fair_shares.py
+++ b/bench/fair_shares.py
@@ -23,7 +23,6 @@
 #: The numbers of instances.
 FLEETS = (6, 72, 780)
 HEAVY = 1000
-
 #: About one instance in this many is active, but at least the minimum.
 _INSTANCES_PER_ACTIVE = 24
 _MIN_ACTIVE = 2
--- a/crankchute/core/prompt_admission.py
+++ b/crankchute/core/prompt_admission.py
@@ -286,8 +286,8 @@
         are limited by the engines reserved for them.
         """
         is_deferred = any(
-            losses.is_high(now_ms)
-            for (priority, is_long), losses in self._losses.items()
+            other.is_high(now_ms)
+            for (priority, is_long), other in self._losses.items()
             if priority < estimate.priority and is_long <= estimate.is_long
         )
         min_rate = _MIN_DEFERRED_RATE if is_deferred else _MIN_RELATIVE_RATE
