Refuse prompts without a plan for lack of memory under its own code

Change: such a prompt is refused as no_memory, with the time until known work frees memory. The test was red before.

--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -90,7 +90,8 @@
             if is_first_attempt
             else remaining_ms,
         )
-        if not fitting:
+        plans = self._make_plans(job, fitting) if fitting else []
+        if not plans:
             return self._memory.refuse(
                 job,
                 usable,
@@ -99,9 +100,6 @@
                 engine_count=len(self._parts.members()),
                 heard_ms_ago=self._parts.last_peer_message_age_ms(),
             )
-        plans = self._make_plans(job, fitting)
-        if not plans:
-            return self.refuse()
         plan = min(plans, key=_cost_of)
         refusal = self._find_refusal(job, plan) if is_first_attempt else None
         return refusal or self._make_placement(job, plan)
--- a/crankchute/core/engine_chooser_test.py
+++ b/crankchute/core/engine_chooser_test.py
@@ -308,3 +308,23 @@
         world.work_tracker.start('server-00', work.key)
     _job, placement = world.place(SHORT)
     assert placement.estimate.describe()['lacking'] == lacking
+
+
+def test_lack_of_memory_at_the_reserved_engines_is_named():
+    """Such prompts were refused as if no server took requests at all."""
+    world = World(engines=8)
+    for number in range(40):
+        work = make_work_item(f's{number}', 'server-07', priority=0)
+        world.work_tracker.add(work)
+        world.work_tracker.end('server-07', work.key)
+    work = make_work_item(
+        'long', 'server-00', prefill_ms=9000, weight=20, priority=2
+    )
+    work.memory = 230_000
+    world.work_tracker.add(work)
+    job = make_job(
+        size=HUGE, goal_ms=6000, gap_ms=1000, is_stream=True, priority=2
+    )
+    refusal = world.chooser.choose(job, set())
+    assert refusal.code == 'no_memory'
+    assert refusal.retry_after_ms > 0
