--- a/crankchute/core/prompt_admission.py
+++ b/crankchute/core/prompt_admission.py
@@ -20,7 +20,7 @@
 needed to avoid starvation.
 
 While a pool is short, a prompt of a client account that has more than its fair
-share of the engines counts for less, in proportion to the excess.
+share of the engines counts for less.
 """
 
 import math
@@ -50,7 +50,7 @@
 #: An account counts as over its fair share from this multiple of it on; the
 #: work of accounts that send alike varies by less.
 _EXCESS_TOLERANCE = 1.5
-#: The largest divisor for accounts over their share.  Their prompts come after
+#: The divisor for accounts over their share.  Their prompts come after
 #: those of others, but get the room that others leave.
 _MAX_EXCESS = 1.3
 #: The half-life of loss rates: short enough to follow a burst of seconds.
