Count attempts without an answer by their cause

Cause: an instance that lost all paths shows many failed connections, one whose servers fail shows lost ones or missing answers, but only single log lines told them apart.

Change: crankchute_attempts_failed_total by cause (not_connected, connection_lost, no_answer).

--- a/crankchute/adapters/metrics.py
+++ b/crankchute/adapters/metrics.py
@@ -21,6 +21,7 @@
     ('refusals', 'Completions refused before they were admitted.', 'code'),
     ('refused_over_share', 'Refusals to accounts over their share.', None),
     ('engine_refusals', 'Orders an engine refused to start.', 'code'),
+    ('attempts_failed', 'Attempts without an answer, by cause.', 'cause'),
     ('retries', 'Attempts repeated after a failure.', None),
     ('retries_denied', 'Retries that the budget did not allow.', None),
     ('requests_held', 'Requests found to crash servers.', None),
--- a/crankchute/core/attempt_context.py
+++ b/crankchute/core/attempt_context.py
@@ -36,6 +36,10 @@
     def record_attempt_end(self, flow, attempt, cause):
         """Record the end of an attempt and its cause."""
 
+    def record_failed(self, flow, attempt, exc):
+        """Record an attempt that ended with a BackendError."""
+        self.record_attempt_end(flow, attempt, str(exc))
+
     def record_freed(self, flow, placement):
         """Record that a placement no longer uses its servers."""
 
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -214,7 +214,7 @@
 
     def _record_failed(self, attempt, exc):
         self.attempt = None
-        self._context.record_attempt_end(self, attempt, str(exc))
+        self._context.record_failed(self, attempt, exc)
         self._avoided.add(attempt.backend.identity)
         self._may_have_run = self._may_have_run or exc.sent
 
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -247,6 +247,11 @@
         """Record the end of an attempt."""
         self.journal.log_attempt_end(flow, attempt, cause)
 
+    def record_failed(self, flow, attempt, exc):
+        """Record an attempt that ended without an answer."""
+        self.metrics.count('attempts_failed', classify_failure(exc))
+        self.record_attempt_end(flow, attempt, str(exc))
+
     def record_rejection(self, flow, attempt, rejection):
         """Record that a server rejected a request."""
         self.metrics.count('engine_refusals', rejection.code)
@@ -299,6 +304,17 @@
         metrics.count('refused_over_share')
 
 
+def classify_failure(exc):
+    """Return the label under which a failed attempt is counted.
+
+    Args:
+      exc: A BackendError.
+    """
+    if not exc.sent:
+        return 'not_connected'
+    return 'connection_lost' if exc.connection_lost else 'no_answer'
+
+
 def choose_isolated(chooser, job, avoided):
     """Choose a server for a request that is suspected of crashing servers.
 
