--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -34,6 +34,7 @@
 from crankchute.platform.engine_reports import EngineReports
 from crankchute.platform.requests import RequestPayload
 from crankchute.platform.server_calls import ServerCalls
+from crankchute.platform.standin_paths import PathFaults
 from crankchute.platform.standin_engine import HEALTH_PATH, StandinEngine
 from crankchute.standins.ports import LOOPBACK, pick_ports
 
@@ -102,6 +103,7 @@
         self.engines = []
         self.nodes = []
         self._reports = {}
+        self._paths = {}
         self._peer_ports = []
         for _ in range(instances):
             self.start_instance()
@@ -127,6 +129,7 @@
             client.register(self.loop),
             self.loop.timers.clock,
         )
+        paths = PathFaults(client, self.loop.timers)
         reports = EngineReports(calls)
         node = ForwardNode(
             self.loop,
@@ -135,6 +138,7 @@
             self._make_wiring(client, calls, reports),
         )
         self._reports[node] = reports
+        self._paths[node] = paths
         calls.listener = ServerNotices(
             node.fleet,
             node.journal,
@@ -254,6 +258,23 @@
 
         node.peers.peer_client.call = drop_call
 
+    def lose_paths(self, node, fault, engines=None):
+        """Lose the paths from an instance to servers.
+
+        Args:
+          node: Its ForwardNode.
+          fault: A PathFault.
+          engines: The StandinEngines, or None for all.
+        """
+        addresses = {
+            list_engine(engine).address for engine in engines or self.engines
+        }
+        self._paths[node].lose(addresses, fault)
+
+    def restore_paths(self, node):
+        """Restore the paths from an instance to all servers."""
+        self._paths[node].restore()
+
     def reports(self, node):
         """Return the EngineReports of an instance.
 
