--- a/crankchute/adapters/early_listen.py
+++ b/crankchute/adapters/early_listen.py
@@ -1,10 +1,27 @@
 """Listening sockets, opened before the rest of the process starts."""
 
 import socket
+from contextlib import suppress
 
 _BACKLOG = 1024
 
 
+def listen_in_range(host, ports):
+    """Open a non-blocking listening socket on the first free port.
+
+    Args:
+      host: An IP number.
+      ports: The first and last port.
+    Returns:
+      A socket, or None if no port is free.
+    """
+    first, last = ports
+    for port in range(first, last + 1):
+        with suppress(OSError):
+            return listen_on([(host, port)])[host, port]
+    return None
+
+
 def listen_on(addresses):
     """Open non-blocking listening sockets on several addresses.
 
--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -36,6 +36,7 @@
             gap_ms=job.gap_ms if job.is_stream else None,
             deadline_in_ms=_round(job.remaining_ms(self._clock.now_ms())),
             resume_after=job.resume_after,
+            relayed_by=None if job.relay is None else job.relay.instance,
             **self._describe_config(),
         )
 
@@ -140,6 +141,45 @@
             fingerprints=[write_fingerprint(one) for one in fingerprints],
         )
 
+    def log_paths_lost(self, pool, servers, instances):
+        """Log that only other instances reach the servers of a pool.
+
+        Args:
+          pool: The pool's name.
+          servers: The Backends to which this instance tried to connect.
+          instances: The ids of instances that reach one of them.
+        """
+        log_change(
+            'paths_lost',
+            failed=True,
+            pool=pool,
+            servers=[one.identity for one in servers],
+            reached_by=instances,
+        )
+
+    def log_servers_down(self, pool, servers):
+        """Log that no instance that was asked reaches some servers.
+
+        Args:
+          pool: The name of their pool.
+          servers: The Backends.
+        """
+        log_change(
+            'servers_down',
+            failed=True,
+            pool=pool,
+            servers=[one.identity for one in servers],
+        )
+
+    def log_paths_restored(self, pool, lost_for_ms):
+        """Log that this instance reaches the servers of a pool again.
+
+        Args:
+          pool: The pool's name.
+          lost_for_ms: For how long it relayed requests.
+        """
+        log_change('paths_restored', pool=pool, lost_for_ms=_round(lost_for_ms))
+
     def log_notice(self, backend, notice):
         """Log the state that a server reported in a response.
 
--- a/crankchute/adapters/http_client.py
+++ b/crankchute/adapters/http_client.py
@@ -281,11 +281,12 @@
             )
         return call
 
-    def ask_listening(self, address, on_known):
+    def ask_listening(self, address, on_known, *, timeout_ms=_PROBE_TIMEOUT_MS):
         """Probe whether a process listens at an address.
 
         Args:
           address: A pair of IP number and port.
+          timeout_ms: The time limit.
           on_known: Called with True, with False if the connection is refused,
             or with None if neither is known in time.
         """
@@ -305,7 +306,7 @@
                 on_known(None)
 
         if connecting is not None and self._timers is not None:
-            timeout = self._timers.after(_PROBE_TIMEOUT_MS, on_timeout)
+            timeout = self._timers.after(timeout_ms, on_timeout)
 
     def has_idle(self, address, idle_ms=None):
         """Tell whether a call could reuse an idle connection.
--- a/crankchute/adapters/metrics.py
+++ b/crankchute/adapters/metrics.py
@@ -22,6 +22,8 @@
     ('refused_over_share', 'Refusals to accounts over their share.', None),
     ('engine_refusals', 'Orders an engine refused to start.', 'code'),
     ('attempts_failed', 'Attempts without an answer, by cause.', 'cause'),
+    ('requests_relayed', 'Attempts through other instances.', None),
+    ('relays_taken', 'Requests relayed by other instances.', None),
     ('retries', 'Attempts repeated after a failure.', None),
     ('retries_denied', 'Retries that the budget did not allow.', None),
     ('requests_held', 'Requests found to crash servers.', None),
--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -107,6 +107,7 @@
         limits=[_write_limit(one, now_ms) for one in message.limits],
         evacuations=write_evacuations(message.evacuations),
         knows_evacuations=message.knows_evacuations,
+        lost_pools=message.lost_pools,
         crash_digest=message.crash_digest,
         crashes=write_crashes(message.crashes, now_ms),
     )
@@ -143,6 +144,7 @@
         ],
         limits=[_read_limit(one, now_ms) for one in record.limits],
         evacuations=read_evacuations(record.evacuations),
+        lost_pools=tuple(record.lost_pools),
         knows_evacuations=record.knows_evacuations,
         crash_digest=record.crash_digest,
         crashes=read_crashes(record, now_ms),
--- a/crankchute/adapters/peer_records_test.py
+++ b/crankchute/adapters/peer_records_test.py
@@ -48,6 +48,7 @@
             Evacuation('z2', 7, is_evacuated=False),
         ),
         knows_evacuations=True,
+        lost_pools=('pool-a', 'pool-b'),
         active=[Member('a', 'b', 3, strength=516, data_centre='z')],
         batch=WorkBatch(4, news, is_snapshot=is_snapshot),
         proof_age_ms=None,
@@ -78,6 +79,7 @@
     assert received.proof_age_ms is None
     assert received.servers_age_ms == pytest.approx(250)
     assert received.servers_revision == 77
+    assert received.lost_pools == ('pool-a', 'pool-b')
     assert [one.strength for one in received.active] == [516]
 
 
--- a/crankchute/adapters/peers_grpc.py
+++ b/crankchute/adapters/peers_grpc.py
@@ -80,6 +80,10 @@
         """See peer.proto."""
         return self._dispatch('on_turn', request, context)
 
+    def Reach(self, request, context):  # noqa: N802  (named by the protocol)
+        """See peer.proto."""
+        return self._dispatch('on_reach', request, context)
+
     def _dispatch(self, name, request, context):
         function = getattr(self._handlers, name, None)
         if function is None:
--- a/crankchute/core/attempt_context.py
+++ b/crankchute/core/attempt_context.py
@@ -1,5 +1,7 @@
 """Default implementations of the callbacks that flows and attempts use."""
 
+from crankchute.core.server_paths import AlwaysReached
+
 #: Retry hint after a rejection, in milliseconds: about the time that the oldest
 #: request of a full server still takes.
 DEFAULT_RETRY_AFTER_MS = 300
@@ -9,8 +11,13 @@
     """Base class of the context of flows and attempts.
 
     The hooks do nothing unless a subclass overrides them.
+
+    Attributes:
+      paths: The ServerPaths.
     """
 
+    paths = AlwaysReached()
+
     def choose_retry_after_ms(self, _job):
         """Return the retry hint for the caller of a job that did not run.
 
@@ -37,8 +44,24 @@
         """Record the end of an attempt and its cause."""
 
     def record_failed(self, flow, attempt, exc):
-        """Record an attempt that ended with a BackendError."""
+        """Record an attempt that ended with a BackendError.
+
+        Args:
+          flow: A ForwardFlow.
+          attempt: The Attempt.
+          exc: The BackendError.
+        """
         self.record_attempt_end(flow, attempt, str(exc))
+        if attempt.placement.is_relayed:
+            if attempt.placement.server is None:
+                self.paths.drop_helper(attempt.backend.identity)
+        else:
+            self.paths.suspect(attempt.backend)
+
+    def record_overdue(self, flow, attempt):
+        """Record that the first event of an attempt is overdue."""
+        if not attempt.placement.is_relayed:
+            self.paths.suspect(attempt.backend)
 
     def record_freed(self, flow, placement):
         """Record that a placement no longer uses its servers."""
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -240,6 +240,7 @@
             self._flow.attempts,
             job.remaining_ms(self.sent_ms),
             self._flow.last_event_id,
+            sorted(self._flow.avoided),
         )
         self._call = self._context.port.send(job, self.placement, order, self)
 
@@ -269,6 +270,7 @@
             self.backend.failure_estimator.record_failure(
                 self._context.now_ms()
             )
+            self._context.record_overdue(self._flow, self)
             self._arm_watchdog()
         else:
             self._fail_stalled()
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -76,6 +76,7 @@
       forgotten: The ids of servers whose connections were closed, a list.
       listening: A dict from server id to whether a process listens there;
         this is unknown for servers that are missing.
+      unreached: The ids of servers to which no connection can be opened.
     """
 
     def __init__(self):
@@ -83,6 +84,7 @@
         self.calls = []
         self.forgotten = []
         self.listening = {}
+        self.unreached = set()
 
     def send(self, job, placement, attempt, listener):
         """See ForwardPort."""
@@ -94,6 +96,10 @@
         """See ForwardPort."""
         on_known(self.listening.get(backend.identity))
 
+    def probe(self, backend, on_known):
+        """See ForwardPort."""
+        on_known(backend.identity not in self.unreached)
+
     def forget(self, backend):
         """See ForwardPort."""
         self.forgotten.append(backend.identity)
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -7,6 +7,8 @@
 never forwarded.
 """
 
+from functools import partial
+
 from crankchute.core.forward_attempt import FIRST_SERVER_ERROR, Attempt
 from crankchute.core.memory_planning import NO_MEMORY
 from crankchute.core.outcomes import Outcome, Refusal, refuse_not_run
@@ -24,16 +26,17 @@
       job: The ForwardJob.
       attempt: The Attempt in progress, or None.
       attempts: The number of times that the request was sent.
+      avoided: The ids of servers that must not get the request, a set.
       last_event_id: The id of the last event that the caller received, or None.
       ended: Whether the request has ended.
       forwarded_events: The number of forwarded events.
+      server: The id of the server of the last attempt, or None.
     """
 
     #: Retry hint in milliseconds for a request that started but did not finish.
     unfinished_retry_after_ms = None
 
     __slots__ = (
-        '_avoided',
         '_cause',
         '_context',
         '_last_answer',
@@ -44,10 +47,12 @@
         '_timer',
         'attempt',
         'attempts',
+        'avoided',
         'ended',
         'forwarded_events',
         'job',
         'last_event_id',
+        'server',
     )
 
     def __init__(self, job, context, sink):
@@ -61,7 +66,7 @@
         self._context = context
         self._sink = sink
         self.attempt = None
-        self._avoided = set()
+        self.avoided = set(job.relay.avoided if job.relay else ())
         self._cause = None
         self._last_answer = None
         self._may_have_run = False
@@ -70,6 +75,7 @@
         self._timer = None
         self.attempts = 0
         self.last_event_id = job.resume_after
+        self.server = None
         self.ended = False
         self.job = job
         self.forwarded_events = 0
@@ -137,7 +143,7 @@
     def on_reservation_refused(self, attempt, refused, cause='no_memory'):
         """Choose other servers after helpers refused to reserve memory."""
         self.attempt = None
-        self._avoided.update(one.backend.identity for one in refused)
+        self.avoided.update(one.backend.identity for one in refused)
         self._refused_reservations += cause == NO_MEMORY
         if self._refused_reservations > _MAX_RESERVATION_RETRIES:
             self._fail(NO_MEMORY, 'engines refused to reserve its memory')
@@ -155,7 +161,7 @@
             return
         is_server_error = head.status >= FIRST_SERVER_ERROR
         may_retry = is_server_error and self.job.may_retry
-        if may_retry and self._may_retry(attempt.backend):
+        if may_retry and self._may_retry(attempt.placement.answering):
             self._may_have_run = True
             self._last_answer = (head, body)
             self._try_next(head.status)
@@ -170,9 +176,12 @@
         """Retry at another server after a rejection."""
         self.attempt = None
         self._context.record_attempt_end(self, attempt, rejection.code)
+        if rejection.is_final:
+            text = 'another instance refused it'
+            self._fail(rejection.code, text, rejection.retry_after_ms)
+            return
         self._context.record_rejection(self, attempt, rejection)
-        rejecting = attempt.placement.find_rejecting_server(rejection.at_server)
-        if self._may_retry(rejecting):
+        if self._may_retry(attempt.placement.find_rejecting(rejection)):
             self._try_next(rejection.code)
         else:
             self._fail(rejection.code, 'no backend server took it')
@@ -182,7 +191,9 @@
         self._record_failed(attempt, exc)
         if not exc.sent:
             self.attempts -= 1
-            self._try_next('not_connected')
+            self._context.paths.after_check(
+                self.job, partial(self._try_next, 'not_connected')
+            )
             return
 
         def retry_or_fail():
@@ -191,19 +202,22 @@
             watch = self._context.crash_detector
             is_safe = watch.may_retry(self.job.fingerprint)
             may_retry = self.job.may_retry and is_safe
-            if may_retry and self._may_retry(attempt.backend):
+            if may_retry and self._may_retry(attempt.placement.answering):
                 self._try_next('failed')
             else:
                 self._fail('backend_failed', str(exc))
 
-        self._after_failure(attempt, exc, retry_or_fail)
+        after_check = partial(
+            self._context.paths.after_check, self.job, retry_or_fail
+        )
+        self._after_failure(attempt, exc, after_check)
 
     def _after_failure(self, attempt, exc, callback):
         """Call back once it is known whether the server crashed.
 
         The answer decides whether the request may be sent again.
         """
-        if exc.connection_lost:
+        if exc.connection_lost and not attempt.placement.is_relayed:
             self._context.crash_detector.record_connection_lost(
                 attempt,
                 self.job.fingerprint,
@@ -215,7 +229,7 @@
     def _record_failed(self, attempt, exc):
         self.attempt = None
         self._context.record_failed(self, attempt, exc)
-        self._avoided.add(attempt.backend.identity)
+        self.avoided.add(attempt.placement.answering)
         self._may_have_run = self._may_have_run or exc.sent
 
     def _try_next(self, cause):
@@ -229,10 +243,11 @@
                 self._fail(choice.code, choice.text, choice.retry_after_ms)
                 return
             self._cause = cause
+            self.server = choice.backend.identity
             self.attempt = Attempt(self, self._context, choice)
             self.attempt.start()
 
-        place_request(self._context, self, self._avoided, start_attempt)
+        place_request(self._context, self, self.avoided, start_attempt)
 
     def _finish_stream(self, head):
         if not self._streaming:
@@ -240,8 +255,13 @@
         self._sink.on_end()
         self._end(Outcome.OK, 'whole')
 
-    def _may_retry(self, backend):
-        self._avoided.add(backend.identity)
+    def _may_retry(self, failed):
+        """Return whether the request may be sent to another server.
+
+        Args:
+          failed: The id of the server that failed.
+        """
+        self.avoided.add(failed)
         has_attempts = self.attempts < self.job.max_attempts
         return has_attempts and self._context.take_retry(self.job)
 
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -87,6 +87,7 @@
       payload: Data for the port that sends the request; opaque to the core.
       timeout_ms: The longest time that the route allows for the answer, in
         milliseconds.
+      relay: The RelayOrigin if another instance relayed the request, or None.
     """
 
     __slots__ = (
@@ -102,6 +103,7 @@
         'payload',
         'pool',
         'priority',
+        'relay',
         'repeat',
         'request_id',
         'resume_after',
@@ -114,8 +116,9 @@
         """Create a job.
 
         Args:
-          fields: The value of each attribute.
+          fields: The value of each attribute; `relay` is optional.
         """
+        fields = {'relay': None, **fields}
         for name in self.__slots__:
             setattr(self, name, fields[name])
 
@@ -151,6 +154,25 @@
         return self.arrived_ms + self.goal_ms - now_ms
 
 
+class RelayOrigin:
+    """How another instance relayed a request.
+
+    It makes the attempts: this instance sends the request to one server.
+
+    Attributes:
+      instance: The id of that instance.
+      avoided: Ids of servers to which the request must not be sent, a
+        frozenset.
+    """
+
+    __slots__ = ('avoided', 'instance')
+
+    def __init__(self, instance, avoided):
+        """Create the record; see the class for the arguments."""
+        self.instance = instance
+        self.avoided = frozenset(avoided)
+
+
 class AttemptOrder:
     """The attempt metadata that is sent to the backend server.
 
@@ -158,12 +180,15 @@
       number: The attempt number, starting at 1.
       remaining_ms: The milliseconds until the request's deadline.
       resume_after: The id of the last event that the caller received, or None.
+      avoided: Ids of servers to which the request must not be sent, for the
+        instance to which it is relayed.
     """
 
-    __slots__ = ('number', 'remaining_ms', 'resume_after')
+    __slots__ = ('avoided', 'number', 'remaining_ms', 'resume_after')
 
-    def __init__(self, number, remaining_ms, resume_after):
+    def __init__(self, number, remaining_ms, resume_after, avoided=()):
         """Create the order; see the class for the arguments."""
+        self.avoided = avoided
         self.number = number
         self.remaining_ms = remaining_ms
         self.resume_after = resume_after
@@ -243,8 +268,11 @@
       key: The chooser's identifier of this placement; opaque to others.
       priority: The priority at the engine, from 0 (highest) to 9.
       estimate: The PlacementEstimate on which the choice was based, or None.
+      is_relayed: Whether another instance chooses the server, a bool.
     """
 
+    is_relayed = False
+
     __slots__ = (
         'backend',
         'estimate',
@@ -280,6 +308,19 @@
                 return helper.backend
         return self.backend
 
+    def find_rejecting(self, rejection):
+        """Return the id of the server that rejected the request.
+
+        Args:
+          rejection: A Rejection.
+        """
+        return self.find_rejecting_server(rejection.at_server).identity
+
+    @property
+    def answering(self):
+        """The id of the server that answers."""
+        return self.backend.identity
+
     def uses(self, backend):
         """Return whether a server takes part, as a helper or otherwise.
 
@@ -294,3 +335,34 @@
     def tickets(self):
         """The list of the PrefillHelpers that have a memory reservation."""
         return [one for one in self.helpers if one.ticket is not None]
+
+
+class RelayPlacement(Placement):
+    """Another instance, which sends the request to a server that it chooses.
+
+    Attributes:
+      backend: The Backend of that instance.
+      server: The id of the server that answered there, or None.
+    """
+
+    __slots__ = ('server',)
+
+    is_relayed = True
+
+    def __init__(self, backend):
+        """Create a placement.
+
+        Args:
+          backend: See the class.
+        """
+        super().__init__(backend)
+        self.server = None
+
+    def find_rejecting(self, rejection):
+        """See Placement; only the other instance knows the server."""
+        return rejection.at_server or self.backend.identity
+
+    @property
+    def answering(self):
+        """The id of the server that answered, or else of the instance."""
+        return self.server or self.backend.identity
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -15,7 +15,8 @@
 from crankchute.core.outcomes import Outcome, refuse_not_run
 from crankchute.core.permit_lending import NoLending
 from crankchute.core.prompt_admission import OVERLOADED
-from crankchute.core.sliding_budget import SlidingRetryBudget
+from crankchute.core.relay import choose_relay, relay_stalled_at_ms
+from crankchute.core.sliding_budget import RetryBudgets
 from crankchute.ports.forwarding import MOVED
 
 
@@ -28,6 +29,7 @@
       journal: A ForwardJournal, which logs decisions.
       crash_detector: The CrashDetector.
       lending: The PermitLending.
+      paths: The ServerPaths.
       find_chooser: A function that maps a pool name to a Chooser or None.
       flows: The ForwardFlows in progress, a set.
     """
@@ -43,10 +45,8 @@
         """
         self._ended_counter = ended_counter
         self._timers = ports.timers
-        self._limits = limits
         self.find_chooser = ports.find_chooser
-        self._budgets = {}
-        self._instances = 1
+        self._budgets = RetryBudgets(limits)
         self.flows = set()
         self._hints = ports.hints
         self._record_moved = ports.record_moved
@@ -77,7 +77,9 @@
           A ForwardFlow, whose cancel() cancels the request.
         """
         self.journal.log_request(job)
-        self._budget(job).record_request(self.now_ms())
+        if job.relay is None:
+            # A relayed request counts at the instance that retries it.
+            self._budgets.of(job).record_request(self.now_ms())
         flow = ForwardFlow(job, self, sink)
         self.flows.add(flow)
         flow.start()
@@ -91,9 +93,7 @@
         Args:
           count: An int.
         """
-        self._instances = max(self._instances, count)
-        for budget in self._budgets.values():
-            budget.record_instances(count)
+        self._budgets.record_instances(count)
 
     def record_restarted(self, backend):
         """End the attempts at a server that restarted.
@@ -112,9 +112,7 @@
         Args:
           limits: RetryLimits.
         """
-        self._limits = limits
-        for budget in self._budgets.values():
-            budget.change_limits(limits)
+        self._budgets.change_limits(limits)
 
     def now_ms(self):
         """Return the current time on this process's clock."""
@@ -147,6 +145,8 @@
         refusal = self.crash_detector.find_refusal(flow.job.fingerprint)
         if refusal is not None:
             return refusal
+        if self.paths.is_lost(flow.job.pool):
+            return choose_relay(self.paths, flow.job, avoided, self.metrics)
         if self.crash_detector.is_suspect(flow.job.fingerprint):
             choice = choose_isolated(chooser, flow.job, avoided)
         else:
@@ -159,6 +159,8 @@
 
     def stalled_at_ms(self, flow, attempt):
         """Return the time when a silent attempt counts as stalled, or None."""
+        if attempt.placement.is_relayed:
+            return relay_stalled_at_ms(flow.job, attempt)
         chooser = self.find_chooser(flow.job.pool)
         if chooser is None:
             return None
@@ -166,14 +168,14 @@
 
     def overdue_at_ms(self, flow, attempt):
         """Return when an attempt without an event counts as overdue."""
-        chooser = self.find_chooser(flow.job.pool)
+        chooser = find_placement_chooser(self, flow, attempt.placement)
         if chooser is None:
             return flow.job.deadline_ms
         return chooser.overdue_at_ms(flow.job, attempt)
 
     def take_retry(self, job):
         """Take a retry from the pool's budget; return False if empty."""
-        taken = self._budget(job).take(self.now_ms())
+        taken = self._budgets.of(job).take(self.now_ms())
         self.metrics.count('retries' if taken else 'retries_denied')
         return taken
 
@@ -215,7 +217,7 @@
 
     def record_freed(self, flow, placement):
         """Record that a placement no longer uses its servers."""
-        chooser = self.find_chooser(flow.job.pool)
+        chooser = find_placement_chooser(self, flow, placement)
         if chooser is not None:
             chooser.record_end(flow.job, placement)
 
@@ -226,7 +228,7 @@
     def record_first_event(self, flow, attempt):
         """Record the first event of an attempt and its prediction error."""
         placement = attempt.placement
-        chooser = self.find_chooser(flow.job.pool)
+        chooser = find_placement_chooser(self, flow, placement)
         if chooser is not None:
             chooser.record_first_event(flow.job, placement)
         if flow.job.size is None or placement.first_ms is None:
@@ -239,7 +241,7 @@
 
     def record_load(self, flow, attempt, load):
         """Record the load that a server reported with its answer."""
-        chooser = self.find_chooser(flow.job.pool)
+        chooser = find_placement_chooser(self, flow, attempt.placement)
         if chooser is not None:
             chooser.record_load(attempt.backend, load)
 
@@ -250,11 +252,13 @@
     def record_failed(self, flow, attempt, exc):
         """Record an attempt that ended without an answer."""
         self.metrics.count('attempts_failed', classify_failure(exc))
-        self.record_attempt_end(flow, attempt, str(exc))
+        super().record_failed(flow, attempt, exc)
 
     def record_rejection(self, flow, attempt, rejection):
         """Record that a server rejected a request."""
         self.metrics.count('engine_refusals', rejection.code)
+        if attempt.placement.is_relayed:
+            return
         server = attempt.placement.find_rejecting_server(rejection.at_server)
         if rejection.code == MOVED:
             self._record_moved(server)
@@ -276,15 +280,18 @@
             self.metrics.count('refusals', code)
         self.journal.log_end(flow, outcome, code)
 
-    def _budget(self, job):
-        account = job.account if self._limits.per_account else None
-        key = (account, job.pool)
-        budget = self._budgets.get(key)
-        if budget is None:
-            budget = SlidingRetryBudget(self._limits)
-            budget.record_instances(self._instances)
-            self._budgets[key] = budget
-        return budget
+
+def find_placement_chooser(forwarder, flow, placement):
+    """Return the Chooser of a placement, or None if the request is relayed.
+
+    Args:
+      forwarder: The Forwarder.
+      flow: A ForwardFlow.
+      placement: Its Placement.
+    """
+    if placement.is_relayed:
+        return None
+    return forwarder.find_chooser(flow.job.pool)
 
 
 def record_not_admitted(journal, metrics, job, refusal):
--- a/crankchute/core/group_flow.py
+++ b/crankchute/core/group_flow.py
@@ -93,7 +93,7 @@
         """
         if self._end_if_quarantined():
             return True
-        chosen = self._context.choose_group(self.job, self._avoided)
+        chosen = self._context.choose_group(self.job, self.avoided)
         if chosen is None:
             return False
         segments = split_prompt(self.job.prompt, len(chosen))
@@ -210,12 +210,12 @@
 
     def _replace(self, member):
         """Replace a lost member by a spare engine that prefills its segment."""
-        self._avoided.add(member.backend.identity)
+        self.avoided.add(member.backend.identity)
         self._release(member.backend, self._group)
         member.backend.long_prompt_count -= 1
         member_ids = {other.backend.identity for other in self._members}
         spare = self._context.choose_replacement(
-            self.job, member_ids | self._avoided
+            self.job, member_ids | self.avoided
         )
         if spare is None:
             member.backend.long_prompt_count += 1
--- a/crankchute/core/job.py
+++ b/crankchute/core/job.py
@@ -57,6 +57,7 @@
     #: that its caller received, within the retry budget.
     is_stream = True
     may_retry = True
+    relay = None
     resume_after = 0
 
     @property
--- a/crankchute/core/peer_exchange.py
+++ b/crankchute/core/peer_exchange.py
@@ -129,6 +129,7 @@
         view.last_received_ms = now_ms
         view.is_serving = message.is_serving
         view.proof_age_ms = message.proof_age_ms
+        view.lost_pools = message.lost_pools
         view.active_digest = message.digest
         view.crash_digest = message.crash_digest
         if message.crashes is not None:
@@ -290,6 +291,8 @@
       is_serving: A function that returns whether this instance serves clients.
       proof_age_ms: A function that returns how many milliseconds ago this
         instance's configuration was confirmed to be the newest, or None.
+      lost_pools: A function that returns the names of the pools whose servers
+        this instance does not reach, but others do; optional.
       work_tracker: The EngineWorkTracker.
       crashes: The CrashHistory.
       make_message: A function that returns a PeerMessage.  Its keyword
@@ -304,6 +307,7 @@
         'crashes',
         'get',
         'is_serving',
+        'lost_pools',
         'make_message',
         'members',
         'on_message',
@@ -321,5 +325,6 @@
         Args:
           fields: A value for each attribute.
         """
+        fields.setdefault('lost_pools', tuple)
         for name in self.__slots__:
             setattr(self, name, fields[name])
--- a/crankchute/core/peer_message.py
+++ b/crankchute/core/peer_message.py
@@ -89,6 +89,8 @@
         withdrew a limit.
       evacuations: The Evacuations that the sender knows, a tuple.
       knows_evacuations: Whether these are complete, a bool.
+      lost_pools: The names of the pools whose servers the sender does not
+        reach, but others do, a tuple; optional.
       subscribes_to_work: Whether the sender subscribes to the receiver's work,
         a bool.
       needs_snapshot: Whether the sender needs a snapshot of it, a bool.
@@ -112,6 +114,7 @@
         'is_serving',
         'knows_evacuations',
         'limits',
+        'lost_pools',
         'needs_snapshot',
         'proof_age_ms',
         'removed_servers',
@@ -128,5 +131,6 @@
         Args:
           fields: A value for each attribute.
         """
+        fields = {'lost_pools': (), **fields}
         for name in self.__slots__:
             setattr(self, name, fields[name])
--- a/crankchute/core/peer_view.py
+++ b/crankchute/core/peer_view.py
@@ -21,6 +21,8 @@
         None; used only while this instance is not active itself.
       crash_digest: The digest of the crashes that it last reported, 0 for
         none.
+      lost_pools: The names of the pools whose servers it does not reach, but
+        others do, a tuple.
       feed: The WorkFeed between it and this instance.
     """
 
@@ -34,6 +36,7 @@
         'last_received_ms',
         'last_sent_ms',
         'last_vouched_ms',
+        'lost_pools',
         'proof_age_ms',
     )
 
@@ -48,6 +51,7 @@
         self._sent_crash_digest = None
         self._crashes_sent_ms = None
         self.last_vouched_ms = None
+        self.lost_pools = ()
         self.feed = WorkFeed()
 
     def is_healthy(self, now_ms, timeout_ms):
--- /dev/null
+++ b/crankchute/core/pool_paths.py
@@ -0,0 +1,313 @@
+"""The paths from this instance to the backend servers of one pool.
+
+A failed connection does not show whether the server or the path to it is lost.
+After a failure this instance tries to connect to other servers of the pool.  If
+none is reached, it asks other instances whether they reach these servers:
+
+* One that does shows that the paths from here are lost.  Requests for the pool
+  are then relayed to such instances until a connection succeeds again.
+* If none does, the servers are down, and no request is relayed.
+
+What failures over lost paths suggested about the servers is discarded.
+"""
+
+import enum
+
+#: How many servers are tried in each check.
+_SAMPLE_SIZE = 2
+#: The shortest interval between checks of a pool.  It doubles up to the longest
+#: one while checks find that servers are reached, since single servers fail
+#: more often than paths.
+_MIN_CHECK_INTERVAL_MS = 250
+_MAX_CHECK_INTERVAL_MS = 2000
+#: The interval is reset after this long without a suspicion.
+_CALM_MS = 5000
+#: How often an instance with lost paths tries to connect.
+_RETRY_INTERVAL_MS = 500
+#: How often it asks other instances whether they still reach the servers.
+_ASK_INTERVAL_MS = 1000
+#: A helper that has not confirmed this for so long gets no more requests.
+_HELPER_TTL_MS = 2500
+
+
+class PathState(enum.Enum):
+    """What an instance knows of its paths to the servers of a pool."""
+
+    #: Servers are reached, or are down for all instances.
+    REACHED = 'reached'
+    #: A check is in progress.
+    CHECKING = 'checking'
+    #: Only other instances reach the servers.
+    LOST = 'lost'
+
+
+class PathPorts:
+    """The dependencies of ServerPaths.
+
+    Attributes:
+      timers: A TimerService.
+      random: A random.Random.
+      journal: A ForwardJournal.
+      pool_of: A function that returns the name of a Backend's pool.
+      list_servers: A function that returns the Backends of a pool that accept
+        requests.
+      probe: A function of a Backend and a callback, which gets whether a
+        connection could be opened.
+      ask: A function of a list of Backends, a callback that gets the Backend
+        of each instance that reaches one of them, and a callback that is
+        called when all instances that were asked have answered.
+      on_changed: A function of a pool's name, called when paths to its
+        servers are lost or restored.
+    """
+
+    __slots__ = (
+        'ask',
+        'journal',
+        'list_servers',
+        'on_changed',
+        'pool_of',
+        'probe',
+        'random',
+        'timers',
+    )
+
+    def __init__(self, **fields):
+        """Set all attributes.
+
+        Args:
+          fields: A value for each attribute.
+        """
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
+
+
+class _Helper:
+    """An instance that reaches the servers of a pool.
+
+    Attributes:
+      backend: The Backend to which requests are relayed.
+      confirmed_ms: When it last confirmed that it reaches them.
+    """
+
+    __slots__ = ('backend', 'confirmed_ms')
+
+    def __init__(self, backend):
+        self.backend = backend
+        self.confirmed_ms = 0
+
+
+class PoolPaths:
+    """Tells lost paths from lost servers, for one pool.
+
+    Attributes:
+      pool: The pool's name.
+      state: A PathState.
+    """
+
+    __slots__ = (
+        '_asked_ms',
+        '_checked_ms',
+        '_helpers',
+        '_interval_ms',
+        '_lost_ms',
+        '_ports',
+        '_suspected_ms',
+        '_waiting',
+        'pool',
+        'state',
+    )
+
+    def __init__(self, pool, ports):
+        """Create the record; the servers count as reached.
+
+        Args:
+          pool: The pool's name.
+          ports: PathPorts.
+        """
+        self.pool = pool
+        self.state = PathState.REACHED
+        self._ports = ports
+        self._helpers = {}
+        self._waiting = []
+        self._checked_ms = float('-inf')
+        self._interval_ms = _MIN_CHECK_INTERVAL_MS
+        self._suspected_ms = float('-inf')
+        self._asked_ms = float('-inf')
+        self._lost_ms = None
+
+    @property
+    def helpers(self):
+        """The ids of the instances that reach the servers, a list."""
+        return list(self._helpers)
+
+    def suspect(self):
+        """Check the paths after a failure, unless that was done recently."""
+        now_ms = self._now_ms()
+        if now_ms - self._suspected_ms > _CALM_MS:
+            self._interval_ms = _MIN_CHECK_INTERVAL_MS
+        self._suspected_ms = now_ms
+        if now_ms - self._checked_ms >= self._interval_ms:
+            self.check()
+
+    def check(self):
+        """Check the paths, unless they are lost or a check is in progress."""
+        servers = self._sample()
+        if servers and self.state == PathState.REACHED:
+            self.state = PathState.CHECKING
+            self._probe(servers)
+
+    def after_check(self, callback):
+        """Call back after the check in progress, at once if there is none.
+
+        Args:
+          callback: A function without arguments.
+        """
+        if self.state == PathState.CHECKING:
+            self._waiting.append(callback)
+        else:
+            callback()
+
+    def choose_helper(self, avoided):
+        """Return the Backend of an instance that reaches the servers, or None.
+
+        The one with the fewest relayed requests of this instance is chosen.
+
+        Args:
+          avoided: Ids of instances and servers to exclude.
+        """
+        backends = [
+            helper.backend
+            for identity, helper in self._helpers.items()
+            if identity not in avoided
+        ]
+        self._ports.random.shuffle(backends)
+        return min(backends, key=lambda one: one.in_flight, default=None)
+
+    def drop_helper(self, instance):
+        """Relay no more requests to an instance until it confirms its paths.
+
+        Args:
+          instance: The instance's id.
+        """
+        self._helpers.pop(instance, None)
+
+    def _now_ms(self):
+        return self._ports.timers.clock.now_ms()
+
+    def _sample(self):
+        servers = self._ports.list_servers(self.pool)
+        count = min(len(servers), _SAMPLE_SIZE)
+        return self._ports.random.sample(servers, count)
+
+    def _probe(self, servers):
+        """Try to connect to some servers, which decides on the state."""
+
+        def on_result(is_reached):
+            if is_reached:
+                self._on_reached()
+            elif self._is_asking_due():
+                self._ask(servers)
+
+        probe_any(self._ports.probe, servers, on_result)
+
+    def _is_asking_due(self):
+        if self.state == PathState.CHECKING:
+            return True
+        return self._now_ms() - self._asked_ms >= _ASK_INTERVAL_MS
+
+    def _on_reached(self):
+        if self.state == PathState.LOST:
+            self._restore()
+        else:
+            self._interval_ms = min(
+                self._interval_ms * 2, _MAX_CHECK_INTERVAL_MS
+            )
+            self._decide(PathState.REACHED)
+
+    def _ask(self, servers):
+        """Ask other instances whether they reach some servers."""
+        self._asked_ms = self._now_ms()
+
+        def on_helper(backend):
+            if self.state == PathState.REACHED:
+                return
+            self._record_helper(backend)
+            if self.state == PathState.CHECKING:
+                self._lose(servers)
+
+        def on_done():
+            if self.state == PathState.CHECKING:
+                self._ports.journal.log_servers_down(self.pool, servers)
+                self._decide(PathState.REACHED)
+
+        self._ports.ask(servers, on_helper, on_done)
+
+    def _record_helper(self, backend):
+        helper = self._helpers.get(backend.identity)
+        address = backend.listed.address
+        if helper is None or helper.backend.listed.address != address:
+            helper = _Helper(backend)
+            self._helpers[backend.identity] = helper
+        helper.confirmed_ms = self._now_ms()
+
+    def _lose(self, servers):
+        self._lost_ms = self._now_ms()
+        self._ports.journal.log_paths_lost(self.pool, servers, self.helpers)
+        self._ports.timers.after(_RETRY_INTERVAL_MS, self._retry)
+        self._decide(PathState.LOST)
+        self._ports.on_changed(self.pool)
+
+    def _restore(self):
+        lost_for_ms = self._now_ms() - self._lost_ms
+        self._ports.journal.log_paths_restored(self.pool, lost_for_ms)
+        self._helpers.clear()
+        self._decide(PathState.REACHED)
+        self._ports.on_changed(self.pool)
+
+    def _decide(self, state):
+        self.state = state
+        self._checked_ms = self._now_ms()
+        waiting = self._waiting
+        self._waiting = []
+        for callback in waiting:
+            callback()
+
+    def _retry(self):
+        if self.state != PathState.LOST:
+            return
+        for identity, helper in tuple(self._helpers.items()):
+            if self._now_ms() - helper.confirmed_ms > _HELPER_TTL_MS:
+                self._helpers.pop(identity)
+        servers = self._sample()
+        self._ports.timers.after(_RETRY_INTERVAL_MS, self._retry)
+        if servers:
+            self._probe(servers)
+        else:
+            self._restore()
+
+
+def probe_any(probe, servers, on_result):
+    """Try to connect to several servers at once.
+
+    Args:
+      probe: See PathPorts.
+      servers: A list of Backends, not empty.
+      on_result: A function of True at the first connection, or of False when
+        all have failed.
+    """
+    failed = []
+    reached = []
+
+    def on_known(is_reached):
+        if reached:
+            return
+        if is_reached:
+            reached.append(True)
+            on_result(True)
+            return
+        failed.append(True)
+        if len(failed) == len(servers):
+            on_result(False)
+
+    for server in servers:
+        probe(server, on_known)
--- /dev/null
+++ b/crankchute/core/relay.py
@@ -0,0 +1,53 @@
+"""Relaying of requests to instances that reach the backend servers."""
+
+from crankchute.core.forward_job import RelayPlacement, RetryMode
+from crankchute.core.outcomes import refuse_not_run
+
+#: Refusal code: no known instance reaches the backend servers.
+NO_PATH = 'no_path'
+#: Limits on the silence of another instance, as multiples of the request's
+#: goals and as shortest times.
+_RELAY_TIMEOUT_FACTOR = 4
+_MIN_RELAY_FIRST_MS = 3000
+_MIN_RELAY_GAP_MS = 2000
+
+
+def choose_relay(paths, job, avoided, metrics):
+    """Choose another instance that reaches the servers of a request's pool.
+
+    Args:
+      paths: The ServerPaths.
+      job: A ForwardJob.
+      avoided: Ids of excluded servers and instances.
+      metrics: A Metrics port.
+    Returns:
+      A RelayPlacement, or a Refusal.
+    """
+    helper = None
+    if job.relay is None:
+        helper = paths.choose_helper(job.pool, avoided)
+    if helper is None:
+        return refuse_not_run(
+            NO_PATH, 'this instance does not reach the backend servers'
+        )
+    metrics.count('requests_relayed')
+    return RelayPlacement(helper)
+
+
+def relay_stalled_at_ms(job, attempt):
+    """Return when a silent relayed attempt counts as stalled, or None.
+
+    The instance that sends the request to a server notices first if the server
+    stalls, so the limits are longer than its own.
+
+    Args:
+      job: A ForwardJob.
+      attempt: The Attempt.
+    """
+    if job.repeat == RetryMode.ONCE:
+        return None
+    if attempt.started:
+        gap_ms = (job.gap_ms or 0) * _RELAY_TIMEOUT_FACTOR
+        return attempt.last_event_ms + max(gap_ms, _MIN_RELAY_GAP_MS)
+    first_ms = job.goal_ms * _RELAY_TIMEOUT_FACTOR
+    return attempt.last_event_ms + first_ms + _MIN_RELAY_FIRST_MS
--- /dev/null
+++ b/crankchute/core/server_paths.py
@@ -0,0 +1,121 @@
+"""Whether this instance reaches the backend servers, for each pool."""
+
+from crankchute.core.pool_paths import PathState, PoolPaths
+
+
+class AlwaysReached:
+    """Replaces ServerPaths where paths are not checked."""
+
+    def suspect(self, backend):
+        """Do nothing; see ServerPaths."""
+
+    def after_check(self, _job, callback):
+        """Call back at once; see ServerPaths."""
+        callback()
+
+    def is_lost(self, _pool):
+        """Return False; see ServerPaths."""
+        return False
+
+
+class ServerPaths:
+    """Tells lost paths from lost servers; see pool_paths."""
+
+    def __init__(self, ports):
+        """Create the record; all servers count as reached.
+
+        Args:
+          ports: PathPorts.
+        """
+        self._ports = ports
+        self._by_pool = {}
+
+    @property
+    def lost_pools(self):
+        """The names of the pools that only other instances reach, a tuple."""
+        return tuple(
+            paths.pool
+            for paths in self._by_pool.values()
+            if paths.state == PathState.LOST
+        )
+
+    def is_lost(self, pool):
+        """Return whether only other instances reach the servers of a pool.
+
+        Args:
+          pool: The pool's name.
+        """
+        return self._state(pool) == PathState.LOST
+
+    def is_reached(self, pool):
+        """Return whether failures at a pool are those of its servers.
+
+        Args:
+          pool: The pool's name.
+        """
+        return self._state(pool) == PathState.REACHED
+
+    def suspect(self, backend):
+        """Check the paths to a server's pool, because a request failed there.
+
+        Args:
+          backend: A Backend.
+        """
+        self._find(self._ports.pool_of(backend)).suspect()
+
+    def verify(self, pools):
+        """Check the paths to some pools without a suspicion.
+
+        Args:
+          pools: Names of pools.
+        """
+        for pool in pools:
+            self._find(pool).check()
+
+    def after_check(self, job, callback):
+        """Call back after the check of a pool, at once if there is none.
+
+        Args:
+          job: A ForwardJob for the pool.
+          callback: A function without arguments.
+        """
+        self._find(job.pool).after_check(callback)
+
+    def choose_helper(self, pool, avoided):
+        """Return the Backend of an instance that reaches a pool, or None.
+
+        Args:
+          pool: The pool's name.
+          avoided: Ids of instances and servers to exclude.
+        """
+        return self._find(pool).choose_helper(avoided)
+
+    def drop_helper(self, instance):
+        """Relay no more requests to an instance until it confirms its paths.
+
+        Args:
+          instance: The instance's id.
+        """
+        for paths in self._by_pool.values():
+            paths.drop_helper(instance)
+
+    def describe_state(self):
+        """Return the state of the paths by pool, a dict for display."""
+        return {
+            paths.pool: {
+                'state': paths.state.value,
+                'helpers': sorted(paths.helpers),
+            }
+            for paths in self._by_pool.values()
+        }
+
+    def _find(self, pool):
+        paths = self._by_pool.get(pool)
+        if paths is None:
+            paths = PoolPaths(pool, self._ports)
+            self._by_pool[pool] = paths
+        return paths
+
+    def _state(self, pool):
+        paths = self._by_pool.get(pool)
+        return PathState.REACHED if paths is None else paths.state
--- a/crankchute/core/single_flow.py
+++ b/crankchute/core/single_flow.py
@@ -185,7 +185,7 @@
         """
         if self._end_if_quarantined():
             return True
-        placement = self._context.choose(self.job, self._avoided)
+        placement = self._context.choose(self.job, self.avoided)
         if placement is None:
             return False
         self._launch(placement)
--- a/crankchute/core/sliding_budget.py
+++ b/crankchute/core/sliding_budget.py
@@ -100,3 +100,54 @@
         for times_ms in (self._requests, self._retries):
             while times_ms and times_ms[0] < now_ms - self._limits.window_ms:
                 times_ms.popleft()
+
+
+class RetryBudgets:
+    """The retry budgets of all pools at one instance."""
+
+    __slots__ = ('_budgets', '_limits', '_max_instances')
+
+    def __init__(self, limits):
+        """Create unused budgets.
+
+        Args:
+          limits: RetryLimits.
+        """
+        self._budgets = {}
+        self._limits = limits
+        self._max_instances = 1
+
+    def of(self, job):
+        """Return the SlidingRetryBudget of a request.
+
+        Args:
+          job: A ForwardJob.
+        """
+        account = job.account if self._limits.per_account else None
+        key = (account, job.pool)
+        budget = self._budgets.get(key)
+        if budget is None:
+            budget = SlidingRetryBudget(self._limits)
+            budget.record_instances(self._max_instances)
+            self._budgets[key] = budget
+        return budget
+
+    def change_limits(self, limits):
+        """Replace the limits; see SlidingRetryBudget.
+
+        Args:
+          limits: RetryLimits.
+        """
+        self._limits = limits
+        for budget in self._budgets.values():
+            budget.change_limits(limits)
+
+    def record_instances(self, count):
+        """Record the number of known instances; see SlidingRetryBudget.
+
+        Args:
+          count: An int.
+        """
+        self._max_instances = max(self._max_instances, count)
+        for budget in self._budgets.values():
+            budget.record_instances(count)
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -25,6 +25,7 @@
 from crankchute.core.reservations import ReservationManager
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_list import ServerList
+from crankchute.core.server_paths import ServerPaths
 from crankchute.entry.engine_costs import EngineCosts
 from crankchute.entry.cold_server_setup import (
     connect_cold_servers,
@@ -32,6 +33,7 @@
 )
 from crankchute.entry.forward_peers import ForwardPeers
 from crankchute.entry.limit_prober import LimitProber
+from crankchute.entry.path_checks import PathChecks
 
 JOINING = 'joining'
 SERVING = 'serving'
@@ -188,7 +190,9 @@
             record_moved=self._on_server_moved,
             find_chooser=lambda pool: self._choosers.get(pool),
         )
+        path_checks = PathChecks(self, wiring.relay_address)
         self.desk = Forwarder(ports, limits.retries)
+        self.desk.paths = ServerPaths(path_checks.make_ports(wiring.port))
         self._load_survey = InitialLoadPoll(
             wiring.reports,
             self.random,
@@ -199,6 +203,8 @@
         self.peers = ForwardPeers(loop, self, wiring)
         self.peers.evacuations.on_known = self._check_ready
         self.desk.lending = self.peers.lending
+        self.peers.answer_reach = path_checks.on_request
+        path_checks.start()
         limit_prober = LimitProber(self, wiring.reports)
         self.peers.limits.start(
             self.peers.list_active,
@@ -313,6 +319,11 @@
                 'Data centres whose servers get no requests by evacuation.',
                 lambda: len(self.fleet.evacuations.evacuated),
             ),
+            (
+                'pools_without_path',
+                'Pools whose servers only other instances reach.',
+                lambda: len(self.desk.paths.lost_pools),
+            ),
             (
                 'members',
                 'Entry instances not believed dead.',
@@ -443,6 +454,8 @@
       pool_label: The label that holds the pool name of a backend server.
       evacuations: The Evacuations, or None if there are none; optional.
       data_centres: The names of data centres in the settings; optional.
+      relay_address: The address for requests that other instances relay, a
+        pair of IP and port, or None if there is none; optional.
     """
 
     __slots__ = (
@@ -450,6 +463,7 @@
         'evacuations',
         'pool_label',
         'port',
+        'relay_address',
         'reports',
         'reservations',
         'take_config',
@@ -462,6 +476,11 @@
         Args:
           fields: A value for each attribute.
         """
-        fields = {'evacuations': None, 'data_centres': (), **fields}
+        fields = {
+            'evacuations': None,
+            'data_centres': (),
+            'relay_address': None,
+            **fields,
+        }
         for name in self.__slots__:
             setattr(self, name, fields[name])
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -187,6 +187,7 @@
         self.evacuations.subscribe(self.sharing.schedule_send)
         self._seeds = []
         self._server_health = []
+        self.answer_reach = None
         self._impressions_ms = float('-inf')
         self._start_ms = self._now_ms()
         self._seeds_probed_ms = float('-inf')
@@ -214,6 +215,10 @@
         """See PeerServicer."""
         self.lending.on_request(request, on_reply)
 
+    def on_reach(self, request, on_reply):
+        """See PeerServicer."""
+        self.answer_reach(request, on_reply)
+
     def call(self, instance, method, request, on_reply, timeout_ms):
         """Call a method of another instance; see PeerClient.
 
@@ -286,6 +291,7 @@
             crashes=node.crashes,
             is_serving=lambda: node.is_accepting,
             proof_age_ms=lambda: node.holder.proof_age_ms(self._now_ms()),
+            lost_pools=lambda: node.desk.paths.lost_pools,
             make_message=self._make_message,
             on_message=self._apply_briefing,
             send=self._send,
@@ -324,6 +330,7 @@
             limits=self.limits.advertised.list_updates(),
             evacuations=node.fleet.evacuations.records,
             knows_evacuations=node.fleet.evacuations.is_known,
+            lost_pools=node.desk.paths.lost_pools,
             **sharing_fields,
         )
 
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -47,6 +47,7 @@
         ],
         'crashes_remembered': len(node.crashes),
         'pools': node.describe_pools(),
+        'paths': node.desk.paths.describe_state(),
         'accounts': _dump_accounts(node.work_tracker.account_shares, now_ms),
         'counters': _dump_counters(node.metrics.counts),
     }
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -31,7 +31,7 @@
 from crankchute.ports.http import ResponseSink
 
 #: Connect timeout; round trips between zones take about a millisecond.
-_CONNECT_TIMEOUT_MS = 400
+CONNECT_TIMEOUT_MS = 400
 #: The longest idle time of a reused connection.  It is shorter for requests
 #: that must not be repeated: a server may close an idle connection at any time.
 #: A stated keep-alive does not extend it, since a server that shuts down or
@@ -81,13 +81,9 @@
         if error is not None:
             self._fail(error)
             return
-        raw_headers = [
-            (name.decode('latin-1'), text.decode('latin-1'))
-            for name, text in self.call.raw_headers
-        ]
         head = AnswerHead(
             status,
-            drop_connection_headers(raw_headers),
+            self.list_headers(),
             parse_load_header(headers.get(TOLD_LOAD)),
         )
         self._is_stream = self._job.is_stream and head.is_success
@@ -128,6 +124,14 @@
             return
         self._listener.on_failed(exc)
 
+    def list_headers(self):
+        """Return the response's headers to forward, pairs of strings."""
+        raw_headers = [
+            (name.decode('latin-1'), text.decode('latin-1'))
+            for name, text in self.call.raw_headers
+        ]
+        return drop_connection_headers(raw_headers)
+
     def _emit_events(self, chunk):
         for event in self._event_parser.feed(chunk):
             self._listener.on_event(event)
@@ -142,18 +146,22 @@
 class BackendCalls(ForwardPort):
     """Sends jobs to backend servers over HTTP."""
 
-    def __init__(self, client, calls):
+    def __init__(self, client, calls, relays=None):
         """Create the adapter.
 
         Args:
           client: An HttpClient.
           calls: The ServerCalls on that client.
+          relays: The RelayCalls, or None if no request is relayed.
         """
         self._client = client
         self._calls = calls
+        self._relays = relays
 
     def send(self, job, placement, attempt, listener):
         """See ForwardPort."""
+        if placement.is_relayed:
+            return self._relays.send(job, placement, attempt, listener)
         payload = job.payload
         headers = list(payload.headers)
         headers.extend(_build_headers(job, placement, attempt))
@@ -165,13 +173,9 @@
             payload.body,
             headers,
         )
-        is_non_repeatable = job.repeat == RetryMode.ONCE
-        idle_ms = (
-            _NON_REPEATABLE_MAX_IDLE_MS
-            if is_non_repeatable
-            else _REPEATABLE_MAX_IDLE_MS
+        options = CallOptions(
+            idle_ms=choose_max_idle_ms(job), connect_ms=CONNECT_TIMEOUT_MS
         )
-        options = CallOptions(idle_ms=idle_ms, connect_ms=_CONNECT_TIMEOUT_MS)
         sink = AttemptResponseSink(job, listener)
         sink.call = self._calls.send(backend, request, sink, options)
         return sink.call
@@ -184,11 +188,30 @@
         """See ForwardPort."""
         self._client.ask_listening(backend.listed.address, on_known)
 
+    def probe(self, backend, on_known):
+        """See ForwardPort."""
+        self._client.ask_listening(
+            backend.listed.address,
+            lambda is_listening: on_known(is_listening is True),
+            timeout_ms=CONNECT_TIMEOUT_MS,
+        )
+
     def forget(self, backend):
         """See ForwardPort."""
         self._client.close_idle(backend.listed.address)
 
 
+def choose_max_idle_ms(job):
+    """Return how long a connection that a request reuses may have been idle.
+
+    Args:
+      job: A ForwardJob.
+    """
+    if job.repeat == RetryMode.ONCE:
+        return _NON_REPEATABLE_MAX_IDLE_MS
+    return _REPEATABLE_MAX_IDLE_MS
+
+
 def _build_headers(job, placement, attempt):
     remaining_ms = max(int(attempt.remaining_ms), 1)
     headers = [
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -1,36 +1,35 @@
 """Connects a node of the core to the adapters of the platform."""
 
 from crankchute.adapters.backpressure import Backpressure
+from crankchute.adapters.early_listen import listen_in_range
 from crankchute.adapters.early_requests import EarlyRequests
 from crankchute.adapters.forward_server import ForwardServer
 from crankchute.adapters.http_client import HttpClient
+from crankchute.adapters.log import log_change
 from crankchute.adapters.operator_pages import OperatorPages
 from crankchute.core.admission import make_key_admission
 from crankchute.core.forward_flow import AnswerReading
 from crankchute.core.freshness_proof import choose_max_age_ms
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_notice import ServerNotices
-from crankchute.entry.forward_node import ForwardNode, ForwardWiring
+from crankchute.entry.forward_node import ForwardNode
 from crankchute.entry.forward_state import dump_forward_node
 from crankchute.errors import RequestRefused
 from crankchute.platform.answers import ExchangeAnswer
-from crankchute.platform.backend_calls import BackendCalls
 from crankchute.platform.directory import DirectoryHandler, ReadinessHandler
-from crankchute.platform.engine_orders import EngineOrders
-from crankchute.platform.engine_reports import EngineReports
 from crankchute.platform.instance_limits import (
     ADDRESS_TTL_MS,
-    make_evacuations,
     make_intake_limits,
     read_identity,
     read_limits,
 )
 from crankchute.platform.published import PublishedConfig, PublishedServers
 from crankchute.platform.published_evacuations import PublishedOperatorKeys
+from crankchute.platform.relays import RelayedRequests
 from crankchute.platform.requests import RequestReader
 from crankchute.platform.server_calls import ServerCalls
-from crankchute.platform.server_entries import POOL_LABEL
 from crankchute.platform.store import StoreWatch, WatchPolicy
+from crankchute.platform.wiring import make_wiring
 from crankchute.platform.wire import (
     CONFIG_KEY,
     OPERATOR_PREFIX,
@@ -87,17 +86,12 @@
         self._sockets = sockets
         self._start_ms = loop.timers.clock.now_ms()
         self.http_client = HttpClient(timers=loop.timers).register(loop)
+        host, _port = settings.listeners.callers
+        self._relay_sock = listen_in_range(host, settings.peer_ports)
         calls = ServerCalls(self.http_client, loop.timers.clock)
-        wiring = ForwardWiring(
-            port=BackendCalls(self.http_client, calls),
-            reservations=EngineOrders(calls, loop.timers),
-            reports=EngineReports(calls),
-            take_config=self._apply_config,
-            take_servers=self._apply_servers,
-            pool_label=POOL_LABEL,
-            evacuations=make_evacuations(settings.bounds),
-            data_centres=(settings.data_centre, *settings.data_centres),
-        )
+        wiring = make_wiring(self, calls, self._relay_sock)
+        wiring.take_config = self._apply_config
+        wiring.take_servers = self._apply_servers
         self.node = ForwardNode(
             loop,
             read_identity(settings),
@@ -167,8 +161,10 @@
             listeners.callers,
             self._early_requests.take,
         )
+        self._caller_servers = [self._server, *self._listen_for_relays(loop)]
         if self._backpressure is not None:
-            self._backpressure.watch_callers(self._server)
+            for server in self._caller_servers:
+                self._backpressure.watch_callers(server)
         readiness = ReadinessHandler(lambda: self.node.is_accepting)
         self._listen(loop, listeners.readiness, readiness.respond)
         pages = OperatorPages(
@@ -181,6 +177,21 @@
             directory = DirectoryHandler(choose_addresses, ADDRESS_TTL_MS)
             self._listen(loop, listeners.directory, directory.respond)
 
+    def _listen_for_relays(self, loop):
+        """Return the ForwardServer of relayed requests in a list, if any."""
+        if self._relay_sock is None:
+            log_change('relays_off', failed=True, reason='no free port')
+            return []
+        relayed = RelayedRequests(self.node, self._reader.read)
+        server = ForwardServer(
+            self._relay_sock,
+            relayed.take,
+            self.timers,
+            channel='server-relays',
+            idle_ms=_IDLE_TIMEOUT_MS,
+        )
+        return [server.register(loop)]
+
     def _watch_store(self):
         servers_watch = self._make_watch(
             SERVERS_PREFIX,
@@ -281,8 +292,10 @@
     def _on_config(self, config):
         request_limits = config.request_limits
         if request_limits is not None:
-            self._server.idle_ms = request_limits.idle_timeout_ms
-            self._server.limits = make_intake_limits(request_limits)
+            for server in self._caller_servers:
+                server.idle_ms = request_limits.idle_timeout_ms
+                server.limits = make_intake_limits(request_limits)
 
     def _on_draining(self):
-        self._server.is_closing = True
+        for server in self._caller_servers:
+            server.is_closing = True
--- a/crankchute/platform/requests.py
+++ b/crankchute/platform/requests.py
@@ -38,11 +38,12 @@
       target: The path and query as received.
       headers: The headers to forward, pairs of strings.
       body: Bytes.
+      authorization: The Authorization header, or None.
     """
 
-    __slots__ = ('body', 'headers', 'method', 'target')
+    __slots__ = ('authorization', 'body', 'headers', 'method', 'target')
 
-    def __init__(self, method, target, headers, body):
+    def __init__(self, method, target, headers, body, authorization=None):
         """Create the payload.
 
         Args:
@@ -50,7 +51,9 @@
           target: A string.
           headers: Pairs of name and text.
           body: Bytes.
+          authorization: A string or None.
         """
+        self.authorization = authorization
         self.method = method
         self.target = target
         self.headers = headers
@@ -228,6 +231,7 @@
         exchange.target,
         headers,
         exchange.body,
+        exchange.header(AUTHORIZATION),
     )
 
 
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -7,6 +7,7 @@
 from functools import partial
 from types import MappingProxyType
 
+from crankchute.adapters.forward_server import ForwardServer
 from crankchute.adapters.http_client import HttpClient
 from crankchute.adapters.loop import Loop
 from crankchute.core.evacuations import Evacuations
@@ -32,10 +33,12 @@
 from crankchute.platform.backend_calls import BackendCalls
 from crankchute.platform.engine_orders import EngineOrders
 from crankchute.platform.engine_reports import EngineReports
+from crankchute.platform.relays import RelayCalls, RelayedRequests
 from crankchute.platform.requests import RequestPayload
 from crankchute.platform.server_calls import ServerCalls
 from crankchute.platform.standin_paths import PathFaults
 from crankchute.platform.standin_engine import HEALTH_PATH, StandinEngine
+from crankchute.platform.wire import DEADLINE_MS, LAST_EVENT, REQUEST_ID
 from crankchute.standins.ports import LOOPBACK, pick_ports
 
 #: The possible final events of a successful request.
@@ -104,6 +107,8 @@
         self.nodes = []
         self._reports = {}
         self._paths = {}
+        self._relayed = {}
+        self._submitted = {}
         self._peer_ports = []
         for _ in range(instances):
             self.start_instance()
@@ -129,7 +134,6 @@
             client.register(self.loop),
             self.loop.timers.clock,
         )
-        paths = PathFaults(client, self.loop.timers)
         reports = EngineReports(calls)
         node = ForwardNode(
             self.loop,
@@ -137,8 +141,11 @@
             limits,
             self._make_wiring(client, calls, reports),
         )
+        self._relayed[client.channel] = RelayedRequests(
+            node, self._read_relayed
+        )
         self._reports[node] = reports
-        self._paths[node] = paths
+        self._paths[node] = PathFaults(client, self.loop.timers)
         calls.listener = ServerNotices(
             node.fleet,
             node.journal,
@@ -201,13 +208,18 @@
                 'is_stream': True,
                 'size': _PROMPT,
             }
+        fields = {
+            'request_id': request_id,
+            'fingerprint': make_fingerprint(body),
+            'deadline_ms': now_ms + _DEADLINE_MS,
+            **kind,
+            **fields,
+        }
+        self._submitted[request_id] = fields
         job = make_job(
-            request_id=request_id,
-            fingerprint=make_fingerprint(body),
             arrived_ms=now_ms,
-            deadline_ms=now_ms + _DEADLINE_MS,
             payload=RequestPayload('POST', '/p/', headers, body),
-            **{**kind, **fields},
+            **fields,
         )
         sink = FakeSink()
         flow = node.desk.submit(job, sink)
@@ -296,9 +308,45 @@
             seeds=[(LOOPBACK, port) for port in seeds],
         )
 
+    def _listen_for_relays(self, name):
+        """Return the address for requests that are relayed to an instance."""
+        server = ForwardServer(
+            (LOOPBACK, 0),
+            lambda exchange: self._relayed[name].take(exchange),
+            self.loop.timers,
+            channel=f'relays-{name}',
+            idle_ms=_DEADLINE_MS,
+        )
+        return LOOPBACK, server.register(self.loop).port
+
+    def _read_relayed(self, exchange):
+        """Return the job of a relayed request, with the fields of its caller."""
+        request_id = exchange.header(REQUEST_ID)
+        headers = [
+            (name, text)
+            for name, text in exchange.headers
+            if name in {'X-Crankchute-Request-Id', 'X-Crankchute-Token-Usage'}
+        ]
+        last_event = exchange.header(LAST_EVENT)
+        now_ms = self.loop.timers.clock.now_ms()
+        fields = {
+            **self._submitted[request_id],
+            'deadline_ms': now_ms + float(exchange.header(DEADLINE_MS)),
+            'resume_after': None if last_event is None else int(last_event),
+        }
+        return make_job(
+            arrived_ms=now_ms,
+            payload=RequestPayload(
+                exchange.method, exchange.target, headers, exchange.body
+            ),
+            **fields,
+        )
+
     def _make_wiring(self, client, calls, reports):
+        relays = RelayCalls(client, client.channel)
         return ForwardWiring(
-            port=BackendCalls(client, calls),
+            port=BackendCalls(client, calls, relays),
+            relay_address=self._listen_for_relays(client.channel),
             reservations=EngineOrders(calls, self.loop.timers),
             reports=reports,
             take_config=lambda _payload: None,
--- a/crankchute/ports/forwarding.py
+++ b/crankchute/ports/forwarding.py
@@ -103,18 +103,24 @@
       at_server: The address or id of the server that rejected the request, or
         None if it is the server that received the request.
       retry_after_ms: Milliseconds after which to retry there, or None.
+      is_final: Whether another instance refused the request for all servers,
+        a bool.
     """
 
-    __slots__ = ('at_server', 'code', 'retry_after_ms')
+    __slots__ = ('at_server', 'code', 'is_final', 'retry_after_ms')
 
-    def __init__(self, code, at_server=None, retry_after_ms=None):
+    def __init__(
+        self, code, at_server=None, retry_after_ms=None, *, is_final=False
+    ):
         """Create the rejection.
 
         Args:
           code: See the class.
           at_server: See the class.
           retry_after_ms: See the class.
+          is_final: See the class.
         """
+        self.is_final = is_final
         self.code = code
         self.retry_after_ms = retry_after_ms
         self.at_server = at_server
@@ -160,6 +166,17 @@
         """
         on_known(None)
 
+    def probe(self, _backend, on_known):
+        """Try to open a connection to a server.
+
+        The default implementation reports success.
+
+        Args:
+          _backend: A Backend.
+          on_known: A function of whether a connection could be opened.
+        """
+        on_known(True)
+
     def forget(self, _backend):
         """Close the idle connections to a server that was removed.
 
