Direct callers to instances that reach the servers

What callers saw: an active instance without paths to the servers stayed in the addresses for the whole time, so new callers came to it.

Cause: whether an instance reaches the servers was no part of the choice of active instances.

Change: messages between instances name the pools whose paths are lost, and instances without lost paths are chosen first. If each has lost some pool, the choice is as before.

--- a/crankchute/core/active_instances.py
+++ b/crankchute/core/active_instances.py
@@ -94,10 +94,18 @@
         """Update the choice of active instances."""
         ranking = self._rank()
         count = count_active(len(ranking))
+        self.view(self._own).lost_pools = self._parts.lost_pools()
         # During an outage of the store no instance is up to date; healthy ones
         # are then preferred to those that are stopping or do not answer.
         own_choice = (
-            ranking.choose(count, self._is_up_to_date)
+            ranking.choose(
+                count,
+                lambda member: (
+                    self._is_up_to_date(member)
+                    and not self.view(member.identity).lost_pools
+                ),
+            )
+            or ranking.choose(count, self._is_up_to_date)
             or ranking.choose(count, self._is_healthy)
             or ranking.choose(count, _accept_any)
         )
@@ -175,8 +183,8 @@
     def list_excluded(self):
         """Return the best-ranked Members that are excluded for a fault.
 
-        According to the last message they do not answer, are stopping, or are
-        out of date.  They must be polled, since no other instance reports
+        According to the last message they do not answer, are stopping, are
+        out of date, or have lost paths to servers.  They must be polled, since no other instance reports
         their recovery.
         """
         excluded = filter(self._is_excluded, self._rank().members)
@@ -264,7 +272,7 @@
             return False
         if not view.is_healthy(self._now_ms(), self._silence_timeout_ms()):
             return True
-        return not self._is_up_to_date(member)
+        return bool(view.lost_pools) or not self._is_up_to_date(member)
 
     def _is_vouched(self, view):
         """Tell whether an active instance recently listed a peer as active.
