Tell lost paths from lost servers

What callers saw: in the moment in which its connections were reset, an instance recorded a crash of every server of a pool with the requests that were there, and told all instances; sound requests counted as ones that crash servers.

Cause: a refused connection counted as the end of the server's process, though it shows as well that the path is lost.

Change: before a crash is recorded, other instances are asked whether they reach the server. Failures at pools whose paths are lost, or being checked, are not told, and both ends of a loss discard what they suggested.

Evidence: test_lost_paths_are_reported_as_crashes failed before (2 of 2 rows; 1 of 2 once requests were relayed, as the other row's requests are answered there) and passes.

--- a/crankchute/core/crash_detector.py
+++ b/crankchute/core/crash_detector.py
@@ -2,8 +2,8 @@
 
 A connection that closes without an answer is no proof of a crash: a server or
 the network may drop connections.  So the instance then probes the server's
-address.  If nothing listens there the process has exited, and any request in
-progress there may be the cause.
+address.  If nothing listens there, and no other instance reaches the server,
+the process has exited, and any request in progress there may be the cause.
 """
 
 from functools import partial
@@ -11,6 +11,7 @@
 from crankchute.core.crash_attribution import CRASHES_TO_QUARANTINE
 from crankchute.core.crash_history import RETENTION_MS
 from crankchute.core.outcomes import refuse_not_run
+from crankchute.core.server_paths import AlwaysReached
 
 #: How long an exiting process may take to close its listening socket.
 _PROBE_DELAY_MS = 20
@@ -38,9 +39,16 @@
 class CrashDetector:
     """Probes servers that close connections, and updates the crash history."""
 
-    __slots__ = ('_history', '_on_crashed', '_port', '_probes', '_timers')
+    __slots__ = (
+        '_confirm',
+        '_history',
+        '_on_crashed',
+        '_port',
+        '_probes',
+        '_timers',
+    )
 
-    def __init__(self, history, port, timers, on_crashed=None):
+    def __init__(self, history, port, timers, on_crashed=None, *, confirm=None):
         """Create the watch.
 
         Args:
@@ -49,7 +57,11 @@
           timers: A TimerService.
           on_crashed: A function of the Backend that crashed and of the
             fingerprints of the requests in progress there; or None.
+          confirm: A function of a Backend that refuses connections and of a
+            callback, which gets whether the server crashed; None if every
+            such server did.
         """
+        self._confirm = confirm or AlwaysReached().confirm_crash
         self._on_crashed = on_crashed
         self._history = history
         self._port = port
@@ -133,9 +145,15 @@
         self._port.ask_listening(backend, partial(self._finish_probe, backend))
 
     def _finish_probe(self, backend, is_listening):
-        probe = self._probes.pop(backend.identity)
         # None means that the probe got no answer: perhaps a network failure.
         if is_listening is False:
+            self._confirm(backend, partial(self._on_confirmed, backend))
+        else:
+            self._on_confirmed(backend, has_crashed=False)
+
+    def _on_confirmed(self, backend, has_crashed):
+        probe = self._probes.pop(backend.identity)
+        if has_crashed:
             self._record_crash(backend, probe)
         for on_known in probe.waiting:
             on_known()
--- a/crankchute/core/failure_estimator.py
+++ b/crankchute/core/failure_estimator.py
@@ -91,6 +91,18 @@
         """
         self._own.decay(now_ms).successes += 1
 
+    def forget_local(self):
+        """Discard the counts of this instance's requests."""
+        self._own = OutcomeCounts(float(0), float(0), 0)
+
+    def forget_remote(self, instance):
+        """Discard the counts of another instance's requests.
+
+        Args:
+          instance: Its id.
+        """
+        self._others.pop(instance, None)
+
     def merge_remote(self, instance, signs):
         """Store the counts of another instance's own requests.
 
--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -264,6 +264,11 @@
         self.breaker.record_success()
         self.failure_estimator.record_success(now_ms)
 
+    def forget_failures(self):
+        """Discard what this instance's failed requests suggested."""
+        self.breaker = Breaker()
+        self.failure_estimator.forget_local()
+
     def pause_until(self, until_ms):
         """Send no requests before a time; an earlier time changes nothing.
 
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -56,6 +56,7 @@
             ports.forward,
             ports.timers,
             ports.journal.log_crash,
+            confirm=lambda *args: self.paths.confirm_crash(*args),
         )
         self.lending = NoLending()
         self.port = ports.forward
--- a/crankchute/core/pool_paths.py
+++ b/crankchute/core/pool_paths.py
@@ -253,6 +253,7 @@
     def _lose(self, servers):
         self._lost_ms = self._now_ms()
         self._ports.journal.log_paths_lost(self.pool, servers, self.helpers)
+        self._forget_failures()
         self._ports.timers.after(_RETRY_INTERVAL_MS, self._retry)
         self._decide(PathState.LOST)
         self._ports.on_changed(self.pool)
@@ -260,6 +261,7 @@
     def _restore(self):
         lost_for_ms = self._now_ms() - self._lost_ms
         self._ports.journal.log_paths_restored(self.pool, lost_for_ms)
+        self._forget_failures()
         self._helpers.clear()
         self._decide(PathState.REACHED)
         self._ports.on_changed(self.pool)
@@ -285,6 +287,10 @@
         else:
             self._restore()
 
+    def _forget_failures(self):
+        for backend in self._ports.list_servers(self.pool):
+            backend.forget_failures()
+
 
 def probe_any(probe, servers, on_result):
     """Try to connect to several servers at once.
--- a/crankchute/core/server_paths.py
+++ b/crankchute/core/server_paths.py
@@ -1,5 +1,7 @@
 """Whether this instance reaches the backend servers, for each pool."""
 
+from functools import partial
+
 from crankchute.core.pool_paths import PathState, PoolPaths
 
 
@@ -17,6 +19,10 @@
         """Return False; see ServerPaths."""
         return False
 
+    def confirm_crash(self, _backend, on_known):
+        """Report a crash; see ServerPaths."""
+        on_known(True)
+
 
 class ServerPaths:
     """Tells lost paths from lost servers; see pool_paths."""
@@ -99,6 +105,24 @@
         for paths in self._by_pool.values():
             paths.drop_helper(instance)
 
+    def confirm_crash(self, backend, on_known):
+        """Ask other instances about a server that refuses connections.
+
+        Args:
+          backend: The Backend.
+          on_known: A function of True if the server crashed, or of False if
+            only the path to it is lost.
+        """
+        pool = self._ports.pool_of(backend)
+        if self.is_lost(pool):
+            on_known(False)
+        elif self.is_reached(pool):
+            self._ask_about(backend, on_known)
+        else:
+            self._find(pool).after_check(
+                partial(self.confirm_crash, backend, on_known)
+            )
+
     def describe_state(self):
         """Return the state of the paths by pool, a dict for display."""
         return {
@@ -119,3 +143,17 @@
     def _state(self, pool):
         paths = self._by_pool.get(pool)
         return PathState.REACHED if paths is None else paths.state
+
+    def _ask_about(self, backend, on_known):
+        answers = []
+
+        def on_helper(_helper):
+            if not answers:
+                answers.append(True)
+                on_known(False)
+
+        def on_done():
+            if not answers:
+                on_known(True)
+
+        self._ports.ask([backend], on_helper, on_done)
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -187,6 +187,7 @@
         self.evacuations.subscribe(self.sharing.schedule_send)
         self._seeds = []
         self._server_health = []
+        self._lost_pools = {}
         self.answer_reach = None
         self._impressions_ms = float('-inf')
         self._start_ms = self._now_ms()
@@ -370,6 +371,7 @@
             fleet.record_removed(identity)
 
     def _apply_impressions(self, message):
+        self._discard_impressions(message)
         for impression in message.server_health:
             backend = self._node.fleet.get(impression.server)
             if backend is not None:
@@ -377,6 +379,16 @@
                     message.instance, impression.signs
                 )
 
+    def _discard_impressions(self, message):
+        """Discard what a sender with lost paths has told of the servers."""
+        lost = message.lost_pools
+        if lost == self._lost_pools.get(message.instance, ()):
+            return
+        self._lost_pools[message.instance] = lost
+        for pool in lost:
+            for backend in self._node.fleet.members_of(pool):
+                backend.failure_estimator.forget_remote(message.instance)
+
     def _fetch_if_newer(self, message, store, revision):
         """Fetch a store from the sender of a briefing if it is newer there."""
         sender = self.membership.get(message.instance)
@@ -416,6 +428,8 @@
     """
     server_health = []
     for backend in node.fleet:
+        if not node.desk.paths.is_reached(node.fleet.pool_of(backend)):
+            continue
         signs = backend.failure_estimator.local_counts(now_ms)
         if signs.failures > MIN_SHARED_FAILURES:
             server_health.append(ServerHealth(backend.identity, signs))
