Judge no server by requests sent over a lost path

What callers saw: after the end of a loss, servers were avoided for up to half a second more, as requests that had hung meanwhile failed only then.

Cause: what failures suggest was discarded at the end of the loss, but a request that was sent before it can fail later.

Change: failures and overdue first events of requests that were sent before a loss began or ended do not count against the server.

Evidence: the row for engines of test_requests_are_relayed_after_the_paths_are_restored failed before (a breaker was open 1 s after the end) and passes; it follows with the other tests.

--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -193,6 +193,8 @@
       long_prompt_count: The number of this instance's long prompts there.
       paused_until_ms: When requests may be sent again, after the server asked
         to be sent none.
+      judged_from_ms: Failures of requests that were sent before this time do
+        not count, as the path to the server was lost.
       breaker: The circuit breaker of this instance's requests.
       failure_estimator: The estimate of the server's failure rate, from the
         requests of all instances.
@@ -203,6 +205,7 @@
         'breaker',
         'failure_estimator',
         'in_flight',
+        'judged_from_ms',
         'listed',
         'load',
         'long_prompt_count',
@@ -223,6 +226,7 @@
         self.pending_tokens = 0
         self._pending = Counter()
         self.paused_until_ms = 0
+        self.judged_from_ms = 0
         self.long_prompt_count = 0
         self.breaker = Breaker()
         self.failure_estimator = FailureEstimator()
@@ -245,16 +249,30 @@
         """A map from each model that the server reported to its versions."""
         return {} if self.load is None else self.load.holding.models
 
-    def record_failed(self, now_ms, weight=1):
+    def record_failed(self, now_ms, weight=1, *, sent_ms=None):
         """Record that a request of this instance failed there.
 
         Args:
           now_ms: The time.
           weight: How certain it is that the server is at fault, up to 1.
+          sent_ms: When the request was sent, or None if it is judged anyway.
         """
+        if sent_ms is not None and sent_ms < self.judged_from_ms:
+            self.breaker.record_abandoned()
+            return
         self.breaker.record_failure(now_ms)
         self.failure_estimator.record_failure(now_ms, weight)
 
+    def record_overdue(self, now_ms, sent_ms):
+        """Record that the first event of a request of this instance is late.
+
+        Args:
+          now_ms: The time.
+          sent_ms: When the request was sent.
+        """
+        if sent_ms >= self.judged_from_ms:
+            self.failure_estimator.record_failure(now_ms)
+
     def record_success(self, now_ms):
         """Record that a request of this instance succeeded there.
 
@@ -264,8 +282,13 @@
         self.breaker.record_success()
         self.failure_estimator.record_success(now_ms)
 
-    def forget_failures(self):
-        """Discard what this instance's failed requests suggested."""
+    def forget_failures(self, now_ms):
+        """Discard what failures of this instance's requests suggested.
+
+        Args:
+          now_ms: The time; requests sent before it are not judged.
+        """
+        self.judged_from_ms = now_ms
         self.breaker = Breaker()
         self.failure_estimator.forget_local()
 
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -202,7 +202,9 @@
     def on_failed(self, exc):
         """See AttemptListener."""
         if self._close():
-            self.backend.record_failed(self._context.now_ms())
+            self.backend.record_failed(
+                self._context.now_ms(), sent_ms=self.sent_ms
+            )
             self._flow.on_attempt_failed(self, exc)
 
     def _record_event(self):
@@ -267,9 +269,7 @@
         elif checks_overdue:
             # A first event that is overdue is a sign of a failure.
             self._is_overdue = True
-            self.backend.failure_estimator.record_failure(
-                self._context.now_ms()
-            )
+            self.backend.record_overdue(self._context.now_ms(), self.sent_ms)
             self._context.record_overdue(self._flow, self)
             self._arm_watchdog()
         else:
