Check paths again when no instance reached the servers

Cause: instances that answer too late look like ones that do not reach the servers, and the next check came only with the next failed request. That the answers were late there is suspected, not traced.

Change: while nobody reaches the servers the check is repeated every second; the log line is written once.

Evidence: test_late_answers_of_instances_hide_lost_paths fails without the repetition and passes with it.

--- a/crankchute/core/pool_paths.py
+++ b/crankchute/core/pool_paths.py
@@ -109,6 +109,7 @@
         '_checked_ms',
         '_helpers',
         '_interval_ms',
+        '_is_down',
         '_lost_ms',
         '_ports',
         '_suspected_ms',
@@ -134,6 +135,7 @@
         self._suspected_ms = float('-inf')
         self._asked_ms = float('-inf')
         self._lost_ms = None
+        self._is_down = False
 
     @property
     def helpers(self):
@@ -216,6 +218,7 @@
         return self._now_ms() - self._asked_ms >= _ASK_INTERVAL_MS
 
     def _on_reached(self):
+        self._is_down = False
         if self.state == PathState.LOST:
             self._restore()
         else:
@@ -237,11 +240,21 @@
 
         def on_done():
             if self.state == PathState.CHECKING:
-                self._ports.journal.log_servers_down(self.pool, servers)
-                self._decide(PathState.REACHED)
+                self._record_down(servers)
 
         self._ports.ask(servers, on_helper, on_done)
 
+    def _record_down(self, servers):
+        """Record that nobody reaches the servers, and check again later.
+
+        The instances that were asked may have answered too late.
+        """
+        if not self._is_down:
+            self._is_down = True
+            self._ports.journal.log_servers_down(self.pool, servers)
+        self._ports.timers.after(_ASK_INTERVAL_MS, self.check)
+        self._decide(PathState.REACHED)
+
     def _record_helper(self, backend):
         helper = self._helpers.get(backend.identity)
         address = backend.listed.address
@@ -252,6 +265,7 @@
 
     def _lose(self, servers):
         self._lost_ms = self._now_ms()
+        self._is_down = False
         self._ports.journal.log_paths_lost(self.pool, servers, self.helpers)
         self._forget_failures()
         self._ports.timers.after(_RETRY_INTERVAL_MS, self._retry)
@@ -289,7 +303,7 @@
 
     def _forget_failures(self):
         for backend in self._ports.list_servers(self.pool):
-            backend.forget_failures()
+            backend.forget_failures(self._now_ms())
 
 
 def probe_any(probe, servers, on_result):
--- /dev/null
+++ b/crankchute/core/pool_paths_test.py
@@ -0,0 +1,255 @@
+"""Tests of the distinction between lost paths and lost servers."""
+
+from random import Random
+
+import pytest
+
+from crankchute.core.fakes import ManualTimers
+from crankchute.core.fleet import Backend, ListedServer
+from crankchute.core.forward_fakes import POOL, make_backends, make_job
+from crankchute.core.pool_paths import PathPorts, PathState
+from crankchute.core.server_paths import ServerPaths
+
+_HELPER = 'entry-1'
+#: Longer than the longest interval between two checks.
+_LONG_MS = 2500
+
+
+class RecordingJournal:
+    """Records the logged decisions."""
+
+    def __init__(self):
+        self.lines = []
+
+    def log_paths_lost(self, pool, servers, instances):
+        self.lines.append(('lost', pool, instances))
+
+    def log_paths_restored(self, pool, lost_for_ms):
+        self.lines.append(('restored', pool, lost_for_ms))
+
+    def log_servers_down(self, pool, servers):
+        self.lines.append(('down', pool, len(servers)))
+
+
+class World:
+    """The paths of one instance, with given known of checks."""
+
+    def __init__(self, servers=4, probe_ms=400):
+        self.timers = ManualTimers()
+        self.backends = make_backends(servers)
+        self.journal = RecordingJournal()
+        self.unreached = set()
+        self.unreached_elsewhere = set()
+        self.helpers = [_HELPER]
+        self.probes = 0
+        self.questions = 0
+        self.changes = []
+        self._probe_ms = probe_ms
+        self.paths = ServerPaths(
+            PathPorts(
+                timers=self.timers,
+                random=Random(1),
+                journal=self.journal,
+                pool_of=lambda _backend: POOL,
+                list_servers=lambda _pool: self.backends,
+                probe=self._probe,
+                ask=self._ask,
+                on_changed=self.changes.append,
+            )
+        )
+
+    def lose_all(self):
+        """Lose the paths of this instance to all servers."""
+        self.unreached = {one.identity for one in self.backends}
+
+    def suspect(self):
+        self.paths.suspect(self.backends[0])
+        self.timers.advance(1000)
+
+    def choose(self, *avoided):
+        helper = self.paths.choose_helper(POOL, avoided)
+        return None if helper is None else helper.identity
+
+    def _probe(self, backend, on_known):
+        self.probes += 1
+        is_reached = backend.identity not in self.unreached
+        delay_ms = 1 if is_reached else self._probe_ms
+        self.timers.after(delay_ms, lambda: on_known(is_reached))
+
+    def _ask(self, backends, on_helper, on_done):
+        self.questions += 1
+        names = {one.identity for one in backends}
+
+        def answer():
+            if names - self.unreached_elsewhere:
+                for name in self.helpers:
+                    on_helper(make_helper(name))
+            on_done()
+
+        self.timers.after(3, answer)
+
+
+def make_helper(name):
+    return Backend(
+        ListedServer(
+            {
+                'id': name,
+                'kind': 'entry',
+                'address': '127.0.0.1:9000',
+                'data_centre': 'one',
+            }
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ('down', 'down_elsewhere', 'state', 'kinds'),
+    [
+        (0, 0, PathState.REACHED, []),
+        (1, 0, PathState.REACHED, []),
+        (4, 0, PathState.LOST, ['lost']),
+        (4, 4, PathState.REACHED, ['down']),
+        (3, 3, PathState.REACHED, ['down']),
+    ],
+)
+def test_lost_servers_are_taken_for_lost_paths(
+    down, down_elsewhere, state, kinds
+):
+    """Otherwise instances pass requests around when a pool is down."""
+    world = World()
+    names = [one.identity for one in world.backends]
+    world.unreached = set(names[:down])
+    world.unreached_elsewhere = set(names[:down_elsewhere])
+    world.suspect()
+    lost = world.paths.lost_pools == (POOL,)
+    assert lost == (state == PathState.LOST)
+    assert [line[0] for line in world.journal.lines] == kinds
+    assert (world.choose() == _HELPER) == lost
+
+
+def test_late_answers_of_instances_hide_lost_paths():
+    """The check is repeated, although no further request fails."""
+    world = World()
+    world.helpers = []
+    world.lose_all()
+    world.suspect()
+    assert not world.paths.is_lost(POOL)
+    world.helpers = [_HELPER]
+    world.timers.advance(2000)
+    assert world.paths.is_lost(POOL)
+    assert [line[0] for line in world.journal.lines] == ['down', 'lost']
+
+
+def test_servers_that_are_back_are_checked_forever():
+    world = World()
+    world.unreached_elsewhere = {one.identity for one in world.backends}
+    world.lose_all()
+    world.suspect()
+    world.timers.advance(5000)
+    world.unreached = set()
+    world.timers.advance(2000)
+    probes = world.probes
+    world.timers.advance(10_000)
+    assert world.probes == probes
+    assert [line[0] for line in world.journal.lines] == ['down']
+
+
+@pytest.mark.parametrize('servers', [1, 2, 4, 40])
+def test_end_of_loss_is_found_without_requests(servers):
+    world = World(servers)
+    world.lose_all()
+    world.suspect()
+    assert world.paths.is_lost(POOL)
+    world.timers.advance(5000)
+    assert world.paths.is_lost(POOL)
+    world.unreached = set()
+    world.timers.advance(600)
+    assert not world.paths.is_lost(POOL)
+    assert world.choose() is None
+    assert world.changes == [POOL, POOL]
+
+
+def test_failures_over_lost_paths_are_kept_against_servers():
+    world = World()
+    world.lose_all()
+    for backend in world.backends:
+        for _ in range(4):
+            backend.record_failed(world.timers.clock.now_ms())
+    world.suspect()
+    world.backends[0].record_failed(world.timers.clock.now_ms())
+    world.unreached = set()
+    world.timers.advance(1000)
+    now_ms = world.timers.clock.now_ms()
+    for one in world.backends:
+        assert one.breaker.allows(now_ms)
+        assert one.failure_estimator.failure_probability(now_ms) == 0
+
+
+def test_requests_try_servers_while_a_check_is_running():
+    """They wait for its result instead, and no longer."""
+    world = World()
+    world.lose_all()
+    known = []
+    world.paths.after_check(make_job(), lambda: known.append('at once'))
+    world.paths.suspect(world.backends[0])
+    world.paths.after_check(make_job(), lambda: known.append('waited'))
+    assert known == ['at once']
+    world.timers.advance(399)
+    assert known == ['at once']
+    world.timers.advance(10)
+    assert known == ['at once', 'waited']
+    assert world.paths.is_lost(POOL)
+
+
+def test_failing_server_causes_endless_checks():
+    """Connections to servers have a price, so checks become rarer."""
+    world = World()
+    world.unreached = {world.backends[0].identity}
+    for _ in range(600):
+        world.paths.suspect(world.backends[0])
+        world.timers.advance(100)
+    assert 25 * 2 <= world.probes <= 40 * 2
+    assert not world.paths.lost_pools
+
+
+def test_helper_that_lost_its_own_paths_is_used():
+    world = World()
+    world.helpers = [_HELPER, 'entry-2']
+    world.lose_all()
+    world.suspect()
+    assert {world.choose(), world.choose()} <= set(world.helpers)
+    assert world.choose(_HELPER) == 'entry-2'
+    world.helpers = ['entry-2']
+    world.timers.advance(4000)
+    assert world.choose() == 'entry-2'
+    assert world.choose('entry-2') is None
+    world.helpers = []
+    world.timers.advance(4000)
+    assert world.choose() is None
+    assert world.paths.is_lost(POOL)
+
+
+@pytest.mark.parametrize(
+    ('lost_here', 'lost_elsewhere', 'has_crashed'),
+    [(1, 1, True), (1, 0, False), (4, 0, False), (4, 4, True)],
+)
+def test_lost_path_counts_as_a_crash(lost_here, lost_elsewhere, has_crashed):
+    world = World()
+    names = [one.identity for one in world.backends]
+    world.unreached = set(names[:lost_here])
+    world.unreached_elsewhere = set(names[:lost_elsewhere])
+    known = []
+    world.paths.suspect(world.backends[0])
+    world.paths.confirm_crash(world.backends[0], known.append)
+    world.timers.advance(1000)
+    assert known == [has_crashed]
+
+
+def test_crash_is_unknown_without_other_instances():
+    world = World()
+    world.helpers = []
+    world.lose_all()
+    known = []
+    world.paths.confirm_crash(world.backends[0], known.append)
+    world.timers.advance(_LONG_MS)
+    assert known == [True]
