--- a/crankchute/platform/relays.py
+++ b/crankchute/platform/relays.py
@@ -124,7 +124,8 @@
 
     def on_head(self, status, headers):
         """See ResponseSink."""
-        self._placement.server = headers.get(_SERVER)
+        if headers.get(_OUTCOME) != _ELSEWHERE:
+            self._placement.server = headers.get(_SERVER)
         if _OUTCOME in headers:
             self._own_response = headers
         else:
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -108,6 +108,7 @@
         self._reports = {}
         self._paths = {}
         self._relayed = {}
+        self._relay_servers = {}
         self._submitted = {}
         self._peer_ports = []
         for _ in range(instances):
@@ -287,6 +288,14 @@
         """Restore the paths from an instance to all servers."""
         self._paths[node].restore()
 
+    def stop_relays(self, node):
+        """Close the connections on which requests are relayed to an instance.
+
+        Args:
+          node: Its ForwardNode.
+        """
+        self._relay_servers[f'hub-{node.identity.instance}'].close()
+
     def reports(self, node):
         """Return the EngineReports of an instance.
 
@@ -317,7 +326,8 @@
             channel=f'relays-{name}',
             idle_ms=_DEADLINE_MS,
         )
-        return LOOPBACK, server.register(self.loop).port
+        self._relay_servers[name] = server.register(self.loop)
+        return LOOPBACK, server.port
 
     def _read_relayed(self, exchange):
         """Return the job of a relayed request, with the fields of its caller."""
