Check paths after a failure that follows a check closely

Cause: a failure within the interval since the last check started none, and where open connections still worked no further request failed.

Change: such a failure starts the check at the end of the interval.

--- a/crankchute/core/pool_paths.py
+++ b/crankchute/core/pool_paths.py
@@ -107,6 +107,7 @@
     __slots__ = (
         '_asked_ms',
         '_checked_ms',
+        '_deferred',
         '_helpers',
         '_interval_ms',
         '_is_down',
@@ -136,6 +137,7 @@
         self._asked_ms = float('-inf')
         self._lost_ms = None
         self._is_down = False
+        self._deferred = None
 
     @property
     def helpers(self):
@@ -143,12 +145,19 @@
         return list(self._helpers)
 
     def suspect(self):
-        """Check the paths after a failure, unless that was done recently."""
+        """Check the paths after a failure, later if that was done recently."""
         now_ms = self._now_ms()
         if now_ms - self._suspected_ms > _CALM_MS:
             self._interval_ms = _MIN_CHECK_INTERVAL_MS
         self._suspected_ms = now_ms
-        if now_ms - self._checked_ms >= self._interval_ms:
+        if self._deferred is not None:
+            return
+        delay_ms = self._checked_ms + self._interval_ms - now_ms
+        if delay_ms > 0:
+            self._deferred = self._ports.timers.after(
+                delay_ms, self._check_deferred
+            )
+        else:
             self.check()
 
     def check(self):
@@ -193,6 +202,10 @@
         """
         self._helpers.pop(instance, None)
 
+    def _check_deferred(self):
+        self._deferred = None
+        self.check()
+
     def _now_ms(self):
         return self._ports.timers.clock.now_ms()
 
--- a/crankchute/core/pool_paths_test.py
+++ b/crankchute/core/pool_paths_test.py
@@ -140,6 +140,18 @@
     assert [line[0] for line in world.journal.lines] == ['down', 'lost']
 
 
+def test_failure_soon_after_a_check_is_ignored():
+    """Perhaps no further request fails, as open connections still work."""
+    world = World()
+    world.suspect()
+    world.paths.suspect(world.backends[0])
+    world.timers.advance(10)
+    world.lose_all()
+    world.paths.suspect(world.backends[0])
+    world.timers.advance(_LONG_MS)
+    assert world.paths.is_lost(POOL)
+
+
 def test_servers_that_are_back_are_checked_forever():
     world = World()
     world.unreached_elsewhere = {one.identity for one in world.backends}
