Relay unanswered requests as soon as lost paths are known

Cause: the first event had to be overdue, which is a sign against the server, before the path was checked; and unanswered attempts were not ended.

Change: at half of that time the path is checked, which costs two connections and says nothing of the server; a probe waits 300 ms. Once paths are lost, late attempts without an event are ended if the request may be repeated. The checks of an attempt move to AttemptWatchdog.

--- a/crankchute/core/attempt_context.py
+++ b/crankchute/core/attempt_context.py
@@ -58,8 +58,8 @@
         else:
             self.paths.suspect(attempt.backend)
 
-    def record_overdue(self, flow, attempt):
-        """Record that the first event of an attempt is overdue."""
+    def record_late(self, flow, attempt):
+        """Record that the first event of an attempt is late."""
         if not attempt.placement.is_relayed:
             self.paths.suspect(attempt.backend)
 
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -1,5 +1,6 @@
 """One attempt to send a forwarded request to a backend server."""
 
+from crankchute.core.attempt_watchdog import AttemptWatchdog
 from crankchute.core.forward_job import AttemptOrder
 from crankchute.errors import BackendError
 from crankchute.ports.forwarding import AttemptListener
@@ -17,6 +18,9 @@
 
     Attributes:
       placement: The Placement.
+      reservation: The Reservation of memory at helpers, or None.
+      watchdog: The AttemptWatchdog.
+      is_closed: Whether the attempt has ended, a bool.
       sent_ms: When the request was sent, or None.
       first_ms: When the first event arrived, or None.
       last_event_ms: When the last event arrived, or else when the request was
@@ -31,16 +35,15 @@
         '_context',
         '_flow',
         '_head',
-        '_is_closed',
-        '_is_overdue',
         '_paused_ms',
-        '_reservation',
-        '_watchdog',
         'first_ms',
+        'is_closed',
         'last_event_ms',
         'longest_gap_ms',
         'placement',
+        'reservation',
         'sent_ms',
+        'watchdog',
     )
 
     def __init__(self, flow, context, placement):
@@ -57,11 +60,10 @@
         self._call = None
         self._collected = 0
         self._head = None
-        self._is_closed = False
-        self._is_overdue = False
+        self.is_closed = False
         self._paused_ms = None
-        self._reservation = None
-        self._watchdog = None
+        self.reservation = None
+        self.watchdog = AttemptWatchdog(self, flow, context)
         self.first_ms = None
         self.last_event_ms = None
         self.longest_gap_ms = 0
@@ -73,6 +75,11 @@
         """Whether the server has sent an event."""
         return self.first_ms is not None
 
+    @property
+    def is_paused(self):
+        """Whether reading from the server is paused, a bool."""
+        return self._paused_ms is not None
+
     @property
     def backend(self):
         """The Backend that receives the request."""
@@ -81,7 +88,7 @@
     def start(self):
         """Reserve the memory that the placement needs, then send."""
         if self.placement.tickets:
-            self._reservation = self._context.reserve(
+            self.reservation = self._context.reserve(
                 self._flow,
                 self.placement,
                 self._on_reserved,
@@ -105,7 +112,7 @@
 
     def pause_reading(self):
         """Stop reading from the server."""
-        if self._is_closed or self._call is None or self._paused_ms is not None:
+        if self.is_closed or self._call is None or self._paused_ms is not None:
             return
         self._paused_ms = self._context.now_ms()
         self._call.pause_reading()
@@ -116,32 +123,31 @@
         The server could not send during the pause, so the pause counts neither
         as its silence nor as a gap between its events.
         """
-        if self._is_closed or self._paused_ms is None:
+        if self.is_closed or self._paused_ms is None:
             return
         self.last_event_ms += self._context.now_ms() - self._paused_ms
         self._paused_ms = None
         self._call.resume_reading()
-        if self._watchdog is None:
-            self._arm_watchdog()
+        self.watchdog.arm()
 
-    def end_restarted(self, backend):
-        """End the attempt because a server that it uses restarted.
+    def end_lost(self, backend, text):
+        """End the attempt because a server that it uses was lost.
 
         A dead connection would otherwise go unnoticed until the next probe.
 
         Args:
-          backend: The Backend of the previous incarnation.
+          backend: The Backend.
+          text: The error message.
         """
         if not self._close():
             return
         if self._call is None:
             participants = (self.placement, *self.placement.helpers)
-            restarted = [one for one in participants if one.backend is backend]
-            self._flow.on_reservation_refused(self, restarted)
+            lost = [one for one in participants if one.backend is backend]
+            self._flow.on_reservation_refused(self, lost)
             return
         self.backend.breaker.record_abandoned()
         self._call.cancel()
-        text = f'{backend.identity} started again'
         self._flow.on_attempt_failed(
             self,
             BackendError(text, sent=self._call.sent),
@@ -161,9 +167,16 @@
         if self._call is None and excluded and self._close():
             self._flow.on_reservation_refused(self, excluded, _EXCLUDED)
 
+    def fail_stalled(self):
+        """End the attempt because its server fell silent."""
+        if self._call is not None:
+            self._call.cancel()
+        text = 'the backend server fell silent'
+        self.on_failed(BackendError(text, sent=True))
+
     def on_head(self, head):
         """See AttemptListener."""
-        if self._is_closed:
+        if self.is_closed:
             return
         self._head = head
         if head.load is not None:
@@ -177,7 +190,7 @@
 
     def on_event(self, event):
         """See AttemptListener."""
-        if self._is_closed:
+        if self.is_closed:
             return
         self._record_event()
         self._flow.on_event(self, self._head, event)
@@ -211,9 +224,9 @@
         now_ms = self._context.now_ms()
         if self.first_ms is None:
             self.first_ms = now_ms
-            if self._reservation is not None:
-                self._reservation.record_used()
-            if self._is_overdue:
+            if self.reservation is not None:
+                self.reservation.record_used()
+            if self.watchdog.is_overdue:
                 self.backend.failure_estimator.retract_failure(now_ms)
             self._context.record_first_event(self._flow, self)
         else:
@@ -222,7 +235,7 @@
         self.last_event_ms = now_ms
 
     def _on_reserved(self, refused):
-        if self._is_closed:
+        if self.is_closed:
             return
         if refused:
             self._close()
@@ -236,7 +249,7 @@
         self.backend.breaker.record_start()
         self.last_event_ms = self.sent_ms
         self._flow.on_attempt_sent(self)
-        self._arm_watchdog()
+        self.watchdog.arm()
         job = self._flow.job
         order = AttemptOrder(
             self._flow.attempts,
@@ -246,69 +259,16 @@
         )
         self._call = self._context.port.send(job, self.placement, order, self)
 
-    def _arm_watchdog(self):
-        """Wait until the server is overdue or has stalled.
-
-        The timer is rearmed only when it expires, since a timer reset for each
-        event would be too expensive.  A paused attempt is not judged;
-        resume_reading rearms the timer.
-        """
-        if self._paused_ms is not None:
-            return
-        stalled_at_ms = self._stalled_at_ms()
-        checks_overdue = not self.started and not self._is_overdue
-        if stalled_at_ms is None and not checks_overdue:
-            return
-        due_ms = stalled_at_ms
-        if checks_overdue:
-            overdue_ms = self._context.overdue_at_ms(self._flow, self)
-            due_ms = min(overdue_ms, stalled_at_ms or overdue_ms)
-        delay_ms = due_ms - self._context.now_ms()
-        if delay_ms > 0:
-            self._watchdog = self._context.after(delay_ms, self._on_watchdog)
-        elif checks_overdue:
-            # A first event that is overdue is a sign of a failure.
-            self._is_overdue = True
-            self.backend.record_overdue(self._context.now_ms(), self.sent_ms)
-            self._context.record_overdue(self._flow, self)
-            self._arm_watchdog()
-        else:
-            self._fail_stalled()
-
-    def _stalled_at_ms(self):
-        """Return the time when a silent server counts as stalled, or None.
-
-        Unused reservations have a limit of their own, so that a hung engine
-        does not tie up memory at its helpers until the caller disconnects.
-        """
-        until_ms = self._context.stalled_at_ms(self._flow, self)
-        if self._reservation is None or self.started:
-            return until_ms
-        unused_ms = self._reservation.use_deadline_ms
-        return unused_ms if until_ms is None else min(until_ms, unused_ms)
-
-    def _on_watchdog(self):
-        self._watchdog = None
-        if not self._is_closed:
-            self._arm_watchdog()
-
-    def _fail_stalled(self):
-        if self._call is not None:
-            self._call.cancel()
-        text = 'the backend server fell silent'
-        self.on_failed(BackendError(text, sent=True))
-
     def _close(self):
-        if self._is_closed:
+        if self.is_closed:
             return False
-        self._is_closed = True
-        if self._watchdog is not None:
-            self._watchdog.cancel()
+        self.is_closed = True
+        self.watchdog.cancel()
         if self.sent_ms is not None:
             self.backend.in_flight -= 1
             self._context.record_left(self._flow, self)
-        if self._reservation is not None:
-            self._reservation.release()
+        if self.reservation is not None:
+            self.reservation.release()
         self._context.record_freed(self._flow, self.placement)
         return True
 
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -105,7 +105,8 @@
         for flow in tuple(self.flows):
             attempt = flow.attempt
             if attempt is not None and attempt.placement.uses(backend):
-                attempt.end_restarted(backend)
+                text = f'{backend.identity} started again'
+                attempt.end_lost(backend, text)
 
     def change_limits(self, limits):
         """Change the retry limits without resetting the usage.
--- a/crankchute/core/relay.py
+++ b/crankchute/core/relay.py
@@ -34,6 +34,34 @@
     return RelayPlacement(helper)
 
 
+def end_unanswered(flows, pool):
+    """End late attempts at a pool whose paths are lost, to relay the requests.
+
+    Requests that may not be repeated wait for their answers, and so do those
+    whose answers have begun: open connections may still work.
+
+    Args:
+      flows: An iterable of ForwardFlow.
+      pool: The pool's name.
+    """
+    for flow in tuple(flows):
+        attempt = flow.attempt
+        if (
+            flow.job.pool == pool
+            and attempt is not None
+            and (_is_unanswered(flow, attempt))
+        ):
+            text = 'the path to the backend server is lost'
+            attempt.end_lost(attempt.backend, text)
+
+
+def _is_unanswered(flow, attempt):
+    if attempt.started or attempt.placement.is_relayed:
+        return False
+    may_retry = flow.job.may_retry and flow.attempts < flow.job.max_attempts
+    return may_retry and attempt.watchdog.is_late
+
+
 def relay_stalled_at_ms(job, attempt):
     """Return when a silent relayed attempt counts as stalled, or None.
 
--- a/crankchute/entry/path_checks.py
+++ b/crankchute/entry/path_checks.py
@@ -4,6 +4,7 @@
 
 from crankchute.core.fleet import Backend, ListedServer
 from crankchute.core.pool_paths import PathPorts
+from crankchute.core.relay import end_unanswered
 from crankchute.proto import peer_pb2
 
 #: How many other instances are asked at once.
@@ -175,10 +176,13 @@
         return not member.draining and pool not in view.lost_pools
 
     def _on_changed(self, pool):
-        """Tell the peers, and close connections that may be dead."""
-        for backend in self._node.fleet.members_of(pool):
+        """Tell the peers, and end what waits on connections that may be dead."""
+        node = self._node
+        for backend in node.fleet.members_of(pool):
             self._port.forget(backend)
-        self._node.peers.sharing.send_now()
+        if node.desk.paths.is_lost(pool):
+            end_unanswered(node.desk.flows, pool)
+        node.peers.sharing.send_now()
 
     def _check_activation(self):
         """Check all paths after this instance has become active.
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -32,6 +32,8 @@
 
 #: Connect timeout; round trips between zones take about a millisecond.
 CONNECT_TIMEOUT_MS = 400
+#: The same for a probe, on whose result requests wait.
+_PROBE_TIMEOUT_MS = 300
 #: The longest idle time of a reused connection.  It is shorter for requests
 #: that must not be repeated: a server may close an idle connection at any time.
 #: A stated keep-alive does not extend it, since a server that shuts down or
@@ -193,7 +195,7 @@
         self._client.ask_listening(
             backend.listed.address,
             lambda is_listening: on_known(is_listening is True),
-            timeout_ms=CONNECT_TIMEOUT_MS,
+            timeout_ms=_PROBE_TIMEOUT_MS,
         )
 
     def forget(self, backend):
--- a/crankchute/platform/lost_paths_test.py
+++ b/crankchute/platform/lost_paths_test.py
@@ -253,3 +253,18 @@
     arrivals = [engine.arrivals for engine in draining]
     assert set(ask_often(world, node)) <= ANSWERED
     assert [engine.arrivals for engine in draining] == arrivals
+
+
+def test_requests_sent_before_a_loss_wait_for_lost_answers():
+    """They are relayed as soon as the loss is known."""
+    world = StandinWorld(is_plain=True)
+    node = world.nodes[0]
+    ask_often(world, node)
+    world.lose_paths(node, PathFault.HANG)
+    started_ms = node.now_ms()
+    waiting = [
+        world.submit(node, SOUND, goal_ms=2 * _GOAL_MS)[1] for _ in range(12)
+    ]
+    assert {finish()[0] for finish in waiting} <= ANSWERED
+    assert node.now_ms() - started_ms < _DETECTION_MS
+    assert count_relays(world) >= 12
