Let silent engines go on with requests that must not be repeated

What callers saw: a stream that may not be resumed ended when its engine was silent for 1.3 s between events, or 1.5 s and more before the first, although a sound server may fall silent for a second and go on. Found by reading.

Cause: the limit on an engine's silence did not regard whether the request can be sent elsewhere; that for plain servers does.

Change: no limit for requests that must not be repeated; their deadline holds.

Evidence: test_silence_ends_a_request_that_must_not_be_repeated fails in its two rows for such requests without the change, and passes with it.

--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -26,7 +26,11 @@
     estimate_worth,
 )
 from crankchute.core.engine_work import Change, WorkItem
-from crankchute.core.forward_job import Placement, PlacementEstimate
+from crankchute.core.forward_job import (
+    Placement,
+    PlacementEstimate,
+    RetryMode,
+)
 from crankchute.core.length_demand import LONG_PROMPT_FACTOR
 from crankchute.core.memory_planning import USABLE_MEMORY_SHARE, MemoryPlanner
 from crankchute.core.overload_control import OverloadControl
@@ -108,8 +112,11 @@
         """See Chooser.
 
         An engine emits no events during a prefill, so the timeout starts at
-        the predicted end of the prefills that were sent to it.
+        the predicted end of the prefills that were sent to it.  Requests that
+        must not be repeated have no timeout: the engine may go on.
         """
+        if job.repeat == RetryMode.ONCE:
+            return None
         state = self._work_tracker.state(attempt.backend.identity)
         since_ms = max(attempt.last_event_ms, state.prefill_until_ms)
         if attempt.started:
--- a/crankchute/core/engine_chooser_test.py
+++ b/crankchute/core/engine_chooser_test.py
@@ -260,6 +260,28 @@
     assert engines_of(world.place(SHORT)[1]) <= {'server-02', 'server-03'}
 
 
+@pytest.mark.parametrize(
+    ('repeat', 'is_limited'),
+    [
+        (RetryMode.ONCE, False),
+        (RetryMode.AGAIN, True),
+        (RetryMode.RESUME, True),
+    ],
+)
+@pytest.mark.parametrize('started', [False, True])
+def test_silence_ends_a_request_that_must_not_be_repeated(
+    repeat, is_limited, started
+):
+    """The engine may be silent for a while, and go on."""
+    world = World(engines=1)
+    job, placement = world.place(SHORT)
+    job.repeat = repeat
+    attempt = FakeAttempt(placement, 0)
+    attempt.started = started
+    limit_ms = world.chooser.stalled_at_ms(job, attempt)
+    assert (limit_ms is not None) == is_limited
+
+
 def make_world_with_data_centres(connected=(), local=()):
     """Return a World of idle engines, some connected or local."""
     world = World(engines=8)
