Keep the headers of relays away from servers

Cause: found while testing the headers of relayed requests: the names of the instance that relays and of avoided servers went on to the backend server.

Change: they are taken off before the request is read. Tests of both ends of a relay on loopback: what arrives, how each end is read, keys that the other instance does not accept, and the bound on relays.

Evidence: test_relayed_request_arrives_changed fails without the change.

--- a/crankchute/platform/relays.py
+++ b/crankchute/platform/relays.py
@@ -34,6 +34,7 @@
 _OUTCOME = 'relay-outcome'
 _CODE = 'relay-code'
 _RETRY_MS = 'relay-retry-ms'
+_REQUEST_HEADERS = frozenset((_RELAYED_BY, _AVOIDED))
 _RESPONSE_HEADERS = frozenset((_SERVER, _OUTCOME, _CODE, _RETRY_MS))
 
 #: No server got the request, but another instance may reach one.
@@ -264,6 +265,7 @@
         if len(self._flows) >= _MAX_IN_PROGRESS:
             answer.pass_on(_BUSY)
             return
+        origin = _take_origin(exchange)
         try:
             job = self._read_job(exchange)
         except RequestRefused as refusal:
@@ -272,10 +274,10 @@
             self._node.record_refused(None, refusal)
             answer.pass_on(refusal.code)
             return
+        job.relay = origin
         self._serve(job, exchange, answer)
 
     def _serve(self, job, exchange, answer):
-        job.relay = _read_origin(exchange)
         job.max_attempts = 1
         self._node.metrics.count('relays_taken')
         flow = self._node.desk.submit(job, answer)
@@ -293,12 +295,19 @@
     ]
 
 
-def _read_origin(exchange):
+def _take_origin(exchange):
+    """Return the RelayOrigin of a request, and remove it from the headers."""
     avoided = exchange.header(_AVOIDED)
-    return RelayOrigin(
+    origin = RelayOrigin(
         exchange.header(_RELAYED_BY),
         avoided.split(',') if avoided else (),
     )
+    exchange.headers = [
+        pair
+        for pair in exchange.headers
+        if pair[0].lower() not in _REQUEST_HEADERS
+    ]
+    return origin
 
 
 def _parse_retry_ms(headers):
--- /dev/null
+++ b/crankchute/platform/relays_test.py
@@ -0,0 +1,228 @@
+"""Tests of what two instances tell each other about relayed requests."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from crankchute.adapters.forward_server import ForwardServer
+from crankchute.adapters.http_client import HttpClient
+from crankchute.adapters.loop import Loop
+from crankchute.core.fleet import Backend, ListedServer
+from crankchute.core.forward_fakes import make_job
+from crankchute.core.forward_job import AttemptOrder, RelayPlacement
+from crankchute.core.outcomes import Outcome, Refusal
+from crankchute.core.relay import NO_PATH
+from crankchute.platform.relays import RelayCalls, RelayedRequests
+from crankchute.platform.requests import RequestPayload
+from crankchute.platform.requests_test import ReaderHarness
+from crankchute.ports.forwarding import AnswerHead, AttemptListener
+from crankchute.ports.metrics import Metrics
+from crankchute.standins.ports import LOOPBACK
+
+_TICK_S = 0.001
+_IDLE_MS = 60_000
+_HEADERS = (
+    ('Host', 'a.example'),
+    ('X-Crankchute-Request-Id', 'r1'),
+    ('X-Custom', 'kept'),
+)
+
+
+class RecordingListener(AttemptListener):
+    """Records how an attempt ends."""
+
+    def __init__(self):
+        self.end = None
+        self.head = None
+
+    def on_head(self, head):
+        self.head = head
+
+    def on_body(self, chunk):
+        """Ignore the body."""
+
+    def on_event(self, event):
+        """Ignore the event."""
+
+    def on_end(self):
+        self.end = ('end',)
+
+    def on_not_run(self, rejection):
+        self.end = (
+            'not run',
+            rejection.code,
+            rejection.is_final,
+            rejection.retry_after_ms,
+        )
+
+    def on_failed(self, exc):
+        self.end = ('failed', str(exc), exc.sent)
+
+
+class FakeFlow:
+    """The attributes of a flow that relays depend on."""
+
+    def __init__(self, attempts=0):
+        self.attempts = attempts
+        self.ended = False
+        self.server = 'i-7@5'
+
+    def cancel(self):
+        self.ended = True
+
+
+class FakeDesk:
+    """Ends each request in a given way.
+
+    Attributes:
+      jobs: The submitted ForwardJobs, a list.
+      refusal: The Refusal with which requests end; None for an answer.
+      attempts: How often a request was sent to a server.
+    """
+
+    def __init__(self, timers):
+        self._timers = timers
+        self.jobs = []
+        self.refusal = None
+        self.attempts = 0
+
+    def submit(self, job, sink):
+        self.jobs.append(job)
+        flow = FakeFlow(self.attempts)
+        self._timers.after(1, lambda: self._finish(flow, sink))
+        return flow
+
+    def _finish(self, flow, sink):
+        flow.ended = True
+        if self.refusal is not None:
+            sink.on_refused(self.refusal)
+            return
+        headers = [
+            ('X-Crankchute-Request-Id', 'r1'),
+            ('X-Crankchute-Response-Signature', 'sig'),
+            ('Relay-Outcome', 'elsewhere'),
+        ]
+        sink.on_answer(AnswerHead(200, headers), b'whole')
+
+
+class Pair:
+    """An instance that relays, and one that serves what is relayed."""
+
+    def __init__(self, **reader_fields):
+        self.loop = Loop()
+        client = HttpClient(timers=self.loop.timers).register(self.loop)
+        self.calls = RelayCalls(client, 'entry-0')
+        self.desk = FakeDesk(self.loop.timers)
+        node = SimpleNamespace(
+            desk=self.desk,
+            metrics=Metrics(),
+            record_refused=lambda _request_id, _refusal: None,
+        )
+        reader = ReaderHarness(**reader_fields).reader
+        self.relayed = RelayedRequests(node, reader.read)
+        self.server = ForwardServer(
+            (LOOPBACK, 0),
+            self.relayed.take,
+            self.loop.timers,
+            channel='relays',
+            idle_ms=_IDLE_MS,
+        ).register(self.loop)
+
+    def send(self, authorization='Bearer key-1'):
+        """Relay a request, and return the listener and the placement."""
+        payload = RequestPayload(
+            'POST', '/p/x', list(_HEADERS), b'body', authorization
+        )
+        listed = ListedServer(
+            {
+                'id': 'entry-1',
+                'kind': 'entry',
+                'address': f'{LOOPBACK}:{self.server.port}',
+                'data_centre': 'one',
+            }
+        )
+        placement = RelayPlacement(Backend(listed))
+        order = AttemptOrder(2, 800.7, 12, ['i-1', 'i-2@9'])
+        listener = RecordingListener()
+        self.calls.send(make_job(payload=payload), placement, order, listener)
+        self.loop.run_until(lambda: listener.end is not None, _TICK_S)
+        return listener, placement
+
+
+def test_relayed_request_arrives_changed():
+    world = Pair()
+    listener, placement = world.send()
+    job = world.desk.jobs[0]
+    assert (job.account, job.max_attempts) == ('acc', 1)
+    assert job.resume_after == 12
+    assert 0 < job.deadline_ms - job.arrived_ms <= 800
+    assert job.relay.instance == 'entry-0'
+    assert job.relay.avoided == {'i-1', 'i-2@9'}
+    assert (job.payload.target, job.payload.body) == ('/p/x', b'body')
+    names = {pair[0].lower() for pair in job.payload.headers}
+    assert names == {'host', 'x-crankchute-request-id', 'x-custom'}
+    assert listener.end == ('end',)
+    assert placement.answering == 'i-7@5'
+    seen = {pair[0].lower() for pair in listener.head.headers}
+    assert not any(name.startswith('relay') for name in seen)
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'code', 'retry_ms', 'attempts', 'end'),
+    [
+        (Outcome.NOT_RUN, NO_PATH, None, 0, ('failed', NO_PATH, False)),
+        (Outcome.NOT_RUN, NO_PATH, None, 1, ('failed', NO_PATH, False)),
+        (Outcome.NOT_RUN, 'crowded', 700, 0, ('not run', 'crowded', True, 700)),
+        (Outcome.NOT_RUN, 'full', 300, 1, ('not run', 'full', False, None)),
+        (
+            Outcome.UNKNOWN,
+            'backend_failed',
+            None,
+            1,
+            ('failed', 'backend_failed', True),
+        ),
+        (
+            Outcome.FAILED,
+            'deadline_exceeded',
+            None,
+            1,
+            ('failed', 'deadline_exceeded', True),
+        ),
+    ],
+)
+def test_end_at_the_other_instance_is_misread(
+    outcome, code, retry_ms, attempts, end
+):
+    """A request that may have run must not be taken for one that did not."""
+    pair = Pair()
+    pair.desk.refusal = Refusal(outcome, code, 'text', retry_after_ms=retry_ms)
+    pair.desk.attempts = attempts
+    listener, placement = pair.send()
+    assert listener.end == end
+    was_sent_elsewhere = code == NO_PATH
+    expected = 'entry-1' if was_sent_elsewhere else 'i-7@5'
+    assert placement.answering == expected
+
+
+@pytest.mark.parametrize(
+    ('fields', 'authorization'),
+    [
+        ({}, 'Bearer revoked'),
+        ({}, None),
+        ({'proof_ms': -1}, 'Bearer key-1'),
+        ({'config': False}, 'Bearer key-1'),
+    ],
+)
+def test_revoked_key_is_served_by_another_instance(fields, authorization):
+    pair = Pair(**fields)
+    listener, _placement = pair.send(authorization)
+    name, _code, was_sent = listener.end
+    assert (name, was_sent) == ('failed', False)
+    assert not pair.desk.jobs
+
+
+def test_instance_serves_endless_relays():
+    pair = Pair()
+    pair.relayed._flows.update(FakeFlow() for _ in range(64))
+    listener, _placement = pair.send()
+    assert listener.end == ('failed', 'relays_busy', False)
