Run one series of path checks at a time

Cause: the next check was scheduled without regard to one that was scheduled.

Change: a check that is due replaces none and adds none, and the end of a loss cancels its retries. PathPorts moves to a module of its own.

--- a/crankchute/core/pool_paths.py
+++ b/crankchute/core/pool_paths.py
@@ -13,6 +13,8 @@
 
 import enum
 
+from crankchute.core.path_ports import probe_any
+
 #: How many servers are tried in each check.
 _SAMPLE_SIZE = 2
 #: The shortest interval between checks of a pool.  It doubles up to the longest
@@ -41,46 +43,6 @@
     LOST = 'lost'
 
 
-class PathPorts:
-    """The dependencies of ServerPaths.
-
-    Attributes:
-      timers: A TimerService.
-      random: A random.Random.
-      journal: A ForwardJournal.
-      pool_of: A function that returns the name of a Backend's pool.
-      list_servers: A function that returns the Backends of a pool that accept
-        requests.
-      probe: A function of a Backend and a callback, which gets whether a
-        connection could be opened.
-      ask: A function of a list of Backends, a callback that gets the Backend
-        of each instance that reaches one of them, and a callback that is
-        called when all instances that were asked have answered.
-      on_changed: A function of a pool's name, called when paths to its
-        servers are lost or restored.
-    """
-
-    __slots__ = (
-        'ask',
-        'journal',
-        'list_servers',
-        'on_changed',
-        'pool_of',
-        'probe',
-        'random',
-        'timers',
-    )
-
-    def __init__(self, **fields):
-        """Set all attributes.
-
-        Args:
-          fields: A value for each attribute.
-        """
-        for name in self.__slots__:
-            setattr(self, name, fields[name])
-
-
 class _Helper:
     """An instance that reaches the servers of a pool.
 
@@ -113,6 +75,7 @@
         '_is_down',
         '_lost_ms',
         '_ports',
+        '_retry_timer',
         '_suspected_ms',
         '_waiting',
         'pool',
@@ -138,6 +101,7 @@
         self._lost_ms = None
         self._is_down = False
         self._deferred = None
+        self._retry_timer = None
 
     @property
     def helpers(self):
@@ -154,9 +118,7 @@
             return
         delay_ms = self._checked_ms + self._interval_ms - now_ms
         if delay_ms > 0:
-            self._deferred = self._ports.timers.after(
-                delay_ms, self._check_deferred
-            )
+            self._defer_check(delay_ms)
         else:
             self.check()
 
@@ -202,6 +164,11 @@
         """
         self._helpers.pop(instance, None)
 
+    def _defer_check(self, delay_ms):
+        self._deferred = self._ports.timers.after(
+            delay_ms, self._check_deferred
+        )
+
     def _check_deferred(self):
         self._deferred = None
         self.check()
@@ -265,7 +232,8 @@
         if not self._is_down:
             self._is_down = True
             self._ports.journal.log_servers_down(self.pool, servers)
-        self._ports.timers.after(_ASK_INTERVAL_MS, self.check)
+        if self._deferred is None:
+            self._defer_check(_ASK_INTERVAL_MS)
         self._decide(PathState.REACHED)
 
     def _record_helper(self, backend):
@@ -281,11 +249,18 @@
         self._is_down = False
         self._ports.journal.log_paths_lost(self.pool, servers, self.helpers)
         self._forget_failures()
-        self._ports.timers.after(_RETRY_INTERVAL_MS, self._retry)
+        self._schedule_retry()
         self._decide(PathState.LOST)
         self._ports.on_changed(self.pool)
 
+    def _schedule_retry(self):
+        self._retry_timer = self._ports.timers.after(
+            _RETRY_INTERVAL_MS, self._retry
+        )
+
     def _restore(self):
+        # Otherwise each loss that follows soon would add a series of retries.
+        self._retry_timer.cancel()
         lost_for_ms = self._now_ms() - self._lost_ms
         self._ports.journal.log_paths_restored(self.pool, lost_for_ms)
         self._forget_failures()
@@ -302,13 +277,11 @@
             callback()
 
     def _retry(self):
-        if self.state != PathState.LOST:
-            return
         for identity, helper in tuple(self._helpers.items()):
             if self._now_ms() - helper.confirmed_ms > _HELPER_TTL_MS:
                 self._helpers.pop(identity)
         servers = self._sample()
-        self._ports.timers.after(_RETRY_INTERVAL_MS, self._retry)
+        self._schedule_retry()
         if servers:
             self._probe(servers)
         else:
@@ -317,30 +290,3 @@
     def _forget_failures(self):
         for backend in self._ports.list_servers(self.pool):
             backend.forget_failures(self._now_ms())
-
-
-def probe_any(probe, servers, on_result):
-    """Try to connect to several servers at once.
-
-    Args:
-      probe: See PathPorts.
-      servers: A list of Backends, not empty.
-      on_result: A function of True at the first connection, or of False when
-        all have failed.
-    """
-    failed = []
-    reached = []
-
-    def on_known(is_reached):
-        if reached:
-            return
-        if is_reached:
-            reached.append(True)
-            on_result(True)
-            return
-        failed.append(True)
-        if len(failed) == len(servers):
-            on_result(False)
-
-    for server in servers:
-        probe(server, on_known)
--- a/crankchute/core/pool_paths_test.py
+++ b/crankchute/core/pool_paths_test.py
@@ -7,7 +7,8 @@
 from crankchute.core.fakes import ManualTimers
 from crankchute.core.fleet import Backend, ListedServer
 from crankchute.core.forward_fakes import POOL, make_backends, make_job
-from crankchute.core.pool_paths import PathPorts, PathState
+from crankchute.core.path_ports import PathPorts
+from crankchute.core.pool_paths import PathState
 from crankchute.core.server_paths import ServerPaths
 
 _HELPER = 'entry-1'
@@ -152,6 +153,24 @@
     assert world.paths.is_lost(POOL)
 
 
+@pytest.mark.parametrize('is_down_elsewhere', [False, True])
+def test_checks_multiply(is_down_elsewhere):
+    """Paths that are lost again and again must not add series of checks."""
+    world = World(probe_ms=1)
+    names = {one.identity for one in world.backends}
+    world.unreached_elsewhere = names if is_down_elsewhere else set()
+    for step in range(400):
+        world.unreached = names if is_down_elsewhere or step % 2 else set()
+        world.paths.suspect(world.backends[0])
+        world.timers.advance(260)
+    earlier = world.probes
+    world.lose_all()
+    for _ in range(100):
+        world.paths.suspect(world.backends[0])
+        world.timers.advance(100)
+    assert world.probes - earlier <= 24 * 2
+
+
 def test_servers_that_are_back_are_checked_forever():
     world = World()
     world.unreached_elsewhere = {one.identity for one in world.backends}
--- a/crankchute/entry/path_checks.py
+++ b/crankchute/entry/path_checks.py
@@ -3,7 +3,7 @@
 from functools import partial
 
 from crankchute.core.fleet import Backend, ListedServer
-from crankchute.core.pool_paths import PathPorts
+from crankchute.core.path_ports import PathPorts
 from crankchute.core.relay import end_unanswered
 from crankchute.proto import peer_pb2
 
