Keep no ended relayed requests

Cause: found by reading: an instance that had served relayed requests kept up to 64 of them, with their bodies, until the next one came, perhaps for ever.

Change: those in progress are counted among the requests in progress, so there is no list of their own. A relayed request that is refused before it becomes a job is logged under its id.

Evidence: tests of both ends of a relay; the bound is reached with 64 in progress and not by own or ended ones.

--- a/crankchute/platform/relays.py
+++ b/crankchute/platform/relays.py
@@ -21,7 +21,12 @@
     AttemptResponseSink,
     choose_max_idle_ms,
 )
-from crankchute.platform.wire import AUTHORIZATION, DEADLINE_MS, LAST_EVENT
+from crankchute.platform.wire import (
+    AUTHORIZATION,
+    DEADLINE_MS,
+    LAST_EVENT,
+    REQUEST_ID,
+)
 from crankchute.ports.forwarding import Rejection
 
 #: The id of the instance that relays the request.
@@ -252,7 +257,6 @@
         """
         self._node = node
         self._read_job = read_job
-        self._flows = set()
 
     def take(self, exchange):
         """Serve a request.
@@ -261,8 +265,7 @@
           exchange: A ForwardExchange.
         """
         answer = RelayAnswer(exchange)
-        self._flows = {flow for flow in self._flows if not flow.ended}
-        if len(self._flows) >= _MAX_IN_PROGRESS:
+        if self._count_in_progress() >= _MAX_IN_PROGRESS:
             answer.pass_on(_BUSY)
             return
         origin = _take_origin(exchange)
@@ -271,19 +274,22 @@
         except RequestRefused as refusal:
             # The configuration here may be another one; the caller's request
             # was accepted by the instance that relays it.
-            self._node.record_refused(None, refusal)
+            request_id = exchange.header(REQUEST_ID)
+            self._node.record_refused(request_id, refusal)
             answer.pass_on(refusal.code)
             return
         job.relay = origin
         self._serve(job, exchange, answer)
 
+    def _count_in_progress(self):
+        return sum(flow.job.relay is not None for flow in self._node.desk.flows)
+
     def _serve(self, job, exchange, answer):
         job.max_attempts = 1
         self._node.metrics.count('relays_taken')
         flow = self._node.desk.submit(job, answer)
         answer.flow = flow
         if not flow.ended:
-            self._flows.add(flow)
             exchange.on_gone = flow.cancel
             exchange.request_id = job.request_id
             exchange.source = AnswerReading(flow)
--- a/crankchute/platform/relays_test.py
+++ b/crankchute/platform/relays_test.py
@@ -9,7 +9,11 @@
 from crankchute.adapters.loop import Loop
 from crankchute.core.fleet import Backend, ListedServer
 from crankchute.core.forward_fakes import make_job
-from crankchute.core.forward_job import AttemptOrder, RelayPlacement
+from crankchute.core.forward_job import (
+    AttemptOrder,
+    RelayOrigin,
+    RelayPlacement,
+)
 from crankchute.core.outcomes import Outcome, Refusal
 from crankchute.core.relay import NO_PATH
 from crankchute.platform.relays import RelayCalls, RelayedRequests
@@ -62,7 +66,8 @@
 class FakeFlow:
     """The attributes of a flow that relays depend on."""
 
-    def __init__(self, attempts=0):
+    def __init__(self, job, attempts=0):
+        self.job = job
         self.attempts = attempts
         self.ended = False
         self.server = 'i-7@5'
@@ -76,6 +81,7 @@
 
     Attributes:
       jobs: The submitted ForwardJobs, a list.
+      flows: The FakeFlows in progress, a set.
       refusal: The Refusal with which requests end; None for an answer.
       attempts: How often a request was sent to a server.
     """
@@ -83,17 +89,20 @@
     def __init__(self, timers):
         self._timers = timers
         self.jobs = []
+        self.flows = set()
         self.refusal = None
         self.attempts = 0
 
     def submit(self, job, sink):
         self.jobs.append(job)
-        flow = FakeFlow(self.attempts)
+        flow = FakeFlow(job, self.attempts)
+        self.flows.add(flow)
         self._timers.after(1, lambda: self._finish(flow, sink))
         return flow
 
     def _finish(self, flow, sink):
         flow.ended = True
+        self.flows.discard(flow)
         if self.refusal is not None:
             sink.on_refused(self.refusal)
             return
@@ -113,10 +122,11 @@
         client = HttpClient(timers=self.loop.timers).register(self.loop)
         self.calls = RelayCalls(client, 'entry-0')
         self.desk = FakeDesk(self.loop.timers)
+        self.refused = []
         node = SimpleNamespace(
             desk=self.desk,
             metrics=Metrics(),
-            record_refused=lambda _request_id, _refusal: None,
+            record_refused=lambda *args: self.refused.append(args),
         )
         reader = ReaderHarness(**reader_fields).reader
         self.relayed = RelayedRequests(node, reader.read)
@@ -219,10 +229,16 @@
     name, _code, was_sent = listener.end
     assert (name, was_sent) == ('failed', False)
     assert not pair.desk.jobs
+    assert [request_id for request_id, _refusal in pair.refused] == ['r1']
 
 
 def test_instance_serves_endless_relays():
+    """Its own requests do not count, and ended ones are not kept."""
     pair = Pair()
-    pair.relayed._flows.update(FakeFlow() for _ in range(64))
-    listener, _placement = pair.send()
-    assert listener.end == ('failed', 'relays_busy', False)
+    own, relayed = make_job(), make_job(relay=RelayOrigin('entry-9', ()))
+    pair.desk.flows.update(FakeFlow(own) for _ in range(100))
+    pair.desk.flows.update(FakeFlow(relayed) for _ in range(63))
+    assert pair.send()[0].end == ('end',)
+    assert pair.send()[0].end == ('end',)
+    pair.desk.flows.add(FakeFlow(relayed))
+    assert pair.send()[0].end == ('failed', 'relays_busy', False)
