Hold the lost pools of a peer once, and count relays where they are sent

Cause: found by reading: which pools a peer does not reach was kept twice, once in a dict that outlived the peers, and a function that chooses counted.

Change: a change of what a peer told is noticed where its view is updated. Relayed requests are counted with the attempt.

--- a/crankchute/core/active_instances.py
+++ b/crankchute/core/active_instances.py
@@ -184,8 +184,8 @@
         """Return the best-ranked Members that are excluded for a fault.
 
         According to the last message they do not answer, are stopping, are
-        out of date, or have lost paths to servers.  They must be polled, since no other instance reports
-        their recovery.
+        out of date, or have lost paths to servers.  They must be polled, since
+        no other instance reports their recovery.
         """
         excluded = filter(self._is_excluded, self._rank().members)
         return list(islice(excluded, _EXCLUDED_FACTOR * len(self.chosen)))
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -148,7 +148,7 @@
         if refusal is not None:
             return refusal
         if self.paths.is_lost(flow.job.pool):
-            return choose_relay(self.paths, flow.job, avoided, self.metrics)
+            return choose_relay(self.paths, flow.job, avoided)
         if self.crash_detector.is_suspect(flow.job.fingerprint):
             choice = choose_isolated(chooser, flow.job, avoided)
         else:
@@ -225,6 +225,8 @@
 
     def record_attempt(self, flow, attempt, cause):
         """Record that a request is sent to a server."""
+        if attempt.placement.is_relayed:
+            self.metrics.count('requests_relayed')
         self.journal.log_attempt(flow, attempt, cause)
 
     def record_first_event(self, flow, attempt):
--- a/crankchute/core/peer_exchange.py
+++ b/crankchute/core/peer_exchange.py
@@ -129,7 +129,9 @@
         view.last_received_ms = now_ms
         view.is_serving = message.is_serving
         view.proof_age_ms = message.proof_age_ms
-        view.lost_pools = message.lost_pools
+        if view.lost_pools != message.lost_pools:
+            view.lost_pools = message.lost_pools
+            self._parts.on_lost_pools(message)
         view.active_digest = message.digest
         view.crash_digest = message.crash_digest
         if message.crashes is not None:
@@ -299,6 +301,8 @@
         arguments are the PeerMessage's attributes that PeerExchange provides.
       on_message: A function that processes a received PeerMessage.  Its second
         argument is the time at which the PeerMessage was requested, or None.
+      on_lost_pools: A function of a PeerMessage whose lost pools differ from
+        those that its sender told before; optional.
       send: A function of a Member, a PeerMessage, a callback that gets the
         reply or None, and a timeout in milliseconds.
     """
@@ -310,6 +314,7 @@
         'lost_pools',
         'make_message',
         'members',
+        'on_lost_pools',
         'on_message',
         'proof_age_ms',
         'random',
@@ -326,5 +331,10 @@
           fields: A value for each attribute.
         """
         fields.setdefault('lost_pools', tuple)
+        fields.setdefault('on_lost_pools', _ignore_lost_pools)
         for name in self.__slots__:
             setattr(self, name, fields[name])
+
+
+def _ignore_lost_pools(_message):
+    """Ignore which pools a peer does not reach."""
--- a/crankchute/core/relay.py
+++ b/crankchute/core/relay.py
@@ -12,14 +12,13 @@
 _MIN_RELAY_GAP_MS = 2000
 
 
-def choose_relay(paths, job, avoided, metrics):
+def choose_relay(paths, job, avoided):
     """Choose another instance that reaches the servers of a request's pool.
 
     Args:
       paths: The ServerPaths.
       job: A ForwardJob.
       avoided: Ids of excluded servers and instances.
-      metrics: A Metrics port.
     Returns:
       A RelayPlacement, or a Refusal.
     """
@@ -30,7 +29,6 @@
         return refuse_not_run(
             NO_PATH, 'this instance does not reach the backend servers'
         )
-    metrics.count('requests_relayed')
     return RelayPlacement(helper)
 
 
@@ -46,17 +44,13 @@
     """
     for flow in tuple(flows):
         attempt = flow.attempt
-        if (
-            flow.job.pool == pool
-            and attempt is not None
-            and (_is_unanswered(flow, attempt))
-        ):
+        if flow.job.pool == pool and _is_unanswered(flow, attempt):
             text = 'the path to the backend server is lost'
             attempt.end_lost(attempt.backend, text)
 
 
 def _is_unanswered(flow, attempt):
-    if attempt.started or attempt.placement.is_relayed:
+    if attempt is None or attempt.started or attempt.placement.is_relayed:
         return False
     may_retry = flow.job.may_retry and flow.attempts < flow.job.max_attempts
     return may_retry and attempt.watchdog.is_late
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -187,7 +187,6 @@
         self.evacuations.subscribe(self.sharing.schedule_send)
         self._seeds = []
         self._server_health = []
-        self._lost_pools = {}
         self.answer_reach = None
         self._impressions_ms = float('-inf')
         self._start_ms = self._now_ms()
@@ -294,6 +293,7 @@
             proof_age_ms=lambda: node.holder.proof_age_ms(self._now_ms()),
             lost_pools=lambda: node.desk.paths.lost_pools,
             make_message=self._make_message,
+            on_lost_pools=self._discard_impressions,
             on_message=self._apply_briefing,
             send=self._send,
         )
@@ -371,7 +371,6 @@
             fleet.record_removed(identity)
 
     def _apply_impressions(self, message):
-        self._discard_impressions(message)
         for impression in message.server_health:
             backend = self._node.fleet.get(impression.server)
             if backend is not None:
@@ -381,11 +380,7 @@
 
     def _discard_impressions(self, message):
         """Discard what a sender with lost paths has told of the servers."""
-        lost = message.lost_pools
-        if lost == self._lost_pools.get(message.instance, ()):
-            return
-        self._lost_pools[message.instance] = lost
-        for pool in lost:
+        for pool in message.lost_pools:
             for backend in self._node.fleet.members_of(pool):
                 backend.failure_estimator.forget_remote(message.instance)
 
