Let late answers about servers decide no later check

Cause: found by reading: an answer of another instance that came after the end of the check that asked could end the next one, so that an instance took paths for lost that it had just used.

Change: an answer counts for the check that asked, or while paths are lost.

Evidence: test_late_answer_decides_a_later_check fails without the change.

--- a/crankchute/core/pool_paths.py
+++ b/crankchute/core/pool_paths.py
@@ -208,18 +208,28 @@
             self._decide(PathState.REACHED)
 
     def _ask(self, servers):
-        """Ask other instances whether they reach some servers."""
+        """Ask other instances whether they reach some servers.
+
+        Answers that arrive after the end of this check decide no other one.
+        """
         self._asked_ms = self._now_ms()
+        decided_ms = self._checked_ms
+
+        def is_current():
+            return self.state == PathState.LOST or (
+                self.state == PathState.CHECKING
+                and self._checked_ms == decided_ms
+            )
 
         def on_helper(backend):
-            if self.state == PathState.REACHED:
+            if not is_current():
                 return
             self._record_helper(backend)
             if self.state == PathState.CHECKING:
                 self._lose(servers)
 
         def on_done():
-            if self.state == PathState.CHECKING:
+            if self.state == PathState.CHECKING and is_current():
                 self._record_down(servers)
 
         self._ports.ask(servers, on_helper, on_done)
--- a/crankchute/core/pool_paths_test.py
+++ b/crankchute/core/pool_paths_test.py
@@ -1,5 +1,6 @@
 """Tests of the distinction between lost paths and lost servers."""
 
+from functools import partial
 from random import Random
 
 import pytest
@@ -45,6 +46,8 @@
         self.probes = 0
         self.questions = 0
         self.changes = []
+        self.ask_ms = [3]
+        self.probe_delay_ms = 1
         self._probe_ms = probe_ms
         self.paths = ServerPaths(
             PathPorts(
@@ -74,20 +77,23 @@
     def _probe(self, backend, on_known):
         self.probes += 1
         is_reached = backend.identity not in self.unreached
-        delay_ms = 1 if is_reached else self._probe_ms
+        delay_ms = self.probe_delay_ms if is_reached else self._probe_ms
         self.timers.after(delay_ms, lambda: on_known(is_reached))
 
     def _ask(self, backends, on_helper, on_done):
         self.questions += 1
         names = {one.identity for one in backends}
 
-        def answer():
+        def answer(is_last):
             if names - self.unreached_elsewhere:
                 for name in self.helpers:
                     on_helper(make_helper(name))
-            on_done()
+            if is_last:
+                on_done()
 
-        self.timers.after(3, answer)
+        for delay_ms in self.ask_ms:
+            is_last = delay_ms == self.ask_ms[-1]
+            self.timers.after(delay_ms, partial(answer, is_last))
 
 
 def make_helper(name):
@@ -153,6 +159,23 @@
     assert world.paths.is_lost(POOL)
 
 
+def test_late_answer_decides_a_later_check():
+    """The paths are back when it arrives, and the next check is running."""
+    world = World(probe_ms=100)
+    world.ask_ms = [3, 900]
+    world.lose_all()
+    world.paths.suspect(world.backends[0])
+    world.timers.advance(110)
+    assert world.paths.is_lost(POOL)
+    world.unreached = set()
+    world.timers.advance(510)
+    assert not world.paths.is_lost(POOL)
+    world.probe_delay_ms = 300
+    world.paths.suspect(world.backends[0])
+    world.timers.advance(430)
+    assert not world.paths.is_lost(POOL)
+
+
 @pytest.mark.parametrize('is_down_elsewhere', [False, True])
 def test_checks_multiply(is_down_elsewhere):
     """Paths that are lost again and again must not add series of checks."""
