--- a/crankchute/core/relay.py
+++ b/crankchute/core/relay.py
@@ -1,10 +1,17 @@
 """Relaying of requests to instances that reach the backend servers."""
 
+import enum
+
 from crankchute.core.forward_job import RelayPlacement, RetryMode
-from crankchute.core.outcomes import refuse_not_run
+from crankchute.core.outcomes import Outcome, refuse_not_run
 
 #: Refusal code: no known instance reaches the backend servers.
 NO_PATH = 'no_path'
+#: Why a helper sends a request elsewhere: it serves too many for others.
+RELAYS_BUSY = 'relays_busy'
+#: The most requests that an instance serves for others at once.  With more, it
+#: would delay its own callers, and the others should ask another instance.
+_MAX_IN_PROGRESS = 64
 #: Limits on the silence of another instance, as multiples of the request's
 #: goals and as shortest times.
 _RELAY_TIMEOUT_FACTOR = 4
@@ -12,6 +19,43 @@
 _MIN_RELAY_GAP_MS = 2000
 
 
+class RelayOutcome(enum.Enum):
+    """What became of a relayed request that no server has answered."""
+
+    #: No server got it, but another instance may reach one.
+    ELSEWHERE = 'elsewhere'
+    #: No server got it, and other instances would refuse it as well.
+    REFUSED = 'refused'
+    #: A server rejected it without running it.
+    REJECTED = 'rejected'
+    #: It may have run.
+    FAILED = 'failed'
+
+
+def accepts_relay(flows):
+    """Return whether an instance may serve one more request for others.
+
+    Args:
+      flows: The ForwardFlows in progress there.
+    """
+    relayed = sum(flow.job.relay is not None for flow in flows)
+    return relayed < _MAX_IN_PROGRESS
+
+
+def classify_refusal(refusal, *, was_sent):
+    """Return the RelayOutcome that a helper reports to the other instance.
+
+    Args:
+      refusal: The Refusal with which the request ended at the helper.
+      was_sent: Whether it was sent to a server.
+    """
+    if refusal.outcome != Outcome.NOT_RUN:
+        return RelayOutcome.FAILED
+    if refusal.code == NO_PATH:
+        return RelayOutcome.ELSEWHERE
+    return RelayOutcome.REJECTED if was_sent else RelayOutcome.REFUSED
+
+
 def choose_relay(paths, job, avoided):
     """Choose another instance that reaches the servers of a request's pool.
 
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -25,7 +25,7 @@
 )
 from crankchute.platform.published import PublishedConfig, PublishedServers
 from crankchute.platform.published_evacuations import PublishedOperatorKeys
-from crankchute.platform.relays import RelayedRequests
+from crankchute.platform.relayed_requests import RelayedRequests
 from crankchute.platform.requests import RequestReader
 from crankchute.platform.server_calls import ServerCalls
 from crankchute.platform.store import StoreWatch, WatchPolicy
--- a/crankchute/platform/relays_test.py
+++ b/crankchute/platform/relayed_requests_test.py
@@ -16,7 +16,8 @@
 )
 from crankchute.core.outcomes import Outcome, Refusal
 from crankchute.core.relay import NO_PATH
-from crankchute.platform.relays import RelayCalls, RelayedRequests
+from crankchute.platform.relay_calls import RelayCalls
+from crankchute.platform.relayed_requests import RelayedRequests
 from crankchute.platform.requests import RequestPayload
 from crankchute.platform.requests_test import ReaderHarness
 from crankchute.ports.forwarding import AnswerHead, AttemptListener
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -33,7 +33,8 @@
 from crankchute.platform.backend_calls import BackendCalls
 from crankchute.platform.engine_orders import EngineOrders
 from crankchute.platform.engine_reports import EngineReports
-from crankchute.platform.relays import RelayCalls, RelayedRequests
+from crankchute.platform.relay_calls import RelayCalls
+from crankchute.platform.relayed_requests import RelayedRequests
 from crankchute.platform.requests import RequestPayload
 from crankchute.platform.server_calls import ServerCalls
 from crankchute.platform.standin_paths import PathFaults
--- a/crankchute/platform/wiring.py
+++ b/crankchute/platform/wiring.py
@@ -5,7 +5,7 @@
 from crankchute.platform.engine_orders import EngineOrders
 from crankchute.platform.engine_reports import EngineReports
 from crankchute.platform.instance_limits import make_evacuations
-from crankchute.platform.relays import RelayCalls
+from crankchute.platform.relay_calls import RelayCalls
 from crankchute.platform.server_entries import POOL_LABEL
 
 
