--- a/crankchute/platform/standin_engine.py
+++ b/crankchute/platform/standin_engine.py
@@ -47,6 +47,8 @@
     SILENT = 'silent'
     BREAK_OFF = 'break off'
     CLOSE = 'close'
+    #: The answer waits for answer_delayed().
+    DELAYED = 'delayed'
 
 
 class Run:
@@ -153,6 +155,7 @@
         self.cold_ms = None
         self.arrivals = 0
         self.reached_ms = []
+        self._delayed = []
         self.probes = 0
         engines[self.address] = self
 
@@ -161,6 +164,17 @@
         """The address that it listens on, "IP:port"."""
         return f'{_LOOPBACK}:{self._server.port}'
 
+    @property
+    def open_requests(self):
+        """The number of requests and orders that it is answering."""
+        return self._server.open_exchanges
+
+    def answer_delayed(self):
+        """Answer the requests whose answers are delayed."""
+        for exchange, first in self._delayed:
+            self._write(exchange, first, None)
+        self._delayed = []
+
     def restart(self):
         """Restart with the same id and empty memory."""
         self.born += 1
@@ -310,6 +324,9 @@
             return
         if behaviour == Behaviour.SILENT:
             return
+        if behaviour == Behaviour.DELAYED:
+            self._delayed.append((exchange, first))
+            return
         if behaviour == Behaviour.CLOSE:
             exchange.abort()
         else:
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -37,7 +37,7 @@
 from crankchute.platform.relayed_requests import RelayedRequests
 from crankchute.platform.requests import RequestPayload
 from crankchute.platform.server_calls import ServerCalls
-from crankchute.platform.standin_paths import PathFaults
+from crankchute.platform.standin_paths import PathFault, PathFaults
 from crankchute.platform.standin_engine import HEALTH_PATH, StandinEngine
 from crankchute.platform.wire import DEADLINE_MS, LAST_EVENT, REQUEST_ID
 from crankchute.standins.ports import LOOPBACK, pick_ports
@@ -297,6 +297,16 @@
         """
         self._relay_servers[f'hub-{node.identity.instance}'].close()
 
+    def kill(self, node):
+        """End all connections of an instance, as if its process were gone.
+
+        Args:
+          node: Its ForwardNode.
+        """
+        self.cut_off(node)
+        self.lose_paths(node, PathFault.RESET)
+        self.stop_relays(node)
+
     def reports(self, node):
         """Return the EngineReports of an instance.
 
