Test lost paths by pool, and the addresses when a data centre has none

A pool whose paths are lost does not concern another, nor what failures suggested of its servers; a whole data centre, and all instances but one, leave the active ones and come back; if each lost a pool the choice stays.

--- a/crankchute/core/peer_exchange_test.py
+++ b/crankchute/core/peer_exchange_test.py
@@ -34,6 +34,7 @@
         self.known_names = {}
         self.stopping = set()
         self.proof_ages = {}
+        self.lost_pools = {}
         self.received = []
         self.boot_ids = {}
         self.work_trackers = {}
@@ -80,6 +81,7 @@
             version=lambda: len(self.list_known(name)),
             is_serving=lambda: name not in self.stopping,
             proof_age_ms=lambda: self.proof_ages.get(name, 10),
+            lost_pools=lambda: self.lost_pools.get(name, ()),
             work_tracker=self.work_trackers[name],
             crashes=self.histories[name],
             make_message=lambda **exchanged: self._make_message(
@@ -109,6 +111,7 @@
             limits=[],
             evacuations=(),
             knows_evacuations=False,
+            lost_pools=self.lost_pools.get(name, ()),
             **exchanged,
         )
 
@@ -564,3 +567,36 @@
     assert len(fleet.received) > len(NAMES)
     reports = [one.crashes for _name, one, _asked_ms in fleet.received]
     assert set(reports) == {None}
+
+
+def list_active(fleet):
+    """Return the active instances that all instances agree on, a set."""
+    fleet.timers.advance(4000)
+    choices = {frozenset(fleet.list_active_at(name)) for name in NAMES}
+    assert len(choices) == 1
+    return set(choices.pop())
+
+
+@pytest.mark.parametrize(
+    ('lost', 'expected'),
+    [
+        ({'a1', 'a2'}, {'b1', 'b2', 'c1'}),
+        ({'a1', 'a2', 'b1', 'b2'}, {'c1'}),
+    ],
+)
+def test_instances_without_paths_are_active(lost, expected):
+    """A whole data centre, and all but one instance."""
+    fleet = SimulatedFleet(NAMES)
+    before = list_active(fleet)
+    fleet.lost_pools = dict.fromkeys(lost, ('pool-a',))
+    assert list_active(fleet) == expected
+    fleet.lost_pools = {}
+    assert list_active(fleet) == before
+
+
+@pytest.mark.parametrize('pools', [('pool-a',), ('pool-b', 'pool-a')])
+def test_nobody_is_active_when_each_lost_a_pool(pools):
+    fleet = SimulatedFleet(NAMES)
+    before = list_active(fleet)
+    fleet.lost_pools = dict.fromkeys(NAMES, pools)
+    assert list_active(fleet) == before
--- a/crankchute/core/pool_paths_test.py
+++ b/crankchute/core/pool_paths_test.py
@@ -43,6 +43,7 @@
         self.unreached = set()
         self.unreached_elsewhere = set()
         self.helpers = [_HELPER]
+        self.pool_names = {}
         self.probes = 0
         self.questions = 0
         self.changes = []
@@ -54,8 +55,14 @@
                 timers=self.timers,
                 random=Random(1),
                 journal=self.journal,
-                pool_of=lambda _backend: POOL,
-                list_servers=lambda _pool: self.backends,
+                pool_of=lambda backend: self.pool_names.get(
+                    backend.identity, POOL
+                ),
+                list_servers=lambda pool: [
+                    backend
+                    for backend in self.backends
+                    if self.pool_names.get(backend.identity, POOL) == pool
+                ],
                 probe=self._probe,
                 ask=self._ask,
                 on_changed=self.changes.append,
@@ -208,6 +215,25 @@
     assert [line[0] for line in world.journal.lines] == ['down']
 
 
+def test_loss_of_one_pool_counts_for_another():
+    world = World(servers=6)
+    far, near = world.backends[:3], world.backends[3:]
+    world.pool_names = {one.identity: 'far' for one in far}
+    world.unreached = set(world.pool_names)
+    for backend in (far[0], near[0]):
+        world.paths.suspect(backend)
+    world.timers.advance(1000)
+    assert world.paths.lost_pools == ('far',)
+    assert not world.paths.is_lost(POOL)
+    assert world.choose() is None
+    near[0].record_failed(world.timers.clock.now_ms())
+    world.unreached = set()
+    world.timers.advance(1000)
+    assert not world.paths.lost_pools
+    now_ms = world.timers.clock.now_ms()
+    assert near[0].failure_estimator.failure_probability(now_ms) > 0
+
+
 @pytest.mark.parametrize('servers', [1, 2, 4, 40])
 def test_end_of_loss_is_found_without_requests(servers):
     world = World(servers)
