Give the guards of lost paths their mutations

Thirteen guards, each taken out in a copy: all are noticed by pure tests. New tests of the decisions about relays, of retries that would multiply, and of failures that come after a loss; green on the code as it is.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -20,6 +20,9 @@
 _FORWARD_FLOW = 'crankchute/core/forward_flow.py'
 _RESERVATION_TEST = 'crankchute/core/reservations_test.py'
 _GROUP_FLOW = 'crankchute/core/group_flow.py'
+_PATHS_TEST = 'crankchute/core/pool_paths_test.py'
+_RELAY_TEST = 'crankchute/core/relay_test.py'
+_RELAYED_TEST = 'crankchute/platform/relayed_requests_test.py'
 
 
 class Mutation:
@@ -333,6 +336,97 @@
         'if not count or begun_ms > last_ms:',
         'if not count:',
     ),
+    Mutation(
+        'paths: no other instance confirms that they are lost',
+        _PATHS_TEST,
+        'crankchute/core/pool_paths.py',
+        'self._ask(servers)',
+        'self._lose(servers)',
+    ),
+    Mutation(
+        'paths: late answers decide a later check',
+        _PATHS_TEST,
+        'crankchute/core/pool_paths.py',
+        'and self._checked_ms == decided_ms',
+        'and True',
+    ),
+    Mutation(
+        'paths: retries multiply',
+        _PATHS_TEST,
+        'crankchute/core/pool_paths.py',
+        'self._retry_timer.cancel()',
+        'self._lost_ms += 0',
+    ),
+    Mutation(
+        'paths: no other instance confirms a crash',
+        _PATHS_TEST,
+        'crankchute/core/server_paths.py',
+        'self._ask_about(backend, on_known)',
+        'on_known(True)',
+    ),
+    Mutation(
+        'paths: failures over lost paths are kept',
+        _PATHS_TEST,
+        'crankchute/core/pool_paths.py',
+        'backend.forget_failures(self._now_ms())',
+        'backend.pause_until(0)',
+    ),
+    Mutation(
+        'paths: late failures over lost paths count',
+        _PATHS_TEST,
+        'crankchute/core/fleet.py',
+        'if sent_ms is not None and sent_ms < self.judged_from_ms:',
+        'if sent_ms is not None and sent_ms < 0:',
+    ),
+    Mutation(
+        'paths: callers are directed to instances without them',
+        'crankchute/core/peer_exchange_test.py',
+        'crankchute/core/active_instances.py',
+        'and not self.view(member.identity).lost_pools',
+        'and True',
+    ),
+    Mutation(
+        'paths: a relayed request is relayed again',
+        _RELAY_TEST,
+        'crankchute/core/relay.py',
+        'if job.relay is None:',
+        'if job is not None:',
+    ),
+    Mutation(
+        'paths: attempts that must not be repeated are ended',
+        _RELAY_TEST,
+        'crankchute/core/relay.py',
+        'may_retry = flow.job.may_retry and',
+        'may_retry = bool(flow) and',
+    ),
+    Mutation(
+        'paths: a relayed request counts for two budgets',
+        _RELAY_TEST,
+        'crankchute/core/forwarder.py',
+        'if job.relay is None:',
+        'if job is not None:',
+    ),
+    Mutation(
+        'paths: a helper makes several attempts',
+        _RELAYED_TEST,
+        'crankchute/platform/relayed_requests.py',
+        'job.max_attempts = 1',
+        'job.max_attempts = 9',
+    ),
+    Mutation(
+        'paths: a helper without paths is asked again',
+        _RELAYED_TEST,
+        'crankchute/platform/relay_calls.py',
+        'if headers.get(RELAY_OUTCOME) != RelayOutcome.ELSEWHERE.value:',
+        'if headers:',
+    ),
+    Mutation(
+        'paths: silence ends a request that must not be repeated',
+        'crankchute/core/engine_chooser_test.py',
+        'crankchute/core/engine_chooser.py',
+        'if job.repeat == RetryMode.ONCE:',
+        'if job.repeat is None:',
+    ),
 )
 
 
--- a/crankchute/core/pool_paths_test.py
+++ b/crankchute/core/pool_paths_test.py
@@ -166,6 +166,24 @@
     assert world.paths.is_lost(POOL)
 
 
+def test_retries_multiply_when_paths_are_lost_again():
+    world = World(probe_ms=1)
+    for _ in range(30):
+        world.lose_all()
+        world.paths.suspect(world.backends[0])
+        world.timers.advance(270)
+        assert world.paths.is_lost(POOL)
+        world.unreached = set()
+        world.timers.advance(510)
+        assert not world.paths.is_lost(POOL)
+    world.lose_all()
+    world.paths.suspect(world.backends[0])
+    world.timers.advance(300)
+    earlier = world.probes
+    world.timers.advance(10_000)
+    assert world.probes - earlier <= 21 * 2
+
+
 def test_late_answer_decides_a_later_check():
     """The paths are back when it arrives, and the next check is running."""
     world = World(probe_ms=100)
@@ -256,10 +274,13 @@
         for _ in range(4):
             backend.record_failed(world.timers.clock.now_ms())
     world.suspect()
-    world.backends[0].record_failed(world.timers.clock.now_ms())
+    sent_ms = world.timers.clock.now_ms()
+    world.backends[0].record_failed(sent_ms)
     world.unreached = set()
     world.timers.advance(1000)
     now_ms = world.timers.clock.now_ms()
+    world.backends[1].record_failed(now_ms, sent_ms=sent_ms)
+    world.backends[2].record_overdue(now_ms, sent_ms)
     for one in world.backends:
         assert one.breaker.allows(now_ms)
         assert one.failure_estimator.failure_probability(now_ms) == 0
