--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -423,10 +423,11 @@
     """
     server_health = []
     for backend in node.fleet:
-        if not node.desk.paths.is_reached(node.fleet.pool_of(backend)):
-            continue
         signs = backend.failure_estimator.local_counts(now_ms)
-        if signs.failures > MIN_SHARED_FAILURES:
+        is_suspected = signs.failures > MIN_SHARED_FAILURES
+        if is_suspected and node.desk.paths.is_reached(
+            node.fleet.pool_of(backend)
+        ):
             server_health.append(ServerHealth(backend.identity, signs))
     return server_health
 
