--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -40,17 +40,19 @@
             **self._describe_config(),
         )
 
-    def log_refused(self, request_id, refusal):
+    def log_refused(self, request_id, refusal, relayed_by=None):
         """Log that a request is refused before a job is created for it.
 
         Args:
           request_id: The caller's id, or None.
           refusal: A RequestRefused.
+          relayed_by: The id of the instance that relayed the request, or None.
         """
         log_change(
             'request_refused',
             failed=True,
             request=request_id,
+            relayed_by=relayed_by,
             status=int(refusal.status),
             code=refusal.code,
             retry_after_ms=refusal.retry_after_ms,
--- a/crankchute/commands/losses.py
+++ b/crankchute/commands/losses.py
@@ -38,13 +38,14 @@
     Returns:
       A list of lines.
     """
-    tokens = sum(trace.tokens for trace in traces)
+    requests = [trace for trace in traces if not trace.is_relayed]
+    tokens = sum(trace.tokens for trace in requests)
     rows = [
         f'{summary.count:6} {summary.count_after_start:11} {summary.tokens / tokens:8.2%}'
         f'  {summary.cause}'
-        for summary in summarize_losses(traces)
+        for summary in summarize_losses(requests)
     ]
-    total = f'of {len(traces)} requests with {tokens} tokens'
+    total = f'of {len(requests)} requests with {tokens} tokens'
     return [' count after start   tokens  cause', *rows, total]
 
 
--- a/crankchute/core/loss_report.py
+++ b/crankchute/core/loss_report.py
@@ -45,6 +45,8 @@
 def summarize_losses(traces):
     """Group lost requests by cause.
 
+    A relayed request counts at the instance that its caller sent it to.
+
     Args:
       traces: A list of the requests' traces.
     Returns:
@@ -52,7 +54,7 @@
     """
     summaries = {}
     for trace in traces:
-        cause = classify_loss(trace)
+        cause = None if trace.is_relayed else classify_loss(trace)
         if cause is not None:
             summaries.setdefault(cause, LossSummary(cause)).add(trace)
     return sorted(summaries.values(), key=_get_tokens, reverse=True)
--- a/crankchute/core/loss_report_test.py
+++ b/crankchute/core/loss_report_test.py
@@ -133,3 +133,16 @@
         ('<= 20000', True): [1.5],
         ('<= 100000', False): [0.9],
     }
+
+
+@pytest.mark.parametrize(('relayed_by', 'count'), [('edge-2', 0), (None, 1)])
+@pytest.mark.parametrize(
+    'lines',
+    [
+        lambda by: [make_request(relayed_by=by), make_end('x', 'not_run')],
+        lambda by: [make_line('request_refused', code='x', relayed_by=by)],
+    ],
+)
+def test_relayed_request_is_counted_twice(lines, relayed_by, count):
+    traces = gather_traces(lines(relayed_by))
+    assert sum(one.count for one in summarize_losses(traces)) == count
--- a/crankchute/core/request_traces.py
+++ b/crankchute/core/request_traces.py
@@ -33,6 +33,12 @@
         self.refusal = None
         self.is_after_start = False
 
+    @property
+    def is_relayed(self):
+        """Whether this is the part of a request at a helping instance."""
+        fields = self.refusal or self.fields
+        return fields.get('relayed_by') is not None
+
     @property
     def tokens(self):
         """The length of the prompt in tokens, or an assumed length."""
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -258,15 +258,16 @@
         self.peers.evacuations.check_names()
         self._check_ready()
 
-    def record_refused(self, request_id, refusal):
+    def record_refused(self, request_id, refusal, relayed_by=None):
         """Count and log a request that was rejected before it became a job.
 
         Args:
           request_id: The id that the caller assigned, or None.
           refusal: A RequestRefused.
+          relayed_by: The id of the instance that relayed it, or None.
         """
         self.metrics.count('bad_requests', refusal.code)
-        self.journal.log_refused(request_id, refusal)
+        self.journal.log_refused(request_id, refusal, relayed_by)
 
     def choose_addresses(self, data_centre):
         """Return the addresses that a caller should use.
--- a/crankchute/platform/relayed_requests.py
+++ b/crankchute/platform/relayed_requests.py
@@ -123,7 +123,7 @@
             # The configuration here may be another one; the caller's request
             # was accepted by the instance that relays it.
             request_id = exchange.header(REQUEST_ID)
-            self._node.record_refused(request_id, refusal)
+            self._node.record_refused(request_id, refusal, origin.instance)
             answer.pass_on(refusal.code)
             return
         job.relay = origin
--- a/crankchute/platform/relayed_requests_test.py
+++ b/crankchute/platform/relayed_requests_test.py
@@ -230,7 +230,7 @@
     name, _code, was_sent = listener.end
     assert (name, was_sent) == ('failed', False)
     assert not pair.desk.jobs
-    assert [request_id for request_id, _refusal in pair.refused] == ['r1']
+    assert [(args[0], args[2]) for args in pair.refused] == [('r1', 'entry-0')]
 
 
 def test_instance_serves_endless_relays():
