--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -407,14 +407,14 @@
         'if job is not None:',
     ),
     Mutation(
-        'paths: a helper makes several attempts',
+        'paths: a proxy makes several attempts',
         _RELAYED_TEST,
         'crankchute/platform/relayed_requests.py',
         'job.max_attempts = 1',
         'job.max_attempts = 9',
     ),
     Mutation(
-        'paths: a helper without paths is asked again',
+        'paths: a proxy without paths is asked again',
         _RELAYED_TEST,
         'crankchute/platform/relay_calls.py',
         'if headers.get(RELAY_OUTCOME) != RelayOutcome.ELSEWHERE.value:',
--- a/crankchute/core/attempt_context.py
+++ b/crankchute/core/attempt_context.py
@@ -54,7 +54,7 @@
         self.record_attempt_end(flow, attempt, str(exc))
         if attempt.placement.is_relayed:
             if attempt.placement.server is None:
-                self.paths.drop_helper(attempt.backend.identity)
+                self.paths.drop_proxy(attempt.backend.identity)
         else:
             self.paths.suspect(attempt.backend)
 
--- a/crankchute/core/pool_paths.py
+++ b/crankchute/core/pool_paths.py
@@ -28,8 +28,8 @@
 _RETRY_INTERVAL_MS = 500
 #: How often it asks other instances whether they still reach the servers.
 _ASK_INTERVAL_MS = 1000
-#: A helper that has not confirmed this for so long gets no more requests.
-_HELPER_TTL_MS = 2500
+#: A proxy that has not confirmed this for so long gets no more requests.
+_PROXY_TTL_MS = 2500
 
 
 class PathState(enum.Enum):
@@ -43,7 +43,7 @@
     LOST = 'lost'
 
 
-class _Helper:
+class _Proxy:
     """An instance that reaches the servers of a pool.
 
     Attributes:
@@ -70,7 +70,7 @@
         '_asked_ms',
         '_checked_ms',
         '_deferred',
-        '_helpers',
+        '_proxies',
         '_interval_ms',
         '_is_down',
         '_lost_ms',
@@ -92,7 +92,7 @@
         self.pool = pool
         self.state = PathState.REACHED
         self._ports = ports
-        self._helpers = {}
+        self._proxies = {}
         self._waiting = []
         self._checked_ms = float('-inf')
         self._interval_ms = _MIN_CHECK_INTERVAL_MS
@@ -104,9 +104,9 @@
         self._retry_timer = None
 
     @property
-    def helpers(self):
+    def proxies(self):
         """The ids of the instances that reach the servers, a list."""
-        return list(self._helpers)
+        return list(self._proxies)
 
     def suspect(self):
         """Check the paths after a failure, later if that was done recently."""
@@ -140,7 +140,7 @@
         else:
             callback()
 
-    def choose_helper(self, avoided):
+    def choose_proxy(self, avoided):
         """Return the Backend of an instance that reaches the servers, or None.
 
         The one with the fewest relayed requests of this instance is chosen.
@@ -149,20 +149,20 @@
           avoided: Ids of instances and servers to exclude.
         """
         backends = [
-            helper.backend
-            for identity, helper in self._helpers.items()
+            proxy.backend
+            for identity, proxy in self._proxies.items()
             if identity not in avoided
         ]
         self._ports.random.shuffle(backends)
         return min(backends, key=lambda one: one.in_flight, default=None)
 
-    def drop_helper(self, instance):
+    def drop_proxy(self, instance):
         """Relay no more requests to an instance until it confirms its paths.
 
         Args:
           instance: The instance's id.
         """
-        self._helpers.pop(instance, None)
+        self._proxies.pop(instance, None)
 
     def _defer_check(self, delay_ms):
         self._deferred = self._ports.timers.after(
@@ -221,10 +221,10 @@
                 and self._checked_ms == decided_ms
             )
 
-        def on_helper(backend):
+        def on_proxy(backend):
             if not is_current():
                 return
-            self._record_helper(backend)
+            self._record_proxy(backend)
             if self.state == PathState.CHECKING:
                 self._lose(servers)
 
@@ -232,7 +232,7 @@
             if self.state == PathState.CHECKING and is_current():
                 self._record_down(servers)
 
-        self._ports.ask(servers, on_helper, on_done)
+        self._ports.ask(servers, on_proxy, on_done)
 
     def _record_down(self, servers):
         """Record that nobody reaches the servers, and check again later.
@@ -246,18 +246,18 @@
             self._defer_check(_ASK_INTERVAL_MS)
         self._decide(PathState.REACHED)
 
-    def _record_helper(self, backend):
-        helper = self._helpers.get(backend.identity)
+    def _record_proxy(self, backend):
+        proxy = self._proxies.get(backend.identity)
         address = backend.listed.address
-        if helper is None or helper.backend.listed.address != address:
-            helper = _Helper(backend)
-            self._helpers[backend.identity] = helper
-        helper.confirmed_ms = self._now_ms()
+        if proxy is None or proxy.backend.listed.address != address:
+            proxy = _Proxy(backend)
+            self._proxies[backend.identity] = proxy
+        proxy.confirmed_ms = self._now_ms()
 
     def _lose(self, servers):
         self._lost_ms = self._now_ms()
         self._is_down = False
-        self._ports.journal.log_paths_lost(self.pool, servers, self.helpers)
+        self._ports.journal.log_paths_lost(self.pool, servers, self.proxies)
         self._forget_failures()
         self._schedule_retry()
         self._decide(PathState.LOST)
@@ -274,7 +274,7 @@
         lost_for_ms = self._now_ms() - self._lost_ms
         self._ports.journal.log_paths_restored(self.pool, lost_for_ms)
         self._forget_failures()
-        self._helpers.clear()
+        self._proxies.clear()
         self._decide(PathState.REACHED)
         self._ports.on_changed(self.pool)
 
@@ -287,9 +287,9 @@
             callback()
 
     def _retry(self):
-        for identity, helper in tuple(self._helpers.items()):
-            if self._now_ms() - helper.confirmed_ms > _HELPER_TTL_MS:
-                self._helpers.pop(identity)
+        for identity, proxy in tuple(self._proxies.items()):
+            if self._now_ms() - proxy.confirmed_ms > _PROXY_TTL_MS:
+                self._proxies.pop(identity)
         servers = self._sample()
         self._schedule_retry()
         if servers:
--- a/crankchute/core/pool_paths_test.py
+++ b/crankchute/core/pool_paths_test.py
@@ -12,7 +12,7 @@
 from crankchute.core.pool_paths import PathState
 from crankchute.core.server_paths import ServerPaths
 
-_HELPER = 'entry-1'
+_PROXY = 'entry-1'
 #: Longer than the longest interval between two checks.
 _LONG_MS = 2500
 
@@ -42,7 +42,7 @@
         self.journal = RecordingJournal()
         self.unreached = set()
         self.unreached_elsewhere = set()
-        self.helpers = [_HELPER]
+        self.proxies = [_PROXY]
         self.pool_names = {}
         self.probes = 0
         self.questions = 0
@@ -78,8 +78,8 @@
         self.timers.advance(1000)
 
     def choose(self, *avoided):
-        helper = self.paths.choose_helper(POOL, avoided)
-        return None if helper is None else helper.identity
+        proxy = self.paths.choose_proxy(POOL, avoided)
+        return None if proxy is None else proxy.identity
 
     def _probe(self, backend, on_known):
         self.probes += 1
@@ -87,14 +87,14 @@
         delay_ms = self.probe_delay_ms if is_reached else self._probe_ms
         self.timers.after(delay_ms, lambda: on_known(is_reached))
 
-    def _ask(self, backends, on_helper, on_done):
+    def _ask(self, backends, on_proxy, on_done):
         self.questions += 1
         names = {one.identity for one in backends}
 
         def answer(is_last):
             if names - self.unreached_elsewhere:
-                for name in self.helpers:
-                    on_helper(make_helper(name))
+                for name in self.proxies:
+                    on_proxy(make_proxy(name))
             if is_last:
                 on_done()
 
@@ -103,7 +103,7 @@
             self.timers.after(delay_ms, partial(answer, is_last))
 
 
-def make_helper(name):
+def make_proxy(name):
     return Backend(
         ListedServer(
             {
@@ -138,17 +138,17 @@
     lost = world.paths.lost_pools == (POOL,)
     assert lost == (state == PathState.LOST)
     assert [line[0] for line in world.journal.lines] == kinds
-    assert (world.choose() == _HELPER) == lost
+    assert (world.choose() == _PROXY) == lost
 
 
 def test_late_answers_of_instances_hide_lost_paths():
     """The check is repeated, although no further request fails."""
     world = World()
-    world.helpers = []
+    world.proxies = []
     world.lose_all()
     world.suspect()
     assert not world.paths.is_lost(POOL)
-    world.helpers = [_HELPER]
+    world.proxies = [_PROXY]
     world.timers.advance(2000)
     assert world.paths.is_lost(POOL)
     assert [line[0] for line in world.journal.lines] == ['down', 'lost']
@@ -313,18 +313,18 @@
     assert not world.paths.lost_pools
 
 
-def test_helper_that_lost_its_own_paths_is_used():
+def test_proxy_that_lost_its_own_paths_is_used():
     world = World()
-    world.helpers = [_HELPER, 'entry-2']
+    world.proxies = [_PROXY, 'entry-2']
     world.lose_all()
     world.suspect()
-    assert {world.choose(), world.choose()} <= set(world.helpers)
-    assert world.choose(_HELPER) == 'entry-2'
-    world.helpers = ['entry-2']
+    assert {world.choose(), world.choose()} <= set(world.proxies)
+    assert world.choose(_PROXY) == 'entry-2'
+    world.proxies = ['entry-2']
     world.timers.advance(4000)
     assert world.choose() == 'entry-2'
     assert world.choose('entry-2') is None
-    world.helpers = []
+    world.proxies = []
     world.timers.advance(4000)
     assert world.choose() is None
     assert world.paths.is_lost(POOL)
@@ -348,7 +348,7 @@
 
 def test_crash_is_unknown_without_other_instances():
     world = World()
-    world.helpers = []
+    world.proxies = []
     world.lose_all()
     known = []
     world.paths.confirm_crash(world.backends[0], known.append)
--- a/crankchute/core/relay.py
+++ b/crankchute/core/relay.py
@@ -7,7 +7,7 @@
 
 #: Refusal code: no known instance reaches the backend servers.
 NO_PATH = 'no_path'
-#: Why a helper sends a request elsewhere: it serves too many for others.
+#: Why a proxy sends a request elsewhere: it serves too many for others.
 RELAYS_BUSY = 'relays_busy'
 #: The most requests that an instance serves for others at once.  With more, it
 #: would delay its own callers, and the others should ask another instance.
@@ -43,10 +43,10 @@
 
 
 def classify_refusal(refusal, *, was_sent):
-    """Return the RelayOutcome that a helper reports to the other instance.
+    """Return the RelayOutcome that a proxy reports to the other instance.
 
     Args:
-      refusal: The Refusal with which the request ended at the helper.
+      refusal: The Refusal with which the request ended at the proxy.
       was_sent: Whether it was sent to a server.
     """
     if refusal.outcome != Outcome.NOT_RUN:
@@ -66,14 +66,14 @@
     Returns:
       A RelayPlacement, or a Refusal.
     """
-    helper = None
+    proxy = None
     if job.relay is None:
-        helper = paths.choose_helper(job.pool, avoided)
-    if helper is None:
+        proxy = paths.choose_proxy(job.pool, avoided)
+    if proxy is None:
         return refuse_not_run(
             NO_PATH, 'this instance does not reach the backend servers'
         )
-    return RelayPlacement(helper)
+    return RelayPlacement(proxy)
 
 
 def end_unanswered(flows, pool):
--- a/crankchute/core/relay_test.py
+++ b/crankchute/core/relay_test.py
@@ -27,22 +27,22 @@
 
 
 class LostPaths(AlwaysReached):
-    """The paths of an instance with one helper.
+    """The paths of an instance with one proxy.
 
     Attributes:
-      helper: A Backend or None.
+      proxy: A Backend or None.
     """
 
-    def __init__(self, helper):
-        self.helper = helper
+    def __init__(self, proxy):
+        self.proxy = proxy
 
     def is_lost(self, _pool):
         return True
 
-    def choose_helper(self, _pool, avoided):
-        helper = self.helper
-        is_usable = helper is not None and helper.identity not in avoided
-        return helper if is_usable else None
+    def choose_proxy(self, _pool, avoided):
+        proxy = self.proxy
+        is_usable = proxy is not None and proxy.identity not in avoided
+        return proxy if is_usable else None
 
 
 @pytest.mark.parametrize(
@@ -120,7 +120,7 @@
     ('repeat', 'is_limited'),
     [(RetryMode.ONCE, False), (RetryMode.AGAIN, True)],
 )
-def test_silent_helper_ends_a_request_that_must_not_be_repeated(
+def test_silent_proxy_ends_a_request_that_must_not_be_repeated(
     repeat, is_limited
 ):
     harness = ForwardHarness()
--- a/crankchute/core/request_traces.py
+++ b/crankchute/core/request_traces.py
@@ -35,7 +35,7 @@
 
     @property
     def is_relayed(self):
-        """Whether this is the part of a request at a helping instance."""
+        """Whether this is the part of a request at a proxy."""
         fields = self.refusal or self.fields
         return fields.get('relayed_by') is not None
 
--- a/crankchute/core/server_paths.py
+++ b/crankchute/core/server_paths.py
@@ -87,23 +87,23 @@
         """
         self._find(job.pool).after_check(callback)
 
-    def choose_helper(self, pool, avoided):
+    def choose_proxy(self, pool, avoided):
         """Return the Backend of an instance that reaches a pool, or None.
 
         Args:
           pool: The pool's name.
           avoided: Ids of instances and servers to exclude.
         """
-        return self._find(pool).choose_helper(avoided)
+        return self._find(pool).choose_proxy(avoided)
 
-    def drop_helper(self, instance):
+    def drop_proxy(self, instance):
         """Relay no more requests to an instance until it confirms its paths.
 
         Args:
           instance: The instance's id.
         """
         for paths in self._by_pool.values():
-            paths.drop_helper(instance)
+            paths.drop_proxy(instance)
 
     def confirm_crash(self, backend, on_known):
         """Ask other instances about a server that refuses connections.
@@ -128,7 +128,7 @@
         return {
             paths.pool: {
                 'state': paths.state.value,
-                'helpers': sorted(paths.helpers),
+                'proxies': sorted(paths.proxies),
             }
             for paths in self._by_pool.values()
         }
@@ -147,7 +147,7 @@
     def _ask_about(self, backend, on_known):
         answers = []
 
-        def on_helper(_helper):
+        def on_proxy(_proxy):
             if not answers:
                 answers.append(True)
                 on_known(False)
@@ -156,4 +156,4 @@
             if not answers:
                 on_known(True)
 
-        self._ports.ask([backend], on_helper, on_done)
+        self._ports.ask([backend], on_proxy, on_done)
--- a/crankchute/entry/path_checks.py
+++ b/crankchute/entry/path_checks.py
@@ -124,7 +124,7 @@
         }
         self._reached_ms[server] = now_ms
 
-    def _ask(self, backends, on_helper, on_done):
+    def _ask(self, backends, on_proxy, on_done):
         """Ask other instances about servers; see PathPorts."""
         members = self._choose_asked(self._node.fleet.pool_of(backends[0]))
         pending = list(members)
@@ -134,7 +134,7 @@
         def on_reply(member, reply):
             pending.remove(member)
             if reply is not None and reply.reached:
-                on_helper(_make_helper(member, reply.relay_address))
+                on_proxy(_make_proxy(member, reply.relay_address))
             if not pending:
                 on_done()
 
@@ -198,7 +198,7 @@
         self._was_active = is_active
 
 
-def _make_helper(member, address):
+def _make_proxy(member, address):
     """Return the Backend for requests that are relayed to an instance."""
     return Backend(
         ListedServer(
--- a/crankchute/platform/lost_paths_test.py
+++ b/crankchute/platform/lost_paths_test.py
@@ -225,8 +225,8 @@
     world.wait(200)
     for engine in world.engines:
         engine.next_behaviours.clear()
-    helper = next(one for one in world.nodes[1:] if one.desk.in_progress)
-    world.stop_relays(helper)
+    proxy = next(one for one in world.nodes[1:] if one.desk.in_progress)
+    world.stop_relays(proxy)
     if repeat == RetryMode.AGAIN:
         assert finish()[0] == 'answer'
     else:
--- a/crankchute/platform/relay_duties_test.py
+++ b/crankchute/platform/relay_duties_test.py
@@ -97,8 +97,8 @@
         instance.peers.evacuations.replace_all([], 1, is_current=True)
     node = lose_first(world)
     record = Evacuation('here', 2, is_evacuated=True)
-    for helper in world.nodes[1:]:
-        helper.fleet.evacuations.merge([record], helper.now_ms())
+    for proxy in world.nodes[1:]:
+        proxy.fleet.evacuations.merge([record], proxy.now_ms())
     before = [engine.arrivals for engine in world.engines]
     final = world.ask(node, SOUND, **PATIENT)
     assert final == ('refused', Outcome.NOT_RUN)
@@ -136,7 +136,7 @@
 @pytest.mark.parametrize(
     ('repeat', 'runs'), [(RetryMode.AGAIN, 2), (RetryMode.ONCE, 1)]
 )
-def test_killed_helper_runs_a_request_twice_or_loses_it(repeat, runs):
+def test_killed_proxy_runs_a_request_twice_or_loses_it(repeat, runs):
     """The process is gone halfway, with all its connections."""
     world = StandinWorld(is_plain=True)
     node = lose_first(world)
@@ -146,8 +146,8 @@
     world.loop.run_until(lambda: count_open(world) == 1, _TICK_S)
     for other in world.engines:
         other.next_behaviours.clear()
-    helper = next(one for one in world.nodes[1:] if one.desk.in_progress)
-    world.kill(helper)
+    proxy = next(one for one in world.nodes[1:] if one.desk.in_progress)
+    world.kill(proxy)
     final = finish()
     ran = sum(len(engine.runs) for engine in world.engines) - before
     assert ran == runs
@@ -189,9 +189,9 @@
     world = StandinWorld(is_plain=True)
     node = lose_first(world)
     draining = world.engines[:11]
-    for helper in world.nodes[1:]:
+    for proxy in world.nodes[1:]:
         for leaving in draining:
-            helper.fleet.record_drained(list_engine(leaving).identity)
+            proxy.fleet.record_drained(list_engine(leaving).identity)
     before = [engine.arrivals for engine in draining]
     assert set(ask_often(world, node)) <= ANSWERED
     assert [engine.arrivals for engine in draining] == before
