Test that a crash is not denied by an earlier connection

An instance that finds that a server refuses connections asks others whether they reach it. Those answer from connections of the last second, which may be from before the crash, so the crash is taken for a lost path and not recorded.

--- /dev/null
+++ b/crankchute/platform/crash_checks_test.py
@@ -0,0 +1,50 @@
+"""Tests that instances agree on which servers crashed."""
+
+from crankchute.core.forward_job import RetryMode
+from crankchute.platform.standin_engine import Behaviour
+from crankchute.platform.standin_world import (
+    SOUND,
+    StandinWorld,
+    ask_often,
+    list_engine,
+)
+from crankchute.proto import peer_pb2
+
+#: Instances have called each other by then.
+_CONNECTED_MS = 1500
+#: Longer than all questions about a server take.
+_SETTLED_MS = 4000
+
+
+def leave_unanswered(world, node):
+    """Let each server work on a request that it does not answer."""
+    ask_often(world, node)
+    for engine in world.engines:
+        engine.next_behaviours.append(Behaviour.SILENT)
+    while any(one.next_behaviours for one in world.engines):
+        world.submit(node, SOUND, repeat=RetryMode.ONCE, goal_ms=60_000)
+        world.wait(20)
+
+
+def prove_reached(world, engines):
+    """Let all instances open a connection to some servers."""
+    replies = []
+    servers = [list_engine(engine).identity for engine in engines]
+    for node in world.nodes:
+        request = peer_pb2.ReachRequest(servers=servers)
+        node.peers.answer_reach(request, replies.append)
+    world.loop.run_until(lambda: len(replies) == len(world.nodes))
+    assert all(set(reply.reached) == set(servers) for reply in replies)
+
+
+def test_crash_is_denied_by_instance_that_connected_before():
+    world = StandinWorld(engines=4, is_plain=True)
+    world.wait(_CONNECTED_MS)
+    node = world.nodes[0]
+    leave_unanswered(world, node)
+    crashing = world.engines[:3]
+    prove_reached(world, crashing)
+    for engine in crashing:
+        engine.crash()
+    world.wait(_SETTLED_MS)
+    assert [len(one.crashes) for one in world.nodes] == [3, 3, 3]
