Accept no earlier connection as proof against a crash

What callers saw: requests with a part of their prompts that crashes servers were sent to more servers than three after the fifth crash. Seen in the test of that name with a rare part, beside load: 10 crashes, 6 before; 4 are more than the 3 allowed.

Cause: an instance asks others about a server that refuses connections. They answered from connections of the last second without looking again, so a crash of a server that any of them had just checked was taken for a lost path. Each crash starts checks of two servers of the pool at random, so the more servers crash, the more crashes are denied. With some crashes missing, the evidence for a part takes more crashes than are allowed.

Now the question says how old a connection may be that proves that a server is reached: none for a crash and for the check whether paths are lost, one second as before while they are known to be lost, which bounds the connections that many cut instances cause.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -367,6 +367,13 @@
         'self._ask_about(backend, on_known)',
         'on_known(True)',
     ),
+    Mutation(
+        'paths: an earlier connection denies a crash',
+        'crankchute/platform/crash_checks_test.py',
+        'crankchute/core/server_paths.py',
+        'self._ports.ask([backend], 0, on_proxy, on_done)',
+        'self._ports.ask([backend], 1000, on_proxy, on_done)',
+    ),
     Mutation(
         'paths: failures over lost paths are kept',
         _PATHS_TEST,
--- a/crankchute/core/path_ports.py
+++ b/crankchute/core/path_ports.py
@@ -13,9 +13,10 @@
         requests.
       probe: A function of a Backend and a callback, which gets whether a
         connection could be opened.
-      ask: A function of a list of Backends, a callback that gets the Backend
-        of each instance that reaches one of them, and a callback that is
-        called when all instances that were asked have answered.
+      ask: A function of a list of Backends, the longest time since a
+        connection that proves that one is reached, a callback that gets the
+        Backend of each instance that reaches one of them, and a callback that
+        is called when all instances that were asked have answered.
       on_changed: A function of a pool's name, called when paths to its
         servers are lost or restored.
     """
@@ -41,6 +42,26 @@
             setattr(self, name, fields[name])
 
 
+class Proxy:
+    """An instance that reaches the servers of a pool.
+
+    Attributes:
+      backend: The Backend to which requests are relayed.
+      confirmed_ms: When it last confirmed that it reaches them.
+    """
+
+    __slots__ = ('backend', 'confirmed_ms')
+
+    def __init__(self, backend):
+        """Create the record.
+
+        Args:
+          backend: See the class.
+        """
+        self.backend = backend
+        self.confirmed_ms = 0
+
+
 def probe_any(probe, servers, on_result):
     """Try to connect to several servers at once.
 
--- a/crankchute/core/pool_paths.py
+++ b/crankchute/core/pool_paths.py
@@ -13,7 +13,7 @@
 
 import enum
 
-from crankchute.core.path_ports import probe_any
+from crankchute.core.path_ports import Proxy, probe_any
 
 #: How many servers are tried in each check.
 _SAMPLE_SIZE = 2
@@ -28,6 +28,8 @@
 _RETRY_INTERVAL_MS = 500
 #: How often it asks other instances whether they still reach the servers.
 _ASK_INTERVAL_MS = 1000
+#: While paths are lost, how long a connection proves that a server is reached.
+_PROOF_TTL_MS = 1000
 #: A proxy that has not confirmed this for so long gets no more requests.
 _PROXY_TTL_MS = 2500
 
@@ -43,21 +45,6 @@
     LOST = 'lost'
 
 
-class _Proxy:
-    """An instance that reaches the servers of a pool.
-
-    Attributes:
-      backend: The Backend to which requests are relayed.
-      confirmed_ms: When it last confirmed that it reaches them.
-    """
-
-    __slots__ = ('backend', 'confirmed_ms')
-
-    def __init__(self, backend):
-        self.backend = backend
-        self.confirmed_ms = 0
-
-
 class PoolPaths:
     """Tells lost paths from lost servers, for one pool.
 
@@ -232,7 +219,9 @@
             if self.state == PathState.CHECKING and is_current():
                 self._record_down(servers)
 
-        self._ports.ask(servers, on_proxy, on_done)
+        # Until the loss is known, servers may just have crashed.
+        max_age_ms = _PROOF_TTL_MS if self.state == PathState.LOST else 0
+        self._ports.ask(servers, max_age_ms, on_proxy, on_done)
 
     def _record_down(self, servers):
         """Record that nobody reaches the servers, and check again later.
@@ -250,7 +239,7 @@
         proxy = self._proxies.get(backend.identity)
         address = backend.listed.address
         if proxy is None or proxy.backend.listed.address != address:
-            proxy = _Proxy(backend)
+            proxy = Proxy(backend)
             self._proxies[backend.identity] = proxy
         proxy.confirmed_ms = self._now_ms()
 
--- a/crankchute/core/pool_paths_test.py
+++ b/crankchute/core/pool_paths_test.py
@@ -87,7 +87,7 @@
         delay_ms = self.probe_delay_ms if is_reached else self._probe_ms
         self.timers.after(delay_ms, lambda: on_known(is_reached))
 
-    def _ask(self, backends, on_proxy, on_done):
+    def _ask(self, backends, max_proof_age_ms, on_proxy, on_done):
         self.questions += 1
         names = {one.identity for one in backends}
 
--- a/crankchute/core/server_paths.py
+++ b/crankchute/core/server_paths.py
@@ -156,4 +156,5 @@
             if not answers:
                 on_known(True)
 
-        self._ports.ask([backend], on_proxy, on_done)
+        # An earlier connection may be from before the crash.
+        self._ports.ask([backend], 0, on_proxy, on_done)
--- a/crankchute/entry/path_checks.py
+++ b/crankchute/entry/path_checks.py
@@ -11,8 +11,8 @@
 _MAX_ASKED = 3
 #: Longer than a connection attempt at the instance that is asked.
 _ASK_TIMEOUT_MS = 700
-#: How long a connection proves that a server is reached.
-_PROOF_TTL_MS = 1000
+#: How long connections are remembered, which others may accept as proof.
+_MAX_PROOF_AGE_MS = 1000
 _ACTIVATION_CHECK_MS = 1000
 
 
@@ -76,7 +76,9 @@
         if not backends:
             on_reply(self._make_reply(reached))
         for backend in backends:
-            self._prove(backend, partial(on_known, backend))
+            self._prove(
+                backend, request.max_proof_age_ms, partial(on_known, backend)
+            )
 
     def _list_usable(self, servers):
         """Return the Backends that requests can be relayed to from here."""
@@ -98,11 +100,11 @@
             relay_address='{0}:{1}'.format(*address) if reached else '',
         )
 
-    def _prove(self, backend, on_known):
+    def _prove(self, backend, max_age_ms, on_known):
         """Connect to a server, unless that was done recently."""
         now_ms = self._node.now_ms()
         proved_ms = self._reached_ms.get(backend.identity, float('-inf'))
-        if now_ms - proved_ms < _PROOF_TTL_MS:
+        if now_ms - proved_ms < min(max_age_ms, _MAX_PROOF_AGE_MS):
             on_known(True)
         else:
             self._probe(backend, on_known)
@@ -120,16 +122,18 @@
         self._reached_ms = {
             identity: at_ms
             for identity, at_ms in self._reached_ms.items()
-            if now_ms - at_ms < _PROOF_TTL_MS
+            if now_ms - at_ms < _MAX_PROOF_AGE_MS
         }
         self._reached_ms[server] = now_ms
 
-    def _ask(self, backends, on_proxy, on_done):
+    def _ask(self, backends, max_proof_age_ms, on_proxy, on_done):
         """Ask other instances about servers; see PathPorts."""
         members = self._choose_asked(self._node.fleet.pool_of(backends[0]))
         pending = list(members)
         servers = [backend.identity for backend in backends]
-        request = peer_pb2.ReachRequest(servers=servers)
+        request = peer_pb2.ReachRequest(
+            servers=servers, max_proof_age_ms=max_proof_age_ms
+        )
 
         def on_reply(member, reply):
             pending.remove(member)
