--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of real instances between simulated peers, judged by what these saw."""
