--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -32,7 +32,7 @@
     out_dir.mkdir(parents=True)
     rng = random.Random(seed)
     count = options.instances or rng.choice((3, 4, 5))
-    sizes = (count, rng.choice((2, 4)))
+    sizes = (count, rng.choice((3, 5)))
     fleet = Fleet(out_dir, Path(options.code).resolve(), sizes, rng)
     try:
         violations, outcomes = asyncio.run(_soak(fleet, rng, options))
@@ -46,7 +46,9 @@
 
 async def _soak(fleet, rng, options):
     config = Config()
-    plan = Plan(fleet, config, rng)
+    without = options.without.split(',')
+    fleet.sends_late_answers = 'late_answers' not in without
+    plan = Plan(fleet, config, rng, without)
     await asyncio.sleep(0.5)
     fleet.start(config.document)
     await asyncio.sleep(_START_S)
@@ -90,6 +92,7 @@
     parser.add_argument('--code', default=ROOT)
     parser.add_argument('--out', default=ROOT / 'out' / 'soak')
     parser.add_argument('--keep', action='store_true')
+    parser.add_argument('--without', default='')
     options = parser.parse_args()
     first, last = options.seed, options.seed
     if options.seeds:
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -170,6 +170,7 @@
       hosts: The PeerHosts of servers.
       servers: A map from the id of a server to its entry in the store.
       host_of: A map from the id of a server to its PeerHost.
+      sends_late_answers: Whether some servers send answers twice, a bool.
     """
 
     def __init__(self, out_dir, code, sizes, random):
@@ -185,6 +186,7 @@
         self._network = f'127.{pid % 200 + 20}.{pid // 200 % 250}.'
         self._random = random
         self._started = 0
+        self.sends_late_answers = True
         self._out_dir = out_dir
         self.servers = {}
         self.host_of = {}
@@ -245,6 +247,7 @@
         identity = f's-{self._random.randrange(1 << 32):08x}'
         host = self.hosts[number % len(self.hosts)]
         port = _FIRST_SERVER_PORT + number
+        late_share = self._random.choice((0, 0.05, 0.3))
         slots = 12 if pool == 'engines' else self._random.choice((4, 6, 8))
         host.tell(
             'serve',
@@ -255,7 +258,7 @@
             slots=slots,
             queue=3,
             idle_s=self._random.choice((2, 4, 8)),
-            late_share=self._random.choice((0, 0.05, 0.3)),
+            late_share=late_share if self.sends_late_answers else 0,
         )
         self.host_of[identity] = host
         self.servers[identity] = {
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -6,6 +6,7 @@
 from bench.soak.fleet import GRACE_S, now_s
 
 _HEARTBEATS_S = 3
+_WORK_AFTER_LEAVE_S = 12
 #: Disturbances by name: (weight, function).
 DISTURBANCES = {}  # noqa: WPS407  (filled by the decorator)
 
@@ -127,7 +128,7 @@
       log: Maps with `t`, `event` and details.
     """
 
-    def __init__(self, fleet, config, random):
+    def __init__(self, fleet, config, random, without=()):
         """Create the plan.
 
         Args:
@@ -140,7 +141,9 @@
         self.random = random
         self.log = []
         self._tasks = []
-        self.is_over = False
+        self._kinds = [
+            kind for name, kind in DISTURBANCES.items() if name not in without
+        ]
 
     def note(self, event, **details):
         """Add an event to the log."""
@@ -148,14 +151,12 @@
 
     async def run(self, seconds, pause_s):
         """Begin disturbances for some seconds, then wait for their ends."""
-        weights = [weight for weight, _function in DISTURBANCES.values()]
-        functions = [function for _weight, function in DISTURBANCES.values()]
+        weights, functions = zip(*self._kinds, strict=True)
         end = now_s() + seconds
         while now_s() < end:
             await asyncio.sleep(self.random.uniform(0.1, 2 * pause_s))
             chosen = self.random.choices(functions, weights)[0]
             self._tasks.append(asyncio.create_task(chosen(self)))
-        self.is_over = True
         await asyncio.gather(*self._tasks)
 
     def choose_servers(self):
@@ -301,7 +302,7 @@
         fleet.store.tell('put', key=f'servers/{identity}', document=document)
         await asyncio.sleep(2)
     fleet.list_server(identity)
-    await asyncio.sleep(12)
+    await asyncio.sleep(_WORK_AFTER_LEAVE_S)
     fleet.host_of[identity].tell('crash', server=identity)
 
 
--- a/crankchute/platform/standin_server.py
+++ b/crankchute/platform/standin_server.py
@@ -178,7 +178,8 @@
     def write_copy(self, copy, when):
         """Send an answer once more."""
         copied_id, payload = copy
-        self._record('copy', of=copied_id, when=when)
+        status = payload.split(b' ', 2)[1].decode()
+        self._record('copy', of=copied_id, when=when, status=status)
         self._writer.write(payload)
 
     def _record(self, event, **details):
