--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -4,6 +4,7 @@
 import asyncio
 import random
 import shutil
+import signal
 import sys
 from pathlib import Path
 
@@ -15,7 +16,6 @@
 from bench.soak.verdict import judge
 
 _TTL_FACTORS = (1, 1, 3, None, None, None)
-_START_S = 2
 
 
 def run_seed(seed, options):
@@ -51,7 +51,9 @@
     plan = Plan(fleet, config, rng, without)
     await asyncio.sleep(0.5)
     fleet.start(config.document)
-    await asyncio.sleep(_START_S)
+    for instance in fleet.instances:
+        while not await instance.is_ready():
+            await asyncio.sleep(0.1)
     clients = [
         Client(
             fleet,
@@ -97,6 +99,8 @@
     first, last = options.seed, options.seed
     if options.seeds:
         first, last = map(int, options.seeds.split('-'))
+    # Lets the processes be stopped.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for seed in range(first, last + 1):
         violations, outcomes = run_seed(seed, options)
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -1,14 +1,19 @@
 """Runs instances of the platform and their simulated peers on loopback."""
 
+import asyncio
 import os
 import signal
 import subprocess  # noqa: S404
 import sys
 import time
+from http import HTTPStatus
 from pathlib import Path
 
 import orjson
 
+from crankchute.platform.standin_http import format_message, read_message
+from crankchute.platform.wire import READY_PATH
+
 ROOT = Path(__file__).resolve().parent.parent.parent
 GRACE_S = 8
 _PORTS = {  # noqa: WPS407  (a table)
@@ -151,6 +156,10 @@
         """Whether its process runs."""
         return self.popen.poll() is None
 
+    def is_ready(self):
+        """Return whether it says that it is ready, a coroutine."""
+        return _fetch_ready(self.address('readiness'))
+
     def send(self, signo):
         """Send a signal if the process runs."""
         if self.is_running:
@@ -300,6 +309,22 @@
         return sorted(events, key=lambda event: event['t'])
 
 
+async def _fetch_ready(address):
+    try:
+        reader, writer = await asyncio.open_connection(*address)
+    except OSError:
+        return False
+    try:
+        line = f'GET {READY_PATH} HTTP/1.1'
+        writer.write(format_message(line, [('host', address[0])], b''))
+        message = await asyncio.wait_for(read_message(reader), 1)
+    except (OSError, asyncio.TimeoutError):
+        return False
+    finally:
+        writer.close()
+    return message is not None and message.status == HTTPStatus.OK
+
+
 def now_s():
     """Return the time that all records share, in seconds."""
     return time.time()
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -268,9 +268,8 @@
     """Write the settings of an instance anew and tell it so."""
     instance = plan.random.choice(plan.fleet.instances)
     plan.fleet.write_settings(instance)
-    plan.note('hup', instance=instance.name)
-    # Until its handler is there, the signal ends the process.
-    if instance.is_running and instance.stopped_at is None:
+    if await instance.is_ready():
+        plan.note('hup', instance=instance.name)
         instance.send(signal.SIGHUP)
 
 
