--- /dev/null
+++ b/bench/soak/attempts.py
@@ -0,0 +1,149 @@
+"""Requests of a soak, and what became of them."""
+
+import orjson
+
+from bench.soak.config import REPEATS, STREAM_PATHS
+from bench.soak.fleet import now_s
+from crankchute.platform.standin_http import format_message
+from crankchute.platform.standin_server import make_body, make_event
+from crankchute.platform.wire import (
+    DEADLINE_MS,
+    MODEL,
+    PROMPT_PARTS,
+    REQUEST_ID,
+    SIGNATURE,
+    TOKEN_USAGE,
+)
+
+_MS_PER_SECOND = 1000
+_ID_BITS = 64
+_DEADLINES_S = (3, 6, 10)
+_WORK_MS = (2, 10, 50, 200, 700, 2500, 5100)
+_PROMPT_TOKENS = 800
+_READ_MS = 100
+_GAP_MS = 60
+_EVENTS = (3, 20, 60)
+_OK = 200
+
+
+class Attempt:
+    """A request of a client and what became of it.
+
+    Attributes:
+      request_id: Its id.
+      path: The path prefix of its route.
+      instance: The name of the instance.
+      reused: How many requests its connection had before.
+      sent: When it was sent, in seconds.
+      ended: When the client knew what became of it, or None before.
+      deadline_s: The deadline, from `sent`.
+      work: What the server is asked to do, a map.
+      outcome: `answered`, `cut` (an answer without its end), `closed` (no
+        answer), `silent` (no answer long after the deadline) or `garbled`.
+      status: The status of the answer, or None.
+      closes: Whether the connection can't be used any more, a bool.
+      faults: What is wrong with the answer, a list of strings.
+    """
+
+    __slots__ = (
+        'closes',
+        'deadline_s',
+        'ended',
+        'faults',
+        'instance',
+        'outcome',
+        'path',
+        'request_id',
+        'reused',
+        'sent',
+        'status',
+        'work',
+    )
+
+    def __init__(self, random, path, instance, reused):
+        """Choose a request.
+
+        Args:
+          random: The random.Random that chooses.
+          path: See the class.
+          instance: See the class.
+          reused: See the class.
+        """
+        self.request_id = f'{random.getrandbits(_ID_BITS):016x}'
+        self.path = path
+        self.instance = instance
+        self.reused = reused
+        self.sent = now_s()
+        self.ended = None
+        self.deadline_s = random.choice(_DEADLINES_S)
+        self.work = {'ms': random.choice(_WORK_MS), 'events': 0}
+        if path in STREAM_PATHS:
+            self.work = {
+                'ms': _READ_MS,
+                'events': random.choice(_EVENTS),
+                'gap_ms': _GAP_MS,
+            }
+        self.outcome = 'silent'
+        self.status = None
+        self.closes = True
+        self.faults = []
+
+    @property
+    def may_repeat(self):
+        """Whether the request may run more than once."""
+        return self.path in REPEATS
+
+    @property
+    def max_runs(self):
+        """How many servers may run the request."""
+        return REPEATS.get(self.path, 1)
+
+    def format(self):
+        """Return the bytes of the request."""
+        headers = [
+            ('host', 'a.example'),
+            (REQUEST_ID, self.request_id),
+            (DEADLINE_MS, str(self.deadline_s * _MS_PER_SECOND)),
+        ]
+        if self.work['events']:
+            parts = f'5c1e07a2:500,{self.request_id}:300'
+            headers.append((MODEL, 'm'))
+            headers.append(
+                (TOKEN_USAGE, f'{_PROMPT_TOKENS},{self.work["events"]}')
+            )
+            headers.append((PROMPT_PARTS, parts))
+        line = f'POST {self.path}x HTTP/1.1'
+        return format_message(line, headers, orjson.dumps(self.work))
+
+    def take(self, message):
+        """Record an answer.
+
+        Args:
+          message: A Message, or None if the connection was closed before.
+        """
+        if message is None:
+            self.outcome = 'closed'
+            return
+        self.outcome = 'answered' if message.is_whole else 'cut'
+        self.status = message.status
+        is_last = message.headers.get('connection', '').lower() == 'close'
+        self.closes = is_last or not message.is_whole
+        if message.status == _OK:
+            self._compare(message)
+
+    def _compare(self, message):
+        if SIGNATURE not in message.headers:
+            self.faults.append('no signature')
+        if message.headers.get(REQUEST_ID) != self.request_id:
+            self.faults.append(f'id {message.headers.get(REQUEST_ID)}')
+        expected = self._expect_body()
+        if message.is_whole and message.body != expected:
+            self.faults.append('another body')
+        elif not expected.startswith(message.body):
+            self.faults.append('another beginning of the body')
+
+    def _expect_body(self):
+        if not self.work['events']:
+            return make_body(self.request_id)
+        numbers = range(self.work['events'])
+        return b''.join(make_event(self.request_id, num) for num in numbers)
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -1,32 +1,28 @@
 """Runs instances of the platform and their simulated peers on loopback."""
 
-import asyncio
 import os
 import signal
-import subprocess  # noqa: S404
-import sys
 import time
-from http import HTTPStatus
-from pathlib import Path
+from functools import partial
 
-import orjson
+from bench.soak.processes import PORTS, Instance, PeerHost
 
-from crankchute.platform.standin_http import format_message, read_message
-from crankchute.platform.wire import READY_PATH
-
-ROOT = Path(__file__).resolve().parent.parent.parent
 GRACE_S = 8
-_PORTS = {  # noqa: WPS407  (a table)
-    'frontend': 21_001,
-    'readiness': 21_002,
-    'control': 21_003,
-    'directory': 21_004,
-}
 _PEER_PORTS = (21_040, 21_055)
-_METRICS_PORT = 21_005
 _STORE_PORT = 21_010
 _FIRST_SERVER_PORT = 21_100
+_STORE_HOST = 2
+_SERVERS_HOST = 3
+_FIRST_INSTANCE_HOST = 10
+_SERVER_PROCESSES = 3
+_SEEDS = 3
 _ZONES = ('z0', 'z1', 'z2')
+_SEED_BITS = 32
+_ENGINE_SLOTS = (12,)
+_PLAIN_SLOTS = (4, 6, 8)
+_QUEUE = 3
+_IDLE_S = (2, 4, 8)
+_LATE_SHARES = (0, 0.05, 0.3)
 _SETTINGS = """
 node-name = "{name}"
 role = "entry"
@@ -35,16 +31,13 @@
 ip = "{ip}"
 zone = "{zone}"
 region = "r0"
-internal-port-range = [{first}, {last}]
-seeds = [{seeds}]
+internal-port-range = {peer_ports}
+seeds = {seeds}
 bootstrap = true
 discovery = "platform"
 entry = "directory"
 heartbeat-ms = 1000
-[zones]
-z0 = "r0"
-z1 = "r0"
-z2 = "r0"
+zones = {{ z0 = "r0", z1 = "r0", z2 = "r0" }}
 [listen]
 {listen}
 [limits]
@@ -77,202 +70,164 @@
 """
 
 
-class PeerHost:
-    """A process of simulated servers or the store."""
-
-    def __init__(self, name, out_dir):
-        """Start the process.
-
-        Args:
-          name: The name of its files.
-          out_dir: The directory of its record and log, a Path.
-        """
-        self.record_path = out_dir / f'{name}.jsonl'
-        module = 'crankchute.platform.standin_host'
-        with (out_dir / f'{name}.log').open('ab') as log:
-            self.popen = subprocess.Popen(  # noqa: S603
-                [sys.executable, '-m', module, str(self.record_path)],
-                stdin=subprocess.PIPE,
-                stdout=log,
-                stderr=log,
-                cwd=ROOT,
-            )
-
-    def tell(self, command, **fields):
-        """Send a command.
-
-        Args:
-          command: Its name.
-          fields: Its arguments.
-        """
-        line = orjson.dumps({'do': command, **fields}) + b'\n'
-        self.popen.stdin.write(line)
-        self.popen.stdin.flush()
-
-
-class Instance:
-    """An instance under test; restarted with the same settings.
-
-    Attributes:
-      name: Its id.
-      ip: Its IP address.
-      stopped_at: When it was last told to stop, or None while it serves.
-    """
-
-    def __init__(self, name, ip, out_dir, code):
-        """Create the instance; start() starts its process.
-
-        Args:
-          name: Its id.
-          ip: Its IP address.
-          out_dir: The directory of its settings and log, a Path.
-          code: The directory of the code to run.
-        """
-        self.name = name
-        self.ip = ip
-        self.stopped_at = None
-        self.settings_path = out_dir / f'{name}.toml'
-        self._log_path = out_dir / f'{name}.log'
-        self._code = code
-        self.popen = None
-
-    def start(self):
-        """Start its process."""
-        environ = {**os.environ, 'CRANKCHUTE_CONFIG': str(self.settings_path)}
-        command = [
-            sys.executable,
-            '-m',
-            'crankchute.platform',
-            f'--metrics-port={_METRICS_PORT}',
-        ]
-        with self._log_path.open('ab') as log:
-            self.popen = subprocess.Popen(  # noqa: S603
-                command, stdout=log, stderr=log, cwd=self._code, env=environ
-            )
-        self.stopped_at = None
-
-    @property
-    def is_running(self):
-        """Whether its process runs."""
-        return self.popen.poll() is None
-
-    def is_ready(self):
-        """Return whether it says that it is ready, a coroutine."""
-        return _fetch_ready(self.address('readiness'))
-
-    def send(self, signo):
-        """Send a signal if the process runs."""
-        if self.is_running:
-            os.kill(self.popen.pid, signo)
-
-    def address(self, purpose):
-        """Return the IP and port for a purpose in the settings' `listen`."""
-        return self.ip, _PORTS[purpose]
-
-
 class Fleet:
-    """Instances, servers and the store of a run.
+    """Instances, servers and the store; a context manager that stops them.
 
     Attributes:
       instances: A list of Instance.
       store: The PeerHost of the store.
       hosts: The PeerHosts of servers.
-      servers: A map from the id of a server to its entry in the store.
-      host_of: A map from the id of a server to its PeerHost.
-      sends_late_answers: Whether some servers send answers twice, a bool.
+      servers: A map from the id of a server to its entry in the store, without
+        those that left or crashed.
     """
 
-    def __init__(self, out_dir, code, sizes, random):
-        """Start all processes.
+    def __init__(self, out_dir, options, random):
+        """Start the hosts of servers and the store.
 
         Args:
           out_dir: The directory of logs and records, a Path.
-          code: The directory of the code to run.
-          sizes: A pair: how many instances, how many servers in each pool.
+          options: An object with `code`, the directory of the code to run;
+            `instances`, their number; `servers`, their number in each pool;
+            `without`, with `late_answers` if no server sends answers twice.
           random: The random.Random of the run.
         """
         pid = os.getpid()
-        self._network = f'127.{pid % 200 + 20}.{pid // 200 % 250}.'
+        # Runs at the same time use different networks.
+        self._network = f'127.{20 + pid % 200}.{pid // 200 % 250}'
         self._random = random
         self._started = 0
-        self.sends_late_answers = True
-        self._out_dir = out_dir
+        self._options = options
+        self._host_of = {}
         self.servers = {}
-        self.host_of = {}
-        self.store = PeerHost('store', out_dir)
-        self._store_ip = self._ip(2)
-        self.store.tell('store', host=self._store_ip, port=_STORE_PORT)
-        self.hosts = [PeerHost(f'servers-{num}', out_dir) for num in range(3)]
-        count, self._pool_size = sizes
+        make_host = partial(PeerHost, out_dir=out_dir)
+        self.store = make_host('store')
+        self.hosts = [
+            make_host(f'servers-{number}')
+            for number in range(_SERVER_PROCESSES)
+        ]
         self.instances = [
-            Instance(f'i{num}', self._ip(10 + num), out_dir, code)
-            for num in range(count)
+            Instance(
+                f'i{number}',
+                self._ip(_FIRST_INSTANCE_HOST + number),
+                out_dir,
+                options.code,
+            )
+            for number in range(options.instances)
         ]
 
+    def __enter__(self):
+        """Return the fleet."""
+        return self
+
+    def __exit__(self, *_exc):
+        """Kill all processes."""
+        for process in (self.store, *self.hosts, *self.instances):
+            if process.popen is not None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+                process.popen.wait()
+
     def start(self, config):
-        """Publish the configuration and start servers and instances."""
-        self.publish(config)
-        for _ in range(self._pool_size):
-            for pool in ('plain', 'spare', 'engines'):
-                self.start_server(pool)
+        """Publish a Config, and start servers and instances."""
+        host = self._ip(_STORE_HOST)
+        self.store.tell('store', host=host, port=_STORE_PORT)
+        self.publish(config.document)
+        for pool in config.document['services'] * self._options.servers:
+            self._start_server(pool['name'])
         for instance in self.instances:
             self.write_settings(instance)
             instance.start()
 
-    def _ip(self, number):
-        return f'{self._network}{number}'
+    def list_pool(self, pool):
+        """Return the ids of the servers of a pool."""
+        return [
+            identity
+            for identity, entry in self.servers.items()
+            if entry['service'] == pool
+        ]
 
     def write_settings(self, instance):
         """Write the settings file of an instance."""
         seeds = [
-            f'"{other.ip}:{_PORTS["control"]}"' for other in self.instances[:3]
+            f'{seed.ip}:{PORTS["control"]}' for seed in self.instances[:_SEEDS]
         ]
         listen = [
             f'{purpose} = "{instance.ip}:{port}"'
-            for purpose, port in _PORTS.items()
+            for purpose, port in PORTS.items()
         ]
         number = self.instances.index(instance)
         text = _SETTINGS.format(
             name=instance.name,
             ip=instance.ip,
             zone=_ZONES[number % len(_ZONES)],
-            first=_PEER_PORTS[0],
-            last=_PEER_PORTS[1],
-            seeds=', '.join(seeds),
+            peer_ports=list(_PEER_PORTS),
+            seeds=seeds,
             listen='\n'.join(listen),
             grace_s=GRACE_S,
-            store=f'{self._store_ip}:{_STORE_PORT}',
+            store=f'{self._ip(_STORE_HOST)}:{_STORE_PORT}',
         )
         instance.settings_path.write_text(text)
 
-    def publish(self, config):
-        """Write the configuration to the store."""
-        self.store.tell('put', key='op/config', document=config)
+    def publish(self, document):
+        """Write a configuration to the store."""
+        self.store.tell('put', key='op/config', document=document)
+
+    def list_server(self, identity, entry):
+        """Write the entry of a server; None removes it."""
+        self.store.tell('put', key=f'servers/{identity}', document=entry)
 
-    def start_server(self, pool):
-        """Start a server of a pool and list it."""
+    def replace_server(self, identity):
+        """Start another server of the pool of one that ends.
+
+        Args:
+          identity: The id of the server that ends.
+        Returns:
+          The entry of that server; it stays in the store.
+        """
+        entry = self.servers.pop(identity)
+        self._start_server(entry['service'])
+        return entry
+
+    def tell_server(self, identity, command, **fields):
+        """Send a command about a server to its host."""
+        self._host_of[identity].tell(command, server=identity, **fields)
+
+    def read_records(self):
+        """Return the events that the servers recorded, in order of time."""
+        events = [event for host in self.hosts for event in host.read_record()]
+        return sorted(events, key=lambda event: event['t'])
+
+    def _ip(self, number):
+        return f'{self._network}.{number}'
+
+    def _start_server(self, pool):
         number = self._started
         self._started += 1
-        identity = f's-{self._random.randrange(1 << 32):08x}'
+        identity = f's-{self._random.getrandbits(_SEED_BITS):08x}'
         host = self.hosts[number % len(self.hosts)]
-        port = _FIRST_SERVER_PORT + number
-        late_share = self._random.choice((0, 0.05, 0.3))
-        slots = 12 if pool == 'engines' else self._random.choice((4, 6, 8))
+        ip, port = self._ip(_SERVERS_HOST), _FIRST_SERVER_PORT + number
+        is_engine = pool == 'engines'
+        slots = self._random.choice(
+            _ENGINE_SLOTS if is_engine else _PLAIN_SLOTS
+        )
+        late_share = self._random.choice(_LATE_SHARES)
+        if 'late_answers' in self._options.without:
+            late_share = 0
         host.tell(
             'serve',
             id=identity,
-            host=self._ip(3),
+            host=ip,
             port=port,
-            seed=self._random.randrange(1 << 32),
+            seed=self._random.getrandbits(_SEED_BITS),
             slots=slots,
-            queue=3,
-            idle_s=self._random.choice((2, 4, 8)),
-            late_share=late_share if self.sends_late_answers else 0,
+            queue=_QUEUE,
+            idle_s=self._random.choice(_IDLE_S),
+            late_share=late_share,
         )
-        self.host_of[identity] = host
+        self._host_of[identity] = host
         self.servers[identity] = {
             'service': pool,
-            'address': f'{self._ip(3)}:{port}',
+            'address': f'{ip}:{port}',
             'zone': _ZONES[number % len(_ZONES)],
             'version': 'v1',
             'slots': slots,
@@ -280,49 +235,7 @@
             'cold-remaining-ms': 0,
             'sequence': 0,
         }
-        self.list_server(identity)
-
-    def list_server(self, identity):
-        """Write the entry of a server, or remove that of one that is gone."""
-        self.store.tell(
-            'put',
-            key=f'servers/{identity}',
-            document=self.servers.get(identity),
-        )
-
-    def stop(self):
-        """Kill all processes."""
-        peers = [self.store, *self.hosts, *self.instances]
-        for process in peers:
-            if process.popen is not None:
-                process.popen.send_signal(signal.SIGCONT)
-                process.popen.kill()
-                process.popen.wait()
-
-    def read_records(self):
-        """Return the events that the servers recorded, in order of time."""
-        events = []
-        for host in self.hosts:
-            if host.record_path.exists():
-                lines = host.record_path.read_bytes().splitlines()
-                events.extend(orjson.loads(line) for line in lines)
-        return sorted(events, key=lambda event: event['t'])
-
-
-async def _fetch_ready(address):
-    try:
-        reader, writer = await asyncio.open_connection(*address)
-    except OSError:
-        return False
-    try:
-        line = f'GET {READY_PATH} HTTP/1.1'
-        writer.write(format_message(line, [('host', address[0])], b''))
-        message = await asyncio.wait_for(read_message(reader), 1)
-    except (OSError, asyncio.TimeoutError):
-        return False
-    finally:
-        writer.close()
-    return message is not None and message.status == HTTPStatus.OK
+        self.list_server(identity, self.servers[identity])
 
 
 def now_s():
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -1,19 +1,33 @@
 """Judges the attempts of clients against what the servers recorded."""
 
 from collections import Counter, defaultdict
+from http import HTTPStatus
 
 from bench.soak.fleet import GRACE_S
 
+#: Statuses that promise that a request did not run.
 _PROMISES = frozenset((408, 421, 429, 503))
 _CONTACT_S = 3
-_LATE_S = 0.3
-_EARLY_STOP_S = 3
+#: How early a client may see the end of a time limit.
+_EARLY_S = 0.3
+_LATE_S = 0.5
+#: Requests sent later in a stop are not excused.
+_STOP_EXCUSE_S = 3
+_LAST_WORK_S = GRACE_S * 5 / 6
+#: Not run, but held longer than it takes to see that a connection is closed.
+_HELD_S = 2
 #: Checks by the name of the violation; each returns a text or None.
 CHECKS = {}  # noqa: WPS407  (filled by the decorator)
 
 
 def check(name):
-    """Register a check, a function of a Case."""
+    """Register a check, a function that takes a Case.
+
+    Args:
+      name: The name of the violation.
+    Returns:
+      The decorator.
+    """
 
     def register(function):
         CHECKS[name] = function
@@ -27,8 +41,8 @@
 
     Attributes:
       attempt: The Attempt.
-      runs: The events `run` of its request, in order.
-      ends: The events `end` of its request, in order.
+      events: The servers' events of its request, in order.
+      runs: Those that say that a server ran it.
     """
 
     def __init__(self, attempt, events, disturbances, timeout_s):
@@ -43,69 +57,75 @@
         self.attempt = attempt
         self.events = events
         self.runs = [event for event in events if event['event'] == 'run']
-        self.ends = [event for event in events if event['event'] == 'end']
-        self.limit_s = min(attempt.deadline_s, timeout_s)
-        self._disturbances = disturbances
+        self._ends = [event for event in events if event['event'] == 'end']
+        self._limit_s = min(attempt.deadline_s, timeout_s)
+        self._disturbances = [
+            one
+            for one in disturbances
+            if one.get('instance') == attempt.instance
+        ]
 
     @property
     def took_s(self):
         """How long the client waited, in seconds."""
         return self.attempt.ended - self.attempt.sent
 
-    def is_excused(self):
-        """Return whether a missing answer isn't the instance's doing."""
-        if self.took_s >= self.limit_s - _LATE_S:
-            return True
-        if any(end['why'] in {'crash', 'deadline'} for end in self.ends):
-            return True
-        return self._was_disturbed() or self._was_late_at_stop()
+    @property
+    def stopped_at(self):
+        """When its instance was told to stop before the end, or None."""
+        stops = [
+            one['t']
+            for one in self._disturbances
+            if one['event'] == 'term'
+            and self.attempt.sent - GRACE_S - 1 < one['t'] < self.attempt.ended
+        ]
+        return max(stops, default=None)
 
-    def _was_disturbed(self):
-        """Return whether the instance was killed or frozen meanwhile."""
+    @property
+    def is_disturbed(self):
+        """Whether its instance was killed or frozen meanwhile or before."""
         attempt = self.attempt
         return any(
             one['event'] in {'kill', 'freeze'}
-            and one['instance'] == attempt.instance
-            and attempt.sent - _CONTACT_S < one['t'] + one.get('seconds', 0)
-            and one['t'] < attempt.ended + 0.5
+            and attempt.sent < one['t'] + one.get('seconds', 0) + _CONTACT_S
+            and one['t'] < attempt.ended + _LATE_S
             for one in self._disturbances
         )
 
-    def _was_late_at_stop(self):
-        """Return whether a server was at work on an early request at the end."""
-        stop = self.find_stop()
-        if stop is None or self.attempt.sent > stop + _EARLY_STOP_S:
-            return False
-        ended = max((end['t'] for end in self.ends), default=float('inf'))
-        return ended >= stop + GRACE_S * 5 / 6
+    @property
+    def is_excused(self):
+        """Whether the instance may have left it without an answer."""
+        if self.took_s >= self._limit_s - _EARLY_S or self.is_disturbed:
+            return True
+        if any(end['why'] in {'crash', 'deadline'} for end in self._ends):
+            return True
+        return self._is_cut_by_stop()
 
-    def find_stop(self):
-        """Return when its instance was last stopped before its end, or None."""
-        stops = [
-            one['t']
-            for one in self._disturbances
-            if one['event'] == 'term'
-            and one['instance'] == self.attempt.instance
-            and one['t'] < self.attempt.ended
-            and self.attempt.sent < one['t'] + GRACE_S + 1
-        ]
-        return max(stops, default=None)
+    def _is_cut_by_stop(self):
+        """Whether a server was at work at the end on an early request."""
+        stopped_at = self.stopped_at
+        if stopped_at is None:
+            return False
+        if self.attempt.sent > stopped_at + _STOP_EXCUSE_S:
+            return False
+        last = max((end['t'] for end in self._ends), default=float('inf'))
+        return last >= stopped_at + _LAST_WORK_S
 
 
 @check('LOST')
-def _is_lost(case):
+def _find_lost(case):
     attempt = case.attempt
-    if attempt.outcome not in {'closed', 'cut'} or case.is_excused():
-        return None
-    if not case.runs:
-        if attempt.outcome == 'closed' and case.took_s > 1 and attempt.reused:
-            return f'closed after {case.took_s:.2f} s, not run'
+    if attempt.outcome not in {'closed', 'cut'} or case.is_excused:
         return None
-    return f'{attempt.outcome} after {case.took_s:.2f} s'
+    text = f'{attempt.outcome} after {case.took_s:.2f} s'
+    if case.runs:
+        return text
+    is_held = attempt.reused and case.took_s > _HELD_S
+    return f'{text}, not run' if is_held else None
 
 
 @check('REFUSED')
-def _is_refused(case):
+def _find_refused(case):
     attempt = case.attempt
     if attempt.may_repeat or attempt.status not in _PROMISES or not case.runs:
         return None
@@ -113,32 +133,40 @@
 
 
 @check('TWICE')
-def _is_repeated(case):
+def _find_repeated(case):
     if case.attempt.may_repeat or len(case.runs) < 2:
         return None
-    return f'{len(case.runs)} runs, client got {case.attempt.status}'
+    return f'{len(case.runs)} runs, told {case.attempt.status}'
+
+
+@check('BUDGET')
+def _find_surplus(case):
+    if not case.attempt.may_repeat:
+        return None
+    if len(case.runs) <= case.attempt.max_runs:
+        return None
+    return f'{len(case.runs)} runs, {case.attempt.max_runs} are allowed'
 
 
 @check('MIXED')
-def _is_mixed(case):
+def _find_mixed(case):
     return '; '.join(case.attempt.faults) or None
 
 
 @check('NO END')
-def _is_endless(case):
-    if case.attempt.outcome != 'silent' or case._was_disturbed():
+def _find_endless(case):
+    if case.attempt.outcome != 'silent' or case.is_disturbed:
         return None
     return f'no answer in {case.took_s:.2f} s'
 
 
 @check('DENIED')
-def _is_denied(case):
-    attempt = case.attempt
-    if attempt.path.startswith('/extra') or attempt.status is None:
+def _find_denied(case):
+    status = case.attempt.status
+    if case.attempt.path.startswith('/extra') or status is None:
         return None
-    if 300 <= attempt.status < 500 and attempt.status not in _PROMISES:
-        return f'told {attempt.status}'
-    return None
+    is_denial = HTTPStatus.MULTIPLE_CHOICES <= status < 500
+    return f'told {status}' if is_denial and status not in _PROMISES else None
 
 
 def judge(attempts, events, plan):
@@ -151,39 +179,36 @@
     Returns:
       A tuple: texts of violations, and a Counter of outcomes.
     """
-    by_request = defaultdict(list)
+    events_of = defaultdict(list)
     for event in events:
-        by_request[event.get('id')].append(event)
-    timeout_s = plan.config.shortest_timeout_ms / 1000
-    start = plan.log[0]['t'] if plan.log else 0
+        events_of[event.get('id')].append(event)
+    timeout_s = plan.config.shortest_timeout_s
     violations = []
-    outcomes = Counter()
     for attempt in attempts:
-        case = Case(
-            attempt, by_request[attempt.request_id], plan.log, timeout_s
-        )
-        outcomes[str(attempt.status or attempt.outcome)] += 1
+        request_events = events_of[attempt.request_id]
+        case = Case(attempt, request_events, plan.log, timeout_s)
         for name, find in CHECKS.items():
             what = find(case)
             if what is not None:
-                violations.append(_describe(name, what, case, start))
-    return violations, outcomes
+                after_s = attempt.sent - plan.log[0]['t']
+                violations.append(
+                    f't={after_s:.2f} {name}: {what}; {_describe(case)}'
+                )
+    return violations, Counter(one.status or one.outcome for one in attempts)
 
 
-def _describe(name, what, case, start):
+def _describe(case):
     attempt = case.attempt
-    stop = case.find_stop()
     parts = [
-        f't={attempt.sent - start:.2f} {name} {attempt.path}',
         f'id={attempt.request_id} instance={attempt.instance}',
-        f'request {attempt.reused + 1} of its connection: {what}',
+        f'path={attempt.path} reused={attempt.reused}',
     ]
-    if stop is not None:
-        parts.append(f'sent {attempt.sent - stop:+.2f} s from SIGTERM')
-    parts.extend(
-        f'[{event["server"]} {event["event"]} '
-        f'{event["t"] - attempt.sent:+.2f} '
-        f'{event.get("why") or event.get("status") or ""}]'
-        for event in case.events
-    )
+    if case.stopped_at is not None:
+        parts.append(f'SIGTERM{attempt.sent - case.stopped_at:+.2f}')
+    for event in case.events:
+        after_s = event['t'] - attempt.sent
+        detail = event.get('why') or event.get('status') or ''
+        parts.append(
+            f'[{after_s:+.2f} {event["server"]} {event["event"]} {detail}]'
+        )
     return ' '.join(parts)
--- a/crankchute/platform/standin_host.py
+++ b/crankchute/platform/standin_host.py
@@ -9,6 +9,8 @@
 from crankchute.platform.standin_server import SimulatedServer
 from crankchute.platform.standin_watched_store import WatchedStore
 
+_LINE = orjson.OPT_APPEND_NEWLINE
+
 
 class StandinHost:
     """Executes commands; each is a JSON document with its name in `do`."""
@@ -33,7 +35,7 @@
 
     def _record(self, event, **details):
         document = {'t': time.time(), 'event': event, **details}
-        self._record_file.write(orjson.dumps(document) + b'\n')
+        self._record_file.write(orjson.dumps(document, option=_LINE))
 
     async def _do_store(self, host, port):
         await self._store.listen(host, port)
@@ -49,13 +51,11 @@
         await server.listen()
         self._servers[server.identity] = server
 
-    async def _do_silence(self, servers, seconds):
-        for identity in servers:
-            self._servers[identity].fall_silent(seconds)
+    async def _do_silence(self, server, seconds):
+        self._servers[server].fall_silent(seconds)
 
-    async def _do_fill(self, servers, seconds):
-        for identity in servers:
-            self._servers[identity].fill(seconds)
+    async def _do_fill(self, server, seconds):
+        self._servers[server].fill(seconds)
 
     async def _do_leave(self, server):
         self._servers[server].is_leaving = True
--- a/crankchute/platform/standin_http.py
+++ b/crankchute/platform/standin_http.py
@@ -27,7 +27,8 @@
         Raises:
           ValueError: If a line is not a header.
         """
-        self.first_line, *lines = head.decode('latin-1').strip().split('\r\n')
+        lines = head.decode('latin-1').strip().split('\r\n')
+        self.first_line = lines.pop(0)
         pairs = [line.split(':', 1) for line in lines]
         self.headers = {name.lower(): text.strip() for name, text in pairs}
         self.body = b''
@@ -72,19 +73,23 @@
 
 
 async def _read_body(reader, message):
-    length = int(message.headers.get('content-length', 0))
     if message.headers.get('transfer-encoding') == 'chunked':
-        length = await _read_chunk_size(reader)
-        while length:
-            message.body += await reader.readexactly(length)
-            await reader.readexactly(len(_LINE_END))
-            length = await _read_chunk_size(reader)
-        await reader.readexactly(len(_LINE_END))
-    elif length:
+        await _read_chunks(reader, message)
+    else:
+        length = int(message.headers.get('content-length', 0))
         message.body = await reader.readexactly(length)
     message.is_whole = True
 
 
+async def _read_chunks(reader, message):
+    length = await _read_chunk_size(reader)
+    while length:
+        message.body += await reader.readexactly(length)
+        await reader.readexactly(len(_LINE_END))
+        length = await _read_chunk_size(reader)
+    await reader.readexactly(len(_LINE_END))
+
+
 async def _read_chunk_size(reader):
     line = await reader.readuntil(_LINE_END)
     return int(line.split(b';')[0], _HEX)
--- a/crankchute/platform/standin_server.py
+++ b/crankchute/platform/standin_server.py
@@ -2,7 +2,7 @@
 
 It rejects requests when it is full, sends an answer once more when the next
 one is due, falls silent, closes idle connections, leaves and crashes.  It
-records the requests that it runs.
+records which requests it ran.
 """
 
 import asyncio
@@ -28,15 +28,22 @@
     TARGET_INCARNATION,
 )
 
-HEALTH_PATH = '/healthz'
+_HEALTH_PATH = '/healthz'
 _MS_PER_SECOND = 1000
+_NO_DEADLINE_MS = 60_000
 _STEP_S = 0.02
 _MEMORY_TOKENS = 200_000
+_FILLER = b'.' * 300
 _IDLE_COPY_S = 0.05
+#: When an answer is sent once more: while its connection is idle, when the next
+#: request arrives, or right before the answer to that one.
+_COPY_TIMES = ('idle', 'arrival', 'arrival', 'answer')
+#: How many answers of a server there are to one that closes its connection.
+_ANSWERS_PER_CLOSE = 100
 
 
-class RequestEnded(Exception):
-    """The request was ended early; the text says by what."""
+class RequestEnded(Exception):  # noqa: N818  (it is no error)
+    """A run ended early; the text tells what ended it."""
 
 
 class SimulatedServer:
@@ -44,36 +51,58 @@
 
     Attributes:
       identity: Its id.
+      fields: What it was created with.
+      random: Its random.Random.
       is_leaving: Whether its answers close their connections, a bool.
+      has_crashed: Whether it crashed, a bool.
+      running, waiting: How many requests run and wait.
+      runs: How many requests it ran.
     """
 
     def __init__(self, fields, record):
         """Create the server; listen() starts it.
 
         Args:
-          fields: A map with its `id`, `seed`, `slots`, `queue`, `idle_s`,
-            and `late_share`, the share of answers sent twice.
+          fields: A map: its `id`, `host`, `port`, `slots`, and a `seed`;
+            `queue`, how many requests may wait; `idle_s`, for how long it keeps
+            idle connections; `late_share`, the share of answers sent twice.
           record: A function that stores an event and its details.
         """
         self.identity = fields['id']
+        self.fields = fields
+        self.record = record
+        self.random = random.Random(fields['seed'])
         self.is_leaving = False
-        self._fields = fields
-        self._record = record
-        self._random = random.Random(fields['seed'])
+        self.has_crashed = False
+        self.running = 0
+        self.waiting = 0
+        self.runs = 0
         self._writers = set()
-        self._running = 0
-        self._waiting = 0
-        self._runs = 0
         self._silent_until = 0
         self._full_until = 0
-        self._crashed = False
         self._listener = None
 
+    @property
+    def is_full(self):
+        """Whether it rejects requests now."""
+        if time.monotonic() < self._full_until:
+            return True
+        return not self.has_slot and self.waiting >= self.fields['queue']
+
+    @property
+    def has_slot(self):
+        """Whether a request may run now."""
+        return self.running < self.fields['slots']
+
     async def listen(self):
         """Accept connections."""
-        self._listener = await asyncio.start_server(
-            self._serve, self._fields['host'], self._fields['port']
-        )
+        host, port = self.fields['host'], self.fields['port']
+        self._listener = await asyncio.start_server(self._serve, host, port)
+
+    async def wait_awake(self):
+        """Wait until it isn't silent."""
+        while time.monotonic() < self._silent_until:
+            await asyncio.sleep(_STEP_S)
 
     def fall_silent(self, seconds):
         """Neither read nor write for some seconds."""
@@ -86,119 +115,133 @@
 
     def crash(self):
         """Stop listening and reset all connections."""
-        self._crashed = True
+        self.has_crashed = True
         self._listener.close()
         for writer in self._writers:
             writer.transport.abort()
 
-    async def _awake(self):
-        while time.monotonic() < self._silent_until:
-            await asyncio.sleep(_STEP_S)
-
     async def _serve(self, reader, writer):
-        if self._crashed:
-            writer.transport.abort()
-            return
         self._writers.add(writer)
         try:
             await self._serve_all(reader, writer)
-        except (ConnectionError, ValueError, asyncio.TimeoutError):
-            self._record('closed', server=self.identity)
-        finally:
-            self._writers.discard(writer)
-            writer.close()
+        except (ConnectionError, ValueError, asyncio.TimeoutError) as exc:
+            reason = type(exc).__name__
+            self.record('closed', server=self.identity, why=reason)
+        self._writers.discard(writer)
+        writer.close()
 
     async def _serve_all(self, reader, writer):
-        copy = None
-        while True:
-            await self._awake()
-            message = await asyncio.wait_for(
-                read_message(reader), self._fields['idle_s']
-            )
-            if message is None:
+        is_kept, copy = True, None
+        while is_kept and not self.has_crashed:
+            await self.wait_awake()
+            reading = read_message(reader)
+            request = await asyncio.wait_for(reading, self.fields['idle_s'])
+            if request is None:
                 return
-            exchange = Exchange(self, reader, writer, message)
+            exchange = Exchange(self, (reader, writer), request)
             copy = await exchange.process(copy)
-            if exchange.is_last:
-                return
-            if copy is not None and self._random.random() < 0.1:
+            is_kept = exchange.is_kept
+            if copy is not None and copy.when == 'idle':
                 await asyncio.sleep(_IDLE_COPY_S)
-                exchange.write_copy(copy, 'idle')
+                exchange.write(copy)
                 copy = None
 
 
+class LateCopy:
+    """An answer that is sent once more.
+
+    Attributes:
+      request_id: The id of its request.
+      payload: Its bytes.
+      when: One of the copy times.
+    """
+
+    __slots__ = ('payload', 'request_id', 'when')
+
+    def __init__(self, request_id, payload, when):
+        """Create the record.
+
+        Args:
+          request_id: See the class.
+          payload: See the class.
+          when: See the class.
+        """
+        self.request_id = request_id
+        self.payload = payload
+        self.when = when
+
+
 class Exchange:
-    """A request and its answer on one connection of a server."""
+    """A request and its answer on one connection of a server.
 
-    def __init__(self, server, reader, writer, message):
+    Attributes:
+      is_kept: Whether the connection stays open, a bool.
+    """
+
+    def __init__(self, server, streams, request):
         """Create the exchange.
 
         Args:
           server: The SimulatedServer.
-          reader: The StreamReader of the connection.
-          writer: Its StreamWriter.
-          message: The Message of the request.
+          streams: The StreamReader and the StreamWriter of the connection.
+          request: The Message.
         """
-        self.is_last = False
+        self.is_kept = True
         self._server = server
-        self._reader = reader
-        self._writer = writer
-        self._message = message
-        self._request_id = message.headers.get(REQUEST_ID, '')
-        deadline_ms = float(message.headers.get(DEADLINE_MS, 60_000))
+        self._reader, self._writer = streams
+        self._request = request
+        self._request_id = request.headers.get(REQUEST_ID, '')
+        deadline_ms = float(request.headers.get(DEADLINE_MS, _NO_DEADLINE_MS))
         self._deadline = time.monotonic() + deadline_ms / _MS_PER_SECOND
+        self._due_copy = None
         self._sent = None
 
     async def process(self, copy):
         """Answer the request.
 
         Args:
-          copy: The answer before to send once more, a tuple of the request's
-            id and bytes, or None.
+          copy: The LateCopy of the answer before, or None.
         Returns:
-          The copy of this answer that is to be sent with the next one, or None.
+          The LateCopy of this answer, or None.
         """
-        server = self._server
-        path = self._message.target
-        if path in (REPORT_PATH, ORDER_PATH, HEALTH_PATH):
+        if self._request.target in {REPORT_PATH, ORDER_PATH, _HEALTH_PATH}:
             self._reply('200 OK', orjson.dumps(self._report()))
             return copy
-        is_early = server._random.random() < 0.7
-        if copy is not None and is_early:
-            self.write_copy(copy, 'before')
-            copy = None
-        await self._answer(copy)
-        if (
-            self._sent
-            and server._random.random() < server._fields['late_share']
-        ):
-            return self._request_id, self._sent
-        return None
-
-    def write_copy(self, copy, when):
-        """Send an answer once more."""
-        copied_id, payload = copy
-        status = payload.split(b' ', 2)[1].decode()
-        self._record('copy', of=copied_id, when=when, status=status)
-        self._writer.write(payload)
+        if copy is not None and copy.when == 'arrival':
+            self.write(copy)
+        else:
+            self._due_copy = copy
+        await self._answer()
+        rng = self._server.random
+        is_repeated = rng.random() < self._server.fields['late_share']
+        if self._sent is None or not is_repeated:
+            return None
+        return LateCopy(self._request_id, self._sent, rng.choice(_COPY_TIMES))
+
+    def write(self, copy):
+        """Send an answer once more.
+
+        Args:
+          copy: A LateCopy.
+        """
+        status = copy.payload.split(b' ', 2)[1].decode()
+        self._record('copy', of=copy.request_id, when=copy.when, status=status)
+        self._writer.write(copy.payload)
 
     def _record(self, event, **details):
-        self._server._record(
-            event,
-            id=self._request_id,
-            server=self._server.identity,
-            **details,
+        identity = self._server.identity
+        self._server.record(
+            event, id=self._request_id, server=identity, **details
         )
 
     def _report(self):
-        server = self._server
         return {
             'stage': 'both',
             'models': [],
             'busy': False,
             'sequence': 0,
-            'waiting': server._waiting,
-            'running': server._running,
+            'waiting': self._server.waiting,
+            'running': self._server.running,
             'kv-used': 0,
             'kv-total': _MEMORY_TOKENS,
             'free': _MEMORY_TOKENS,
@@ -206,113 +249,131 @@
         }
 
     def _reply(self, status, body, *headers):
+        """Send a head, with a body unless it is None."""
         server = self._server
         fields = [(OWN_INCARNATION, server.identity), *headers]
-        idle_s = int(server._fields['idle_s'])
         if self._request_id:
             fields.append((REQUEST_ID, self._request_id))
-        if server.is_leaving or server._random.random() < 0.01:
-            self.is_last = True
-            fields.append(('connection', 'close'))
+        self.is_kept = not server.is_leaving and bool(
+            server.random.randrange(_ANSWERS_PER_CLOSE)
+        )
+        if self.is_kept:
+            timeout = f'timeout={server.fields["idle_s"]}'
+            fields.append(('keep-alive', timeout))
         else:
-            fields.append(('keep-alive', f'timeout={idle_s}'))
+            fields.append(('connection', 'close'))
         payload = format_message(f'HTTP/1.1 {status}', fields, body)
         self._writer.write(payload)
         self._sent = None if body is None else payload
 
     def _reject(self, status):
+        self._write_due_copy()
         self._record('reject', status=status)
         self._reply(status, b'', (NOT_RUN, 'true'))
 
-    async def _answer(self, copy):
+    def _write_due_copy(self):
+        if self._due_copy is not None:
+            self.write(self._due_copy)
+
+    async def _answer(self):
         server = self._server
-        target = self._message.headers.get(TARGET_INCARNATION)
+        target = self._request.headers.get(TARGET_INCARNATION)
         if target not in {None, server.identity}:
             self._reject('421 Misdirected Request')
             return
         if not await self._take_slot():
             self._reject('503 Service Unavailable')
             return
-        server._running += 1
-        server._runs += 1
+        server.running += 1
+        server.runs += 1
         self._record('run')
         try:
-            await self._run(copy)
+            await self._run()
         except RequestEnded as exc:
             self._record('end', why=str(exc))
-            self.is_last = True
+            self.is_kept = False
             self._writer.transport.abort()
-        finally:
-            server._running -= 1
+        else:
+            self._record('end', why='whole')
+        server.running -= 1
 
     async def _take_slot(self):
         server = self._server
-        slots = server._fields['slots']
-        if time.monotonic() < server._full_until:
-            return False
-        if server._running < slots:
-            return True
-        if server._waiting >= server._fields['queue']:
+        if server.is_full:
             return False
-        server._waiting += 1
+        server.waiting += 1
         try:
-            while server._running >= slots:
-                if time.monotonic() > self._deadline:
-                    return False
-                await self._pause(_STEP_S)
+            await self._wait_for_slot()
         except RequestEnded as exc:
             raise ConnectionError('closed while queued') from exc
         finally:
-            server._waiting -= 1
-        return True
+            server.waiting -= 1
+        return server.has_slot
+
+    async def _wait_for_slot(self):
+        while not self._server.has_slot and time.monotonic() < self._deadline:
+            await self._pause(_STEP_S)
 
     async def _pause(self, seconds):
+        """Work for some seconds.
+
+        Raises:
+          RequestEnded: If the server crashed or the connection was closed.
+        """
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             await asyncio.sleep(min(_STEP_S, seconds))
             self._check()
-        await self._server._awake()
+        await self._server.wait_awake()
         self._check()
 
     def _check(self):
-        if self._server._crashed:
+        if self._server.has_crashed:
             raise RequestEnded('crash')
         if self._reader.at_eof() or self._writer.transport.is_closing():
             raise RequestEnded('peer closed')
 
-    async def _run(self, copy):
-        work = orjson.loads(self._message.body)
-        signature = (SIGNATURE, f'{self._server.identity}.{self._server._runs}')
-        if work['events']:
-            await self._stream(work, signature, copy)
-            return
+    async def _run(self):
+        work = orjson.loads(self._request.body)
+        signature = (SIGNATURE, f'{self._server.identity}.{self._server.runs}')
         await self._pause(work['ms'] / _MS_PER_SECOND)
-        if copy is not None:
-            self.write_copy(copy, 'due')
-        if time.monotonic() > self._deadline:
+        self._write_due_copy()
+        if work['events']:
+            await self._stream(work, signature)
+        elif time.monotonic() > self._deadline:
             self._reply('504 Gateway Timeout', b'', signature)
         else:
-            self._reply('200 OK', self._make_body(), signature)
+            self._reply('200 OK', make_body(self._request_id), signature)
         await self._writer.drain()
-        self._record('end', why='whole')
-
-    def _make_body(self):
-        return b'answer to ' + self._request_id.encode() + b'.' * 300
 
-    async def _stream(self, work, signature, copy):
-        resumed = int(self._message.headers.get(LAST_EVENT, -1)) + 1
-        await self._pause(work['ms'] / _MS_PER_SECOND)
-        if copy is not None:
-            self.write_copy(copy, 'due')
-        self._reply(
-            '200 OK', None, signature, ('content-type', 'text/event-stream')
-        )
-        for number in range(resumed, work['events']):
-            event = f'id: {number}\ndata: {work["id"]} {number}\n\n'
-            self._writer.write(format_chunk(event.encode()))
+    async def _stream(self, work, signature):
+        stream_type = ('content-type', 'text/event-stream')
+        self._reply('200 OK', None, signature, stream_type)
+        number = int(self._request.headers.get(LAST_EVENT, -1)) + 1
+        while number < work['events']:
+            event = make_event(self._request_id, number)
+            self._writer.write(format_chunk(event))
             await self._pause(work['gap_ms'] / _MS_PER_SECOND)
             if time.monotonic() > self._deadline:
                 raise RequestEnded('deadline')
+            number += 1
         self._writer.write(format_chunk(b''))
-        await self._writer.drain()
-        self._record('end', why='whole')
+
+
+def make_body(request_id):
+    """Return the body of the answer to a plain request.
+
+    Args:
+      request_id: The id of the request.
+    """
+    return b'answer to %b%b' % (request_id.encode(), _FILLER)
+
+
+def make_event(request_id, number):
+    """Return an event of the answer to a stream.
+
+    Args:
+      request_id: The id of the request.
+      number: The id of the event.
+    """
+    return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
