--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -21,7 +21,7 @@
 _MAX_LOOKUPS = 3
 #: The share of the idle time for which a connection may rest.
 _REST_SHARE = 0.8
-_PATHS = tuple(path for path, *_rest in ROUTES)
+_PATHS = tuple(fields[0] for fields in ROUTES)
 
 
 class Connection:
@@ -44,7 +44,9 @@
           streams: Its StreamReader and StreamWriter.
         """
         self.instance = instance
-        self.reader, self.writer = streams
+        reader, writer = streams
+        self.reader = reader
+        self.writer = writer
         self.requests = 0
         self.rests_from = now_s()
 
@@ -165,7 +167,8 @@
         self.attempts.append(attempt)
         conn.requests += 1
         await self._exchange(conn, attempt)
-        attempt.ended = conn.rests_from = now_s()
+        attempt.ended = now_s()
+        conn.rests_from = attempt.ended
         if attempt.closes:
             self._close()
 
--- a/bench/soak/config.py
+++ b/bench/soak/config.py
@@ -95,9 +95,11 @@
     def idle_s(self):
         """Return the shortest idle time that may be in force, in seconds."""
         settled = now_s() - _APPLY_S
-        recent = [idle_ms for at, idle_ms in self._idle_log if at > settled]
-        before = [idle_ms for at, idle_ms in self._idle_log if at <= settled]
-        return min(*recent, *before[-1:], _IDLE_MS[-1]) / _MS_PER_SECOND
+        recent = [entry for entry in self._idle_log if entry[0] > settled]
+        before = self._idle_log[-len(recent) - 1]
+        return (
+            min(idle_ms for _at, idle_ms in (before, *recent)) / _MS_PER_SECOND
+        )
 
     def _change_idle_time(self):
         idle_ms = self._random.choice(_IDLE_MS)
@@ -117,9 +119,8 @@
             for route in self.document['routes']
             if route['service'] in _PLAIN_POOLS
         ]
-        self._random.choice(plain_routes)['service'] = self._random.choice(
-            _PLAIN_POOLS
-        )
+        pool = self._random.choice(_PLAIN_POOLS)
+        self._random.choice(plain_routes)['service'] = pool
 
     def _add_route(self):
         path = f'/extra-{self.document["version"]}/'
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -25,18 +25,9 @@
 _LATE_SHARES = (0, 0.05, 0.3)
 _SETTINGS = """
 node-name = "{name}"
-role = "entry"
-machine-class = "edge"
-serves = ["edge", "directory", "control_plane"]
-ip = "{ip}"
 zone = "{zone}"
-region = "r0"
 internal-port-range = {peer_ports}
 seeds = {seeds}
-bootstrap = true
-discovery = "platform"
-entry = "directory"
-heartbeat-ms = 1000
 zones = {{ z0 = "r0", z1 = "r0", z2 = "r0" }}
 [listen]
 {listen}
@@ -44,29 +35,14 @@
 cpu-share = 0.5
 cpu-cores = 2
 memory-mb = 300
-max-fds = 4200
 [bounds]
-contact-ms = 3000
-drain-ms = 2000
 grace-s = {grace_s}
-loss-slack-ms = 200
 config-apply-ms = 2000
 retry-budget-ratio = 0.2
 retry-window-s = 10
 retry-slack = 100
-recovery-s = 12
-pass_ms = 120
-stall_ms = 1500
-max-hold-ms = 20000
-free-ms = 4000
-idle_max_ms = 9000
-ttl_max_s = 5
 [platform]
 address = "{store}"
-form = "read"
-writes_per_s = 400
-reads_per_s = 2000
-history-s = 20
 """
 
 
@@ -158,7 +134,6 @@
         number = self.instances.index(instance)
         text = _SETTINGS.format(
             name=instance.name,
-            ip=instance.ip,
             zone=_ZONES[number % len(_ZONES)],
             peer_ports=list(_PEER_PORTS),
             seeds=seeds,
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -1,8 +1,10 @@
 """Runs one seed of a soak."""
 
+import argparse
 import asyncio
 import random
 import shutil
+from pathlib import Path
 
 import orjson
 
@@ -11,6 +13,7 @@
 from bench.soak.config import Config
 from bench.soak.fleet import Fleet
 from bench.soak.plan import Plan
+from bench.soak.processes import ROOT
 from bench.soak.verdict import judge
 
 #: For how many times their time to live clients use addresses; None is until
@@ -20,39 +23,40 @@
 _READY_POLL_S = 0.1
 
 
-class SoakOptions:
-    """What a soak runs, and for how long.
+def _parse_seeds(text):
+    first, _dash, last = text.partition('-')
+    return range(int(first), int(last or first) + 1)
 
-    Attributes:
-      seconds: For how long clients send requests.
-      pause_s: The mean pause between two disturbances, in seconds.
-      clients, instances: Their numbers.
-      servers: The number of servers in each pool.
-      code: The directory of the code that instances run, a Path.
-      out: The directory of logs and records, a Path; those of a seed without
-        a violation are removed.
-      without: Names of disturbances to leave out, or `late_answers`.
-    """
 
-    __slots__ = (
-        'clients',
-        'code',
-        'instances',
-        'out',
-        'pause_s',
-        'seconds',
-        'servers',
-        'without',
-    )
+def _parse_path(text):
+    return Path(text).resolve()
+
+
+_OPTIONS = (
+    ('seeds', _parse_seeds, '1', 'a seed, or a range such as 1-50'),
+    ('seconds', float, 20, 'for how long clients send requests'),
+    ('pause-s', float, 0.6, 'mean pause between two disturbances'),
+    ('clients', int, 50, 'number of clients'),
+    ('instances', int, 5, 'number of instances'),
+    ('servers', int, 4, 'number of servers in each pool'),
+    ('code', _parse_path, ROOT, 'directory of the code that instances run'),
+    ('out', _parse_path, ROOT / 'out' / 'soak', 'directory of the logs'),
+    ('without', str, '', 'disturbances to leave out; late_answers is another'),
+)
 
-    def __init__(self, **fields):
-        """Create the record.
 
-        Args:
-          fields: A value for each attribute.
-        """
-        for name in self.__slots__:
-            setattr(self, name, fields[name])
+def parse_options(arguments=None):
+    """Parse the command line.
+
+    Args:
+      arguments: A list of strings; by default those of the process.
+    Returns:
+      An object with an attribute for each option.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    for name, read, default, text in _OPTIONS:
+        parser.add_argument(f'--{name}', type=read, default=default, help=text)
+    return parser.parse_args(arguments)
 
 
 def run_seed(seed, options):
@@ -60,7 +64,7 @@
 
     Args:
       seed: An int.
-      options: SoakOptions.
+      options: What parse_options returned.
     Returns:
       A tuple: texts of violations, and a Counter of outcomes.
     """
@@ -68,8 +72,9 @@
     shutil.rmtree(out_dir, ignore_errors=True)
     out_dir.mkdir(parents=True)
     rng = random.Random(seed)
-    with Fleet(out_dir, options, rng) as fleet:
-        plan = Plan(fleet, Config(rng), rng, options.without)
+    fleet = Fleet(out_dir, options, rng)
+    plan = Plan(fleet, Config(rng), rng, options.without)
+    with fleet:
         attempts = asyncio.run(_soak(plan, options))
     violations, outcomes = judge(attempts, fleet.read_records(), plan)
     if violations:
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -101,6 +101,19 @@
             return True
         return self._is_cut_by_stop()
 
+    @property
+    def outcome(self):
+        """The status or outcome, and whether a 5xx was told although it ran."""
+        status = self.attempt.status
+        if status == HTTPStatus.BAD_GATEWAY and self.runs:
+            return f'{status} and ran'
+        return status or self.attempt.outcome
+
+    def find_violations(self):
+        """Return pairs of a violation's name and a text."""
+        found = [(name, find(self)) for name, find in CHECKS.items()]
+        return [(name, what) for name, what in found if what is not None]
+
     def _is_cut_by_stop(self):
         """Whether a server was at work at the end on an early request."""
         stopped_at = self.stopped_at
@@ -182,19 +195,22 @@
     events_of = defaultdict(list)
     for event in events:
         events_of[event.get('id')].append(event)
-    timeout_s = plan.config.shortest_timeout_s
-    violations = []
-    for attempt in attempts:
-        request_events = events_of[attempt.request_id]
-        case = Case(attempt, request_events, plan.log, timeout_s)
-        for name, find in CHECKS.items():
-            what = find(case)
-            if what is not None:
-                after_s = attempt.sent - plan.log[0]['t']
-                violations.append(
-                    f't={after_s:.2f} {name}: {what}; {_describe(case)}'
-                )
-    return violations, Counter(one.status or one.outcome for one in attempts)
+    cases = [
+        Case(
+            attempt,
+            events_of[attempt.request_id],
+            plan.log,
+            plan.config.shortest_timeout_s,
+        )
+        for attempt in attempts
+    ]
+    start = plan.log[0]['t']
+    violations = [
+        f't={case.attempt.sent - start:.2f} {name}: {what}; {_describe(case)}'
+        for case in cases
+        for name, what in case.find_violations()
+    ]
+    return violations, Counter(case.outcome for case in cases)
 
 
 def _describe(case):
--- a/crankchute/platform/standin_server.py
+++ b/crankchute/platform/standin_server.py
@@ -32,12 +32,12 @@
 _MS_PER_SECOND = 1000
 _NO_DEADLINE_MS = 60_000
 _STEP_S = 0.02
-_MEMORY_TOKENS = 200_000
-_FILLER = b'.' * 300
+_MEMORY = 200_000
+_FILLER = bytes(300)  # noqa: WPS432  (any size)
 _IDLE_COPY_S = 0.05
-#: When an answer is sent once more: while its connection is idle, when the next
-#: request arrives, or right before the answer to that one.
-_COPY_TIMES = ('idle', 'arrival', 'arrival', 'answer')
+#: How many answers are sent once more to one for which this happens while the
+#: connection is idle, or right before the next answer instead of at once.
+_COPIES = 4
 #: How many answers of a server there are to one that closes its connection.
 _ANSWERS_PER_CLOSE = 100
 
@@ -141,34 +141,9 @@
             exchange = Exchange(self, (reader, writer), request)
             copy = await exchange.process(copy)
             is_kept = exchange.is_kept
-            if copy is not None and copy.when == 'idle':
+            if copy is not None and not self.random.randrange(_COPIES):
                 await asyncio.sleep(_IDLE_COPY_S)
-                exchange.write(copy)
-                copy = None
-
-
-class LateCopy:
-    """An answer that is sent once more.
-
-    Attributes:
-      request_id: The id of its request.
-      payload: Its bytes.
-      when: One of the copy times.
-    """
-
-    __slots__ = ('payload', 'request_id', 'when')
-
-    def __init__(self, request_id, payload, when):
-        """Create the record.
-
-        Args:
-          request_id: See the class.
-          payload: See the class.
-          when: See the class.
-        """
-        self.request_id = request_id
-        self.payload = payload
-        self.when = when
+                copy = exchange.write_copy(copy)
 
 
 class Exchange:
@@ -188,7 +163,9 @@
         """
         self.is_kept = True
         self._server = server
-        self._reader, self._writer = streams
+        reader, writer = streams
+        self._reader = reader
+        self._writer = writer
         self._request = request
         self._request_id = request.headers.get(REQUEST_ID, '')
         deadline_ms = float(request.headers.get(DEADLINE_MS, _NO_DEADLINE_MS))
@@ -200,33 +177,25 @@
         """Answer the request.
 
         Args:
-          copy: The LateCopy of the answer before, or None.
+          copy: The bytes of an earlier answer to send once more, or None.
         Returns:
-          The LateCopy of this answer, or None.
+          The bytes of an answer to send once more, or None.
         """
         if self._request.target in {REPORT_PATH, ORDER_PATH, _HEALTH_PATH}:
             self._reply('200 OK', orjson.dumps(self._report()))
             return copy
-        if copy is not None and copy.when == 'arrival':
-            self.write(copy)
-        else:
-            self._due_copy = copy
+        if copy is not None and self._server.random.randrange(_COPIES):
+            copy = self.write_copy(copy)
+        self._due_copy = copy
         await self._answer()
-        rng = self._server.random
-        is_repeated = rng.random() < self._server.fields['late_share']
-        if self._sent is None or not is_repeated:
-            return None
-        return LateCopy(self._request_id, self._sent, rng.choice(_COPY_TIMES))
+        draw = self._server.random.random()
+        return self._sent if draw < self._server.fields['late_share'] else None
 
-    def write(self, copy):
-        """Send an answer once more.
-
-        Args:
-          copy: A LateCopy.
-        """
-        status = copy.payload.split(b' ', 2)[1].decode()
-        self._record('copy', of=copy.request_id, when=copy.when, status=status)
-        self._writer.write(copy.payload)
+    def write_copy(self, copy):
+        """Send the bytes of an earlier answer once more; returns None."""
+        status = copy.split(b' ', 2)[1].decode()
+        self._record('copy', status=status)
+        self._writer.write(copy)
 
     def _record(self, event, **details):
         identity = self._server.identity
@@ -235,18 +204,9 @@
         )
 
     def _report(self):
-        return {
-            'stage': 'both',
-            'models': [],
-            'busy': False,
-            'sequence': 0,
-            'waiting': self._server.waiting,
-            'running': self._server.running,
-            'kv-used': 0,
-            'kv-total': _MEMORY_TOKENS,
-            'free': _MEMORY_TOKENS,
-            'handles': 0,
-        }
+        server = self._server
+        memory = {'kv-used': 0, 'kv-total': _MEMORY, 'free': _MEMORY}
+        return {'waiting': server.waiting, 'running': server.running, **memory}
 
     def _reply(self, status, body, *headers):
         """Send a head, with a body unless it is None."""
@@ -273,7 +233,7 @@
 
     def _write_due_copy(self):
         if self._due_copy is not None:
-            self.write(self._due_copy)
+            self.write_copy(self._due_copy)
 
     async def _answer(self):
         server = self._server
