Keep a reload signal that comes during the start

Callers saw connections that waited for an instance reset, as SIGHUP ended the process for as long as it had no handler. The signal is now blocked before the settings are read and handled once the event loop runs, so that no change of the settings is missed either.

Same cause elsewhere: SIGTERM during the start ends the process without a shutdown, which loses nothing, as no request has been read.

--- a/crankchute/platform/__main__.py
+++ b/crankchute/platform/__main__.py
@@ -6,6 +6,7 @@
 
 import argparse
 import os
+import signal
 import sys
 
 from crankchute.adapters.early_listen import listen_on
@@ -39,6 +40,8 @@
       The exit code: 0 after a stop, 1 if an address cannot be bound, 2 if the
       settings are invalid.
     """
+    # Without a handler, which is set later, the signal would end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     parser = argparse.ArgumentParser(description=__doc__)
     add_flags(parser, _FLAGS)
     flags = parser.parse_args(arguments)
--- a/crankchute/platform/run.py
+++ b/crankchute/platform/run.py
@@ -40,6 +40,8 @@
         signal.SIGHUP,
         lambda *_args: loop.post(_reload, platform),
     )
+    # Handles a signal that was sent since the settings were read.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     log_change(
         'started',
         instance=settings.instance,
