--- a/bench/soak/attempts.py
+++ b/bench/soak/attempts.py
@@ -5,7 +5,7 @@
 from bench.soak.config import REPEATS, STREAM_PATHS
 from bench.soak.fleet import now_s
 from crankchute.platform.standin_http import format_message
-from crankchute.platform.standin_server import make_body, make_event
+from crankchute.platform.standin_exchange import make_body, make_event
 from crankchute.platform.wire import (
     DEADLINE_MS,
     MODEL,
--- a/bench/soak/disturbances.py
+++ b/bench/soak/disturbances.py
@@ -32,7 +32,7 @@
     seconds = plan.random.uniform(*_SILENCE_S)
     plan.note('silence', servers=servers, seconds=seconds)
     for identity in servers:
-        plan.fleet.tell_server(identity, 'silence', seconds=seconds)
+        plan.fleet.tell_server(identity, 'fall_silent', seconds=seconds)
 
 
 @disturbance(2)
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -163,9 +163,9 @@
         self._start_server(entry['service'])
         return entry
 
-    def tell_server(self, identity, command, **fields):
-        """Send a command about a server to its host."""
-        self._host_of[identity].tell(command, server=identity, **fields)
+    def tell_server(self, identity, method, **arguments):
+        """Call a method of a SimulatedServer."""
+        self._host_of[identity].tell(method, server=identity, **arguments)
 
     def read_records(self):
         """Return the events that the servers recorded, in order of time."""
--- a/crankchute/platform/standin_host.py
+++ b/crankchute/platform/standin_host.py
@@ -9,8 +9,6 @@
 from crankchute.platform.standin_server import SimulatedServer
 from crankchute.platform.standin_watched_store import WatchedStore
 
-_LINE = orjson.OPT_APPEND_NEWLINE
-
 
 class StandinHost:
     """Executes commands; each is a JSON document with its name in `do`."""
@@ -31,37 +29,21 @@
         Args:
           command: A map.
         """
-        await getattr(self, f'_do_{command.pop("do")}')(**command)
+        name = command.pop('do')
+        if name == 'store':
+            await self._store.listen(**command)
+        elif name == 'serve':
+            server = SimulatedServer(command, self._record)
+            self._servers[server.identity] = server
+            await server.listen()
+        else:
+            target = self._servers.get(command.pop('server', None), self._store)
+            getattr(target, name)(**command)
 
     def _record(self, event, **details):
         document = {'t': time.time(), 'event': event, **details}
-        self._record_file.write(orjson.dumps(document, option=_LINE))
-
-    async def _do_store(self, host, port):
-        await self._store.listen(host, port)
-
-    async def _do_put(self, key, document):
-        await self._store.put(key, document)
-
-    async def _do_cut(self):
-        self._store.cut()
-
-    async def _do_serve(self, **fields):
-        server = SimulatedServer(fields, self._record)
-        await server.listen()
-        self._servers[server.identity] = server
-
-    async def _do_silence(self, server, seconds):
-        self._servers[server].fall_silent(seconds)
-
-    async def _do_fill(self, server, seconds):
-        self._servers[server].fill(seconds)
-
-    async def _do_leave(self, server):
-        self._servers[server].is_leaving = True
-
-    async def _do_crash(self, server):
-        self._servers[server].crash()
+        line = orjson.dumps(document, option=orjson.OPT_APPEND_NEWLINE)
+        self._record_file.write(line)
 
 
 async def _main(record_path):
--- a/crankchute/platform/standin_watched_store.py
+++ b/crankchute/platform/standin_watched_store.py
@@ -1,27 +1,25 @@
 """A simulated store of the platform whose keys change and can be watched."""
 
 import asyncio
+import time
 from base64 import b64encode
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qsl, urlsplit
 
 import orjson
 
 from crankchute.platform.standin_http import format_message, read_message
-from crankchute.platform.wire import RANGE_PATH, WATCH_PATH
+from crankchute.platform.wire import RANGE_PATH
 
-_PAGE = 50
 _MS_PER_SECOND = 1000
+_POLL_S = 0.02
 
 
 class WatchedStore:
-    """A store in one process; put() and remove() change it."""
+    """A store in one process."""
 
     def __init__(self):
-        """Create an empty store."""
-        self._entries = {}
+        """Create an empty store; listen() starts it."""
         self._log = []
-        self._revision = 0
-        self._changed = asyncio.Condition()
         self._writers = set()
 
     async def listen(self, host, port):
@@ -33,25 +31,18 @@
         """
         await asyncio.start_server(self._serve, host, port)
 
-    async def put(self, key, document):
+    def put(self, key, document):
         """Write a key.
 
         Args:
           key: A string.
           document: The value to encode, or None to remove the key.
         """
-        async with self._changed:
-            self._revision += 1
-            event = {'tls-key': key, 'revision': self._revision}
-            if document is None:
-                self._entries.pop(key, None)
-                event['gone'] = True
-            else:
-                payload = b64encode(orjson.dumps(document)).decode()
-                event['value'] = payload
-                self._entries[key] = event
-            self._log.append(event)
-            self._changed.notify_all()
+        event = {'tls-key': key, 'revision': len(self._log) + 1, 'gone': True}
+        if document is not None:
+            payload = b64encode(orjson.dumps(document)).decode()
+            event.update(value=payload, gone=False)
+        self._log.append(event)
 
     def cut(self):
         """Close all connections."""
@@ -64,58 +55,35 @@
             await self._answer_all(reader, writer)
         except (ConnectionError, ValueError):
             writer.transport.abort()
-        finally:
-            self._writers.discard(writer)
-            writer.close()
+        self._writers.discard(writer)
+        writer.close()
 
     async def _answer_all(self, reader, writer):
-        message = await read_message(reader)
-        while message is not None:
-            document = await self._answer(message.target)
-            status = '404 Not Found' if document is None else '200 OK'
-            body = orjson.dumps(document)
-            headers = [('content-type', 'application/json')]
-            writer.write(format_message(f'HTTP/1.1 {status}', headers, body))
+        request = await read_message(reader)
+        while request is not None:
+            body = orjson.dumps(await self._answer(urlsplit(request.target)))
+            writer.write(format_message('HTTP/1.1 200 OK', [], body))
             await writer.drain()
-            message = await read_message(reader)
+            request = await read_message(reader)
 
     async def _answer(self, target):
-        parts = urlsplit(target)
-        fields = {
-            name: texts[0] for name, texts in parse_qs(parts.query).items()
-        }
-        if parts.path == RANGE_PATH:
-            return self._list(fields['path-prefix'], fields.get('after', ''))
-        if parts.path == WATCH_PATH:
-            return await self._watch(fields)
-        return None
-
-    def _list(self, prefix, after):
-        keys = sorted(
-            key
-            for key in self._entries
-            if key.startswith(prefix) and key > after
-        )
-        return {
-            'items': [self._entries[key] for key in keys[:_PAGE]],
-            'more': len(keys) > _PAGE,
-            'at': self._revision,
-        }
-
-    async def _watch(self, fields):
-        prefix, after = fields['path-prefix'], int(fields['after'])
-
-        def find():
-            return [
-                event
-                for event in self._log[after:]
-                if event['tls-key'].startswith(prefix)
-            ]
-
+        """Return the document that answers a read or a watch."""
+        fields = dict(parse_qsl(target.query))
+        prefix = fields['path-prefix']
+        if target.path == RANGE_PATH:
+            newest = {one['tls-key']: one for one in self._find(prefix, 0)}
+            entries = [one for one in newest.values() if not one['gone']]
+            return {'items': entries, 'more': False, 'at': len(self._log)}
+        after = int(fields['after'])
         wait_s = int(fields['wait-ms']) / _MS_PER_SECOND
-        async with self._changed:
-            try:
-                await asyncio.wait_for(self._changed.wait_for(find), wait_s)
-            except asyncio.TimeoutError:
-                return {'events': [], 'at': self._revision}
-            return {'events': find(), 'at': self._revision}
+        end = time.monotonic() + wait_s
+        while not self._find(prefix, after) and time.monotonic() < end:
+            await asyncio.sleep(_POLL_S)
+        return {'events': self._find(prefix, after), 'at': len(self._log)}
+
+    def _find(self, prefix, after):
+        return [
+            event
+            for event in self._log[after:]
+            if event['tls-key'].startswith(prefix)
+        ]
