--- /dev/null
+++ b/bench/soak/run.py
@@ -0,0 +1,114 @@
+"""Runs one seed of a soak."""
+
+import argparse
+import asyncio
+import random
+import shutil
+from pathlib import Path
+
+import orjson
+
+from bench.soak import disturbances  # noqa: F401  (registers them)
+from bench.soak.clients import Client
+from bench.soak.config import Config
+from bench.soak.fleet import Fleet
+from bench.soak.plan import Plan
+from bench.soak.processes import ROOT
+from bench.soak.verdict import judge
+
+#: For how many times their time to live clients use addresses; None is until
+#: the process is gone.
+_TTL_FACTORS = (1, 1, 3, None, None, None)
+_SEED_BITS = 32
+_READY_POLL_S = 0.1
+
+
+def _parse_seeds(text):
+    first, _dash, last = text.partition('-')
+    return range(int(first), int(last or first) + 1)
+
+
+def _parse_path(text):
+    return Path(text).resolve()
+
+
+_OPTIONS = (
+    ('seeds', _parse_seeds, '1', 'a seed, or a range such as 1-50'),
+    ('seconds', float, 20, 'for how long clients send requests'),
+    ('pause-s', float, 0.6, 'mean pause between two disturbances'),
+    ('clients', int, 50, 'number of clients'),
+    ('instances', int, 5, 'number of instances'),
+    ('servers', int, 4, 'number of servers in each pool'),
+    ('code', _parse_path, ROOT, 'directory of the code that instances run'),
+    ('out', _parse_path, ROOT / 'out' / 'soak', 'directory of the logs'),
+    ('without', str, '', 'disturbances to leave out; late_answers is another'),
+)
+
+
+def parse_options(arguments=None):
+    """Parse the command line.
+
+    Args:
+      arguments: A list of strings; by default those of the process.
+    Returns:
+      An object with an attribute for each option.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    for name, read, default, text in _OPTIONS:
+        parser.add_argument(f'--{name}', type=read, default=default, help=text)
+    return parser.parse_args(arguments)
+
+
+def run_seed(seed, options):
+    """Run a seed.
+
+    Args:
+      seed: An int.
+      options: What parse_options returned.
+    Returns:
+      A tuple: texts of violations, and a Counter of outcomes.
+    """
+    out_dir = options.out / f'seed-{seed}'
+    shutil.rmtree(out_dir, ignore_errors=True)
+    out_dir.mkdir(parents=True)
+    rng = random.Random(seed)
+    fleet = Fleet(out_dir, options, rng)
+    plan = Plan(fleet, Config(rng), rng, options.without)
+    with fleet:
+        attempts = asyncio.run(_soak(plan, options))
+    violations, outcomes = judge(attempts, fleet.read_records(), plan)
+    if violations:
+        _write_lines(out_dir / 'violations.txt', violations)
+        log = [orjson.dumps(event).decode() for event in plan.log]
+        _write_lines(out_dir / 'plan.jsonl', log)
+    else:
+        shutil.rmtree(out_dir)
+    return violations, outcomes
+
+
+async def _soak(plan, options):
+    """Return the Attempts of all clients."""
+    plan.fleet.start(plan.config)
+    await asyncio.gather(*map(_wait_until_ready, plan.fleet.instances))
+    clients = [_make_client(plan) for _ in range(options.clients)]
+    plan.note('begin')
+    await asyncio.gather(
+        plan.run(options.seconds, options.pause_s),
+        *(client.run(options.seconds) for client in clients),
+    )
+    return [attempt for client in clients for attempt in client.attempts]
+
+
+async def _wait_until_ready(instance):
+    while not await instance.is_ready():
+        await asyncio.sleep(_READY_POLL_S)
+
+
+def _make_client(plan):
+    own_random = random.Random(plan.random.getrandbits(_SEED_BITS))
+    ttl_factor = plan.random.choice(_TTL_FACTORS)
+    return Client(plan.fleet, plan.config, own_random, ttl_factor)
+
+
+def _write_lines(path, lines):
+    path.write_text(''.join(f'{line}\n' for line in lines))
--- /dev/null
+++ b/bench/soak/verdict.py
@@ -0,0 +1,230 @@
+"""Judges the attempts of clients against what the servers recorded."""
+
+from collections import Counter, defaultdict
+from http import HTTPStatus
+
+from bench.soak.fleet import GRACE_S
+
+#: Statuses that promise that a request did not run.
+_PROMISES = frozenset((408, 421, 429, 503))
+_CONTACT_S = 3
+#: How early a client may see the end of a time limit.
+_EARLY_S = 0.3
+_LATE_S = 0.5
+#: Requests sent later in a stop are not excused.
+_STOP_EXCUSE_S = 3
+_LAST_WORK_S = GRACE_S * 5 / 6
+#: Not run, but held longer than it takes to see that a connection is closed.
+_HELD_S = 2
+#: Checks by the name of the violation; each returns a text or None.
+CHECKS = {}  # noqa: WPS407  (filled by the decorator)
+
+
+def check(name):
+    """Register a check, a function that takes a Case.
+
+    Args:
+      name: The name of the violation.
+    Returns:
+      The decorator.
+    """
+
+    def register(function):
+        CHECKS[name] = function
+        return function
+
+    return register
+
+
+class Case:
+    """An attempt and all that is known of it.
+
+    Attributes:
+      attempt: The Attempt.
+      events: The servers' events of its request, in order.
+      runs: Those that say that a server ran it.
+    """
+
+    def __init__(self, attempt, events, disturbances, timeout_s):
+        """Create the case.
+
+        Args:
+          attempt: The Attempt.
+          events: The servers' events of its request.
+          disturbances: The log of the Plan.
+          timeout_s: The shortest timeout of a route.
+        """
+        self.attempt = attempt
+        self.events = events
+        self.runs = [event for event in events if event['event'] == 'run']
+        self._ends = [event for event in events if event['event'] == 'end']
+        self._limit_s = min(attempt.deadline_s, timeout_s)
+        self._disturbances = [
+            one
+            for one in disturbances
+            if one.get('instance') == attempt.instance
+        ]
+
+    @property
+    def took_s(self):
+        """How long the client waited, in seconds."""
+        return self.attempt.ended - self.attempt.sent
+
+    @property
+    def stopped_at(self):
+        """When its instance was told to stop before the end, or None."""
+        stops = [
+            one['t']
+            for one in self._disturbances
+            if one['event'] == 'term'
+            and self.attempt.sent - GRACE_S - 1 < one['t'] < self.attempt.ended
+        ]
+        return max(stops, default=None)
+
+    @property
+    def is_disturbed(self):
+        """Whether its instance was killed or frozen meanwhile or before."""
+        attempt = self.attempt
+        return any(
+            one['event'] in {'kill', 'freeze'}
+            and attempt.sent < one['t'] + one.get('seconds', 0) + _CONTACT_S
+            and one['t'] < attempt.ended + _LATE_S
+            for one in self._disturbances
+        )
+
+    @property
+    def is_excused(self):
+        """Whether the instance may have left it without an answer."""
+        if self.took_s >= self._limit_s - _EARLY_S or self.is_disturbed:
+            return True
+        if any(end['why'] in {'crash', 'deadline'} for end in self._ends):
+            return True
+        return self._is_cut_by_stop()
+
+    @property
+    def outcome(self):
+        """The status or outcome, and whether a 5xx was told although it ran."""
+        status = self.attempt.status
+        if status == HTTPStatus.BAD_GATEWAY and self.runs:
+            return f'{status} and ran'
+        return status or self.attempt.outcome
+
+    def find_violations(self):
+        """Return pairs of a violation's name and a text."""
+        found = [(name, find(self)) for name, find in CHECKS.items()]
+        return [(name, what) for name, what in found if what is not None]
+
+    def _is_cut_by_stop(self):
+        """Whether a server was at work at the end on an early request."""
+        stopped_at = self.stopped_at
+        if stopped_at is None:
+            return False
+        if self.attempt.sent > stopped_at + _STOP_EXCUSE_S:
+            return False
+        last = max((end['t'] for end in self._ends), default=float('inf'))
+        return last >= stopped_at + _LAST_WORK_S
+
+
+@check('LOST')
+def _find_lost(case):
+    attempt = case.attempt
+    if attempt.outcome not in {'closed', 'cut'} or case.is_excused:
+        return None
+    text = f'{attempt.outcome} after {case.took_s:.2f} s'
+    if case.runs:
+        return text
+    is_held = attempt.reused and case.took_s > _HELD_S
+    return f'{text}, not run' if is_held else None
+
+
+@check('REFUSED')
+def _find_refused(case):
+    attempt = case.attempt
+    if attempt.may_repeat or attempt.status not in _PROMISES or not case.runs:
+        return None
+    return f'told {attempt.status} after {case.took_s:.2f} s'
+
+
+@check('TWICE')
+def _find_repeated(case):
+    if case.attempt.may_repeat or len(case.runs) < 2:
+        return None
+    return f'{len(case.runs)} runs, told {case.attempt.status}'
+
+
+@check('BUDGET')
+def _find_surplus(case):
+    if not case.attempt.may_repeat:
+        return None
+    if len(case.runs) <= case.attempt.max_runs:
+        return None
+    return f'{len(case.runs)} runs, {case.attempt.max_runs} are allowed'
+
+
+@check('MIXED')
+def _find_mixed(case):
+    return '; '.join(case.attempt.faults) or None
+
+
+@check('NO END')
+def _find_endless(case):
+    if case.attempt.outcome != 'silent' or case.is_disturbed:
+        return None
+    return f'no answer in {case.took_s:.2f} s'
+
+
+@check('DENIED')
+def _find_denied(case):
+    status = case.attempt.status
+    if case.attempt.path.startswith('/extra') or status is None:
+        return None
+    is_denial = HTTPStatus.MULTIPLE_CHOICES <= status < 500
+    return f'told {status}' if is_denial and status not in _PROMISES else None
+
+
+def judge(attempts, events, plan):
+    """Judge a run.
+
+    Args:
+      attempts: All Attempts.
+      events: The servers' events.
+      plan: The Plan that disturbed the run.
+    Returns:
+      A tuple: texts of violations, and a Counter of outcomes.
+    """
+    events_of = defaultdict(list)
+    for event in events:
+        events_of[event.get('id')].append(event)
+    cases = [
+        Case(
+            attempt,
+            events_of[attempt.request_id],
+            plan.log,
+            plan.config.shortest_timeout_s,
+        )
+        for attempt in attempts
+    ]
+    start = plan.log[0]['t']
+    violations = [
+        f't={case.attempt.sent - start:.2f} {name}: {what}; {_describe(case)}'
+        for case in cases
+        for name, what in case.find_violations()
+    ]
+    return violations, Counter(case.outcome for case in cases)
+
+
+def _describe(case):
+    attempt = case.attempt
+    parts = [
+        f'id={attempt.request_id} instance={attempt.instance}',
+        f'path={attempt.path} reused={attempt.reused}',
+    ]
+    if case.stopped_at is not None:
+        parts.append(f'SIGTERM{attempt.sent - case.stopped_at:+.2f}')
+    for event in case.events:
+        after_s = event['t'] - attempt.sent
+        detail = event.get('why') or event.get('status') or ''
+        parts.append(
+            f'[{after_s:+.2f} {event["server"]} {event["event"]} {detail}]'
+        )
+    return ' '.join(parts)
