Log whose head ends an attempt, and refusals of the intake

From the log of the incident one cannot tell a true rejection from one that belongs to an earlier request of the connection, and a request that the intake answers by itself (400, 408, 413, 431) has no line at all.

The head of a rejection or of an answer that cannot be used is logged with the id that it repeats and whether its connection served another request before. Refusals before a request has arrived whole get a line with the request's id, if that has arrived, and a count by code.

--- a/crankchute/adapters/forward_server.py
+++ b/crankchute/adapters/forward_server.py
@@ -226,6 +226,8 @@
       is_closing: Whether responses carry `Connection: close`.
       limits: The IntakeLimits of new connections.
       idle_ms: How long a connection may be idle, in milliseconds.
+      on_rejected: Called with the RequestReader and the RequestRefused of each
+        request that is refused before it is complete, or None.
     """
 
     def __init__(self, bind, on_request, timers, *, channel, idle_ms):
@@ -246,6 +248,7 @@
         self.idle_ms = idle_ms
         self.is_closing = False
         self.limits = DEFAULT_LIMITS
+        self.on_rejected = None
         timers.every(_TIMEOUT_CHECK_MS, self._check_timeouts)
 
     @property
@@ -364,7 +367,7 @@
         try:
             reader.feed(chunk, self._clock.now_ms())
         except RequestRefused as refusal:
-            self._reject(sock, refusal)
+            self._reject(sock, reader, refusal)
             return
         self.record_held(sock, 0 if reader.done else reader.body_size)
         if reader.done and _is_closed_by_caller(sock):
@@ -376,17 +379,13 @@
             connection.exchange = exchange
             exchange.serve(self._on_request)
 
-    def _reject(self, sock, refusal):
+    def _reject(self, sock, reader, refusal):
         """Answer a malformed or late request, and close the connection."""
         self._connections.pop(sock, None)
-        lines = (
-            f'HTTP/1.1 {int(refusal.status)} {refusal.status.phrase}',
-            'Content-Length: 0',
-            'Connection: close',
-            '\r\n',
-        )
-        self.write(sock, '\r\n'.join(lines).encode())
+        reader.reject(refusal)
         self.close(sock)
+        if self.on_rejected is not None:
+            self.on_rejected(reader, refusal)
 
     @handler('disconnect')
     def _on_disconnected(self, sock):
@@ -415,7 +414,7 @@
         try:
             reader.check_timeout(now_ms)
         except RequestRefused as refusal:
-            self._reject(sock, refusal)
+            self._reject(sock, reader, refusal)
 
 
 def _is_closed_by_caller(sock):
--- a/crankchute/adapters/http_intake.py
+++ b/crankchute/adapters/http_intake.py
@@ -110,6 +110,11 @@
         self.started_ms = None
         self.target = b''
 
+    @property
+    def size(self):
+        """The bytes of the request that have arrived, an int."""
+        return self._size
+
     @property
     def body_size(self):
         """The bytes of the body that have arrived, an int."""
@@ -164,6 +169,20 @@
                 'the request did not arrive in time',
             )
 
+    def reject(self, refusal):
+        """Answer a request that is not read to its end.
+
+        Args:
+          refusal: A RequestRefused.
+        """
+        lines = (
+            f'HTTP/1.1 {int(refusal.status)} {refusal.status.phrase}',
+            'Content-Length: 0',
+            'Connection: close',
+            '\r\n',
+        )
+        self._reply('\r\n'.join(lines).encode())
+
     def on_message_begin(self):
         """Parser callback: the start of a request."""
         self._message_count += 1
--- a/crankchute/platform/answers.py
+++ b/crankchute/platform/answers.py
@@ -3,10 +3,13 @@
 from http import HTTPStatus
 
 from crankchute.adapters.forward_server import write_retry_after
+from crankchute.adapters.log import log_change
 from crankchute.core.outcomes import Outcome
+from crankchute.platform.wire import REQUEST_ID
 from crankchute.ports.forwarding import AnswerSink
 
 _DEADLINE_EXCEEDED = 'deadline_exceeded'
+_REQUEST_ID_NAME = REQUEST_ID.encode()
 
 
 class ExchangeAnswer(AnswerSink):
@@ -57,6 +60,36 @@
         )
 
 
+class IntakeRecorder:
+    """Records the requests that are refused before they have arrived whole."""
+
+    def __init__(self, metrics):
+        """Create the recorder.
+
+        Args:
+          metrics: Metrics.
+        """
+        self._metrics = metrics
+
+    def record(self, reader, refusal):
+        """Log and count a refusal.
+
+        Args:
+          reader: The RequestReader.
+          refusal: The RequestRefused.
+        """
+        self._metrics.count('intake_refused', refusal.code)
+        log_change(
+            'intake_refused',
+            failed=True,
+            request=_find_request_id(reader.headers),
+            status=int(refusal.status),
+            code=refusal.code,
+            reason=refusal.text,
+            received=reader.size,
+        )
+
+
 def http_status_of(refusal):
     """Return the HTTP status of a refusal.
 
@@ -73,3 +106,11 @@
     if refusal.code == _DEADLINE_EXCEEDED:
         return HTTPStatus.GATEWAY_TIMEOUT
     return HTTPStatus.BAD_GATEWAY
+
+
+def _find_request_id(headers):
+    """Return the request id among the headers read so far, or None."""
+    for name, text in headers:
+        if name.lower() == _REQUEST_ID_NAME:
+            return text.decode('latin-1')
+    return None
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 
 from crankchute.adapters.http_client import CallOptions, build_request
+from crankchute.adapters.log import log_change
 from crankchute.core.event_stream import EventSplitter
 from crankchute.core.forward_job import RetryMode
 from crankchute.errors import BackendError
@@ -80,9 +81,11 @@
         rejection = _parse_rejection(status, headers)
         if rejection is not None:
             self._rejection = rejection
+            self._log_head('server_rejected', status, headers)
             return
         error = _find_protocol_error(status, headers, self._job.request_id)
         if error is not None:
+            self._log_head('answer_invalid', status, headers)
             self._fail(error)
             return
         head = AnswerHead(
@@ -145,6 +148,19 @@
         for event in self._event_parser.feed(chunk):
             self._listener.on_event(event)
 
+    def _log_head(self, kind, status, headers):
+        """Log a head that ends the attempt, and whose request it answers."""
+        host, port = self.call.address
+        log_change(
+            kind,
+            failed=True,
+            request=self._job.request_id,
+            answer_to=headers.get(REQUEST_ID),
+            address=f'{host}:{port}',
+            status=status,
+            reused=not self.call.is_new,
+        )
+
     def _fail(self, reason):
         self._ended = True
         if self.call is not None:
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -15,7 +15,7 @@
 from crankchute.entry.forward_node import ForwardNode
 from crankchute.entry.forward_state import dump_forward_node
 from crankchute.errors import RequestRefused
-from crankchute.platform.answers import ExchangeAnswer
+from crankchute.platform.answers import ExchangeAnswer, IntakeRecorder
 from crankchute.platform.directory import DirectoryHandler, ReadinessHandler
 from crankchute.platform.instance_limits import (
     ADDRESS_TTL_MS,
@@ -162,8 +162,9 @@
             self._early_requests.take,
         )
         self._caller_servers = [self._server, *self._listen_for_relays(loop)]
-        if self._backpressure is not None:
-            for server in self._caller_servers:
+        for server in self._caller_servers:
+            server.on_rejected = IntakeRecorder(self.node.metrics).record
+            if self._backpressure is not None:
                 self._backpressure.watch_callers(server)
         readiness = ReadinessHandler(lambda: self.node.is_accepting)
         self._listen(loop, listeners.readiness, readiness.respond)
@@ -261,15 +262,13 @@
         config_watch.resume(0)
 
     def _listen(self, loop, address, on_request):
-        _host, port = address
-        server = ForwardServer(
+        return ForwardServer(
             self._sockets[address],
             on_request,
             self.timers,
-            channel=f'server-{port}',
+            channel=f'server-{address[1]}',
             idle_ms=_IDLE_TIMEOUT_MS,
-        )
-        return server.register(loop)
+        ).register(loop)
 
     def _on_request(self, exchange):
         try:
