Test that a late answer is not taken for the one that is due

A server may send the answer to an earlier request of a connection once more, at the point where the next one is due; the request id tells.

--- a/crankchute/platform/backend_calls_test.py
+++ b/crankchute/platform/backend_calls_test.py
@@ -87,10 +87,15 @@
         self.connections = []
         self.received = b''
 
-    def send(self, *, helpers=(), resume_after=None, **changes):
-        headers = [('X-Crankchute-Request-Id', 'r1'), ('Host', 'a.example')]
+    def send(
+        self, *, request_id='r1', helpers=(), resume_after=None, **changes
+    ):
+        headers = [
+            ('X-Crankchute-Request-Id', request_id),
+            ('Host', 'a.example'),
+        ]
         payload = RequestPayload('POST', '/p/x?y', headers, b'body')
-        job = make_job(payload=payload, **changes)
+        job = make_job(payload=payload, request_id=request_id, **changes)
         listener = RecordingListener()
         call = self.calls.send(
             job,
