--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -482,7 +482,7 @@
     Mutation(
         'the framing of answers is unbounded',
         _ENDLESS_TEST,
-        'crankchute/adapters/http_client.py',
+        'crankchute/adapters/http_call.py',
         'if self._framing_bytes > _MAX_FRAMING_BYTES:',
         'if self._framing_bytes < 0:',
     ),
--- /dev/null
+++ b/crankchute/adapters/http_call.py
@@ -0,0 +1,239 @@
+"""One call of the HTTP client: a request and the parser of its response."""
+
+import httptools
+
+from crankchute.errors import BackendError
+
+_NO_BODY_STATUSES = frozenset((204, 304))
+#: The most bytes without a byte of a body: in the head, between chunks or after
+#: the last one.
+_MAX_FRAMING_BYTES = 262_144
+_CONNECTION_CLOSED = 'the connection was closed'
+
+
+class CallOptions:
+    """Connection options of a call.
+
+    Attributes:
+      fresh: Whether to open a new connection, a bool.  On a reused one that
+        the server has closed, a request that never arrived cannot be told from
+        one that did.
+      idle_ms: The longest time that a reused connection may have been idle,
+        in milliseconds, or None.
+      connect_ms: Time limit for opening a connection, in milliseconds, or None
+        for the limit of the system.
+    """
+
+    __slots__ = ('connect_ms', 'fresh', 'idle_ms')
+
+    def __init__(self, *, fresh=False, idle_ms=None, connect_ms=None):
+        """Create the options.
+
+        Args:
+          fresh: See the class.
+          idle_ms: See the class.
+          connect_ms: See the class.
+        """
+        self.fresh = fresh
+        self.idle_ms = idle_ms
+        self.connect_ms = connect_ms
+
+
+class HttpCall:
+    """A request that was sent and the parser of its response.
+
+    Attributes:
+      status: The response's status, or None before it arrives.
+      headers: The response's headers, names in lower case.
+      raw_headers: The headers as received, pairs of bytes.
+    """
+
+    __slots__ = (
+        '_address',
+        '_client',
+        '_finished',
+        '_framing_bytes',
+        '_parser',
+        '_payload',
+        '_sent',
+        '_sink',
+        '_until_close',
+        'connecting',
+        'headers',
+        'is_new',
+        'raw_headers',
+        'sock',
+        'status',
+    )
+
+    def __init__(self, client, address, payload, sink):
+        """Create a call; the client starts it.
+
+        Args:
+          client: The HttpClient.
+          address: A pair of IP number and port.
+          payload: The bytes of the whole request.
+          sink: A ResponseSink.
+        """
+        self._client = client
+        self._address = address
+        self._payload = payload
+        self._sink = sink
+        self._finished = False
+        self._framing_bytes = 0
+        self._sent = False
+        self._until_close = False
+        self._parser = httptools.HttpResponseParser(self)
+        self.connecting = None
+        self.headers = {}
+        self.is_new = False
+        self.raw_headers = []
+        self.status = None
+        self.sock = None
+
+    @property
+    def address(self):
+        """The server's pair of IP number and port."""
+        return self._address
+
+    @property
+    def sent(self):
+        """Whether bytes of the request may have been sent, a bool."""
+        return self._sent
+
+    @property
+    def ends_with_connection(self):
+        """Whether the response has neither a length nor chunks, a bool."""
+        return self._until_close
+
+    def start(self, sock, exc):
+        """Send the request on a connection, or fail without one.
+
+        Args:
+          sock: A connected socket, or None.
+          exc: The OSError if there is no socket.
+        """
+        self.connecting = None
+        if self._finished:
+            self._client.discard(sock)
+        elif sock is None:
+            self.fail(f'connect failed: {exc}')
+        else:
+            self.sock = sock
+            self._sent = True
+            self._client.attach(self)
+            self._client.hub.write(sock, self._payload)
+            self._payload = b''
+
+    def receive(self, chunk):
+        """Parse bytes of the response.
+
+        Args:
+          chunk: The received bytes.
+        """
+        self._framing_bytes += len(chunk)
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade:
+            self.fail('the response changes the protocol')
+        except httptools.HttpParserError as exc:
+            self._fail_parsing(exc)
+        if self._framing_bytes > _MAX_FRAMING_BYTES:
+            self.fail('malformed response: its framing does not end')
+
+    def receive_end(self, *, broken):
+        """Handle the end of the connection.
+
+        A body without a length is complete only if the server closed the
+        connection without an error.
+
+        Args:
+          broken: Whether the connection ended with an error.
+        """
+        if self._until_close and not broken:
+            self._complete(keep=False)
+        else:
+            self.fail(_CONNECTION_CLOSED, connection_lost=True)
+
+    def cancel(self):
+        """Cancel the call and close its connection without calling the sink."""
+        if not self._finished:
+            self._finished = True
+            self._client.detach(self, keep=False)
+
+    def pause_reading(self):
+        """Stop reading the response, so that the server must wait."""
+        if not self._finished:
+            self._client.hub.pause_reading(self.sock)
+
+    def resume_reading(self):
+        """Read the response again."""
+        if not self._finished:
+            self._client.hub.resume_reading(self.sock)
+
+    def fail(self, text, *, connection_lost=False):
+        """End the call with an error.
+
+        Args:
+          text: The error message.
+          connection_lost: Whether the server or the network ended the connection.
+        """
+        if not self._finished:
+            self._finished = True
+            self._client.detach(self, keep=False)
+            self._sink.on_error(
+                BackendError(
+                    text, sent=self._sent, connection_lost=connection_lost
+                )
+            )
+
+    def on_message_begin(self):
+        """Parser callback: a response starts; a second one is an error."""
+        if self._finished:
+            self._client.discard(self.sock)
+
+    def on_header(self, name, text):
+        """Parser callback: a header."""
+        self.raw_headers.append((name, text))
+        self.headers[name.lower().decode('latin-1')] = text.decode('latin-1')
+
+    def on_headers_complete(self):
+        """Parser callback: the end of the headers."""
+        if self._finished:
+            return
+        self.status = self._parser.get_status_code()
+        if self.status < 200:  # noqa: WPS432  (informational responses)
+            self.headers = {}
+            self.raw_headers = []
+            return
+        self._until_close = (
+            'content-length' not in self.headers
+            and 'transfer-encoding' not in self.headers
+            and self.status not in _NO_BODY_STATUSES
+        )
+        self._sink.on_head(self.status, self.headers)
+
+    def on_body(self, chunk):
+        """Parser callback: a part of the body."""
+        self._framing_bytes = 0
+        if not self._finished:
+            self._sink.on_body(chunk)
+
+    def on_message_complete(self):
+        """Parser callback: the end of the response."""
+        if self.status >= 200:  # noqa: WPS432  (informational responses)
+            self._complete(keep=self._parser.should_keep_alive())
+
+    def _fail_parsing(self, exc):
+        """End the call after an error in the response or in a callback."""
+        cause = exc.__context__
+        if isinstance(cause, BackendError):
+            self.fail(str(cause))
+        else:
+            self.fail(f'malformed response: {exc}')
+
+    def _complete(self, *, keep):
+        if not self._finished:
+            self._finished = True
+            self._client.detach(self, keep=keep)
+            self._sink.on_done()
--- a/crankchute/adapters/service_http.py
+++ b/crankchute/adapters/service_http.py
@@ -1,6 +1,7 @@
 """A ForwardPort to plain services over HTTP; its jobs hold a ServiceCall."""
 
-from crankchute.adapters.http_client import CallOptions, build_request
+from crankchute.adapters.http_call import CallOptions
+from crankchute.adapters.http_client import build_request
 from crankchute.adapters.retry_after import read_retry_after_ms
 from crankchute.core.forward_job import RetryMode
 from crankchute.ports.forwarding import AnswerHead, ForwardPort, Rejection
--- a/crankchute/client/service_call.py
+++ b/crankchute/client/service_call.py
@@ -8,7 +8,8 @@
 import secrets
 from http import HTTPStatus
 
-from crankchute.adapters.http_client import CallOptions, build_request
+from crankchute.adapters.http_call import CallOptions
+from crankchute.adapters.http_client import build_request
 from crankchute.client.completion_call import read_refusal
 from crankchute.client.results import (
     CallResult,
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -2,7 +2,8 @@
 
 from http import HTTPStatus
 
-from crankchute.adapters.http_client import CallOptions, build_request
+from crankchute.adapters.http_call import CallOptions
+from crankchute.adapters.http_client import build_request
 from crankchute.adapters.log import log_change
 from crankchute.core.event_stream import EventSplitter
 from crankchute.core.forward_job import RetryMode
--- a/crankchute/platform/engine_orders.py
+++ b/crankchute/platform/engine_orders.py
@@ -4,7 +4,8 @@
 
 import orjson
 
-from crankchute.adapters.http_client import CallOptions, build_request
+from crankchute.adapters.http_call import CallOptions
+from crankchute.adapters.http_client import build_request
 from crankchute.core.reservations import ReservationPort
 from crankchute.platform.wire import ORDER_PATH
 from crankchute.ports.http import WholeResponse
--- a/crankchute/platform/engine_reports.py
+++ b/crankchute/platform/engine_reports.py
@@ -2,7 +2,8 @@
 
 import orjson
 
-from crankchute.adapters.http_client import CallOptions, build_request
+from crankchute.adapters.http_call import CallOptions
+from crankchute.adapters.http_client import build_request
 from crankchute.adapters.log import log_change
 from crankchute.core.initial_load_poll import ReportPort
 from crankchute.core.reported_load import ReportedLoad
--- a/crankchute/platform/relay_calls.py
+++ b/crankchute/platform/relay_calls.py
@@ -6,7 +6,8 @@
 carries cancellation and backpressure.
 """
 
-from crankchute.adapters.http_client import CallOptions, build_request
+from crankchute.adapters.http_call import CallOptions
+from crankchute.adapters.http_client import build_request
 from crankchute.core.relay import RelayOutcome
 from crankchute.errors import BackendError
 from crankchute.platform.backend_calls import (
--- a/crankchute/platform/store.py
+++ b/crankchute/platform/store.py
@@ -12,7 +12,8 @@
 from http import HTTPStatus
 from urllib.parse import quote
 
-from crankchute.adapters.http_client import CallOptions, build_request
+from crankchute.adapters.http_call import CallOptions
+from crankchute.adapters.http_client import build_request
 from crankchute.adapters.log import log_change
 from crankchute.platform.store_pages import decode_page
 from crankchute.platform.store_position import era_of, parse_era, revision_of
