Attribute the head of an answer before anything in it is believed

Callers of requests that must not be repeated were told "not run" (503) although a server ran them. Cause: the head of a rejection (503, 421, 429) was believed before its request id was looked at. A server may send the answer to an earlier request of a kept connection once more when the next one is due; that copy ended the next request as not run, or, with more attempts left, had it sent to another server.

The client now asks an attribution whose answer a head belongs to before the response sink sees anything of it, so rejections, the state that servers report, relay outcomes and answers to orders cannot be taken from another request. An answer with another id on a connection that served a request before is skipped (at most 4, at most 8 MiB, only with an end that does not close the connection) and the own answer awaited; that connection is not reused. An answer without an id there fails the attempt as one that may have run. The first request of a connection still accepts a rejection without an id.

A call does not reuse a connection whose last call had the same id, or also none: the two answers could not be told apart. This concerns a request that is sent to a new server at the address of an earlier one, and successive orders about memory. Refusals of relayed requests by the other instance carry the request's id.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -25,6 +25,7 @@
 _PARTS_TEST = 'crankchute/core/crash_parts_test.py'
 _HISTORY = 'crankchute/core/crash_history.py'
 _ENDLESS_TEST = 'crankchute/platform/endless_bytes_test.py'
+_LATE_TEST = 'crankchute/platform/late_answers_test.py'
 _RELAYED_TEST = 'crankchute/platform/relayed_requests_test.py'
 
 
@@ -486,6 +487,20 @@
         'if self._framing_bytes > _MAX_FRAMING_BYTES:',
         'if self._framing_bytes < 0:',
     ),
+    Mutation(
+        'answers to earlier requests are believed',
+        _LATE_TEST,
+        'crankchute/platform/answer_attribution.py',
+        'if answer_id == request_id:',
+        'if request_id is not None:',
+    ),
+    Mutation(
+        'a connection is reused by the request that it has answered',
+        _LATE_TEST,
+        'crankchute/ports/http.py',
+        'return earlier is None or earlier.request_id != self.request_id',
+        'return True',
+    ),
 )
 
 
--- a/crankchute/adapters/http_call.py
+++ b/crankchute/adapters/http_call.py
@@ -3,11 +3,14 @@
 import httptools
 
 from crankchute.errors import BackendError
+from crankchute.ports.http import MAX_BUFFERED_BODY, AnswerOwner
 
 _NO_BODY_STATUSES = frozenset((204, 304))
 #: The most bytes without a byte of a body: in the head, between chunks or after
 #: the last one.
 _MAX_FRAMING_BYTES = 262_144
+#: The most answers to earlier requests before the one that is due.
+_MAX_SKIPPED = 4
 _CONNECTION_CLOSED = 'the connection was closed'
 
 
@@ -15,6 +18,8 @@
     """Connection options of a call.
 
     Attributes:
+      attribution: The AnswerAttribution of the call, or None if the server
+        sends one answer to each request.
       fresh: Whether to open a new connection, a bool.  On a reused one that
         the server has closed, a request that never arrived cannot be told from
         one that did.
@@ -24,16 +29,20 @@
         for the limit of the system.
     """
 
-    __slots__ = ('connect_ms', 'fresh', 'idle_ms')
+    __slots__ = ('attribution', 'connect_ms', 'fresh', 'idle_ms')
 
-    def __init__(self, *, fresh=False, idle_ms=None, connect_ms=None):
+    def __init__(
+        self, *, fresh=False, idle_ms=None, connect_ms=None, attribution=None
+    ):
         """Create the options.
 
         Args:
           fresh: See the class.
           idle_ms: See the class.
           connect_ms: See the class.
+          attribution: See the class.
         """
+        self.attribution = attribution
         self.fresh = fresh
         self.idle_ms = idle_ms
         self.connect_ms = connect_ms
@@ -43,6 +52,8 @@
     """A request that was sent and the parser of its response.
 
     Attributes:
+      attribution: See CallOptions.
+      is_new: Whether its connection has served no other request, a bool.
       status: The response's status, or None before it arrives.
       headers: The response's headers, names in lower case.
       raw_headers: The headers as received, pairs of bytes.
@@ -53,11 +64,15 @@
         '_client',
         '_finished',
         '_framing_bytes',
+        '_is_skipping',
         '_parser',
         '_payload',
         '_sent',
         '_sink',
+        '_skipped',
+        '_skipped_bytes',
         '_until_close',
+        'attribution',
         'connecting',
         'headers',
         'is_new',
@@ -66,7 +81,7 @@
         'status',
     )
 
-    def __init__(self, client, address, payload, sink):
+    def __init__(self, client, address, payload, sink, attribution):
         """Create a call; the client starts it.
 
         Args:
@@ -74,14 +89,19 @@
           address: A pair of IP number and port.
           payload: The bytes of the whole request.
           sink: A ResponseSink.
+          attribution: See CallOptions.
         """
+        self.attribution = attribution
         self._client = client
         self._address = address
         self._payload = payload
         self._sink = sink
         self._finished = False
         self._framing_bytes = 0
+        self._is_skipping = False
         self._sent = False
+        self._skipped = 0
+        self._skipped_bytes = 0
         self._until_close = False
         self._parser = httptools.HttpResponseParser(self)
         self.connecting = None
@@ -211,18 +231,60 @@
             and 'transfer-encoding' not in self.headers
             and self.status not in _NO_BODY_STATUSES
         )
-        self._sink.on_head(self.status, self.headers)
+        owner = self._find_owner()
+        if owner == AnswerOwner.OWN:
+            self._sink.on_head(self.status, self.headers)
+        elif owner == AnswerOwner.EARLIER:
+            self._start_skipping()
+        else:
+            self.fail('the answer belongs to another request')
 
     def on_body(self, chunk):
         """Parser callback: a part of the body."""
         self._framing_bytes = 0
-        if not self._finished:
+        if self._finished:
+            return
+        if self._is_skipping:
+            self._skip(chunk)
+        else:
             self._sink.on_body(chunk)
 
     def on_message_complete(self):
         """Parser callback: the end of the response."""
-        if self.status >= 200:  # noqa: WPS432  (informational responses)
-            self._complete(keep=self._parser.should_keep_alive())
+        if self.status < 200:  # noqa: WPS432  (informational responses)
+            return
+        if self._is_skipping:
+            self._end_skipping()
+        else:
+            # A server that sent one answer too many may send another.
+            is_sound = not self._skipped
+            keeps = is_sound and self._parser.should_keep_alive()
+            self._complete(keep=keeps)
+
+    def _find_owner(self):
+        if self.attribution is None:
+            return AnswerOwner.OWN
+        return self.attribution.find_owner(self)
+
+    def _start_skipping(self):
+        """Skip an answer to an earlier request; the own one is still due."""
+        self._is_skipping = True
+        self._skipped += 1
+        if not self._parser.should_keep_alive():
+            self.fail('an earlier answer ends the connection')
+        elif self._skipped > _MAX_SKIPPED:
+            self.fail('the server repeats earlier answers')
+
+    def _skip(self, chunk):
+        self._skipped_bytes += len(chunk)
+        if self._skipped_bytes > MAX_BUFFERED_BODY:
+            self.fail('an earlier answer is too large')
+
+    def _end_skipping(self):
+        self._is_skipping = False
+        self.headers = {}
+        self.raw_headers = []
+        self.status = None
 
     def _fail_parsing(self, exc):
         """End the call after an error in the response or in a callback."""
--- a/crankchute/adapters/http_client.py
+++ b/crankchute/adapters/http_client.py
@@ -50,10 +50,12 @@
         Returns:
           An HttpCall.
         """
-        call = HttpCall(self, address, payload, sink)
+        call = HttpCall(self, address, payload, sink, options.attribution)
         sock = None
         if not options.fresh:
-            sock = self._idle.take(address, options.idle_ms)
+            sock = self._idle.take(
+                address, options.idle_ms, options.attribution
+            )
         if sock is not None:
             call.start(sock, None)
             return call
@@ -139,7 +141,9 @@
             return
         # A response can end in the bytes that caused a pause.
         self.hub.resume_reading(sock)
-        kept = keep and self._idle.add(call.address, sock, call.headers)
+        kept = keep and self._idle.add(
+            call.address, sock, call.headers, call.attribution
+        )
         if not kept:
             self.hub.abort(sock)
 
--- a/crankchute/adapters/idle_connections.py
+++ b/crankchute/adapters/idle_connections.py
@@ -13,13 +13,17 @@
 
 
 class _IdleEntry:
-    """When a connection became idle and its keep-alive limit."""
+    """When a connection became idle, its keep-alive limit and last call."""
 
-    __slots__ = ('allowed_ms', 'since_ms')
+    __slots__ = ('_attribution', 'allowed_ms', 'since_ms')
 
-    def __init__(self, since_ms, allowed_ms):
+    def __init__(self, since_ms, allowed_ms, attribution):
         self.since_ms = since_ms
         self.allowed_ms = allowed_ms
+        self._attribution = attribution
+
+    def is_distinct(self, attribution):
+        return attribution is None or attribution.is_distinct(self._attribution)
 
     def is_usable(self, now_ms, idle_ms):
         age_ms = now_ms - self.since_ms
@@ -43,13 +47,14 @@
         self._by_address = defaultdict(OrderedDict)
         self._addresses = {}
 
-    def add(self, address, sock, headers):
+    def add(self, address, sock, headers, attribution=None):
         """Add a connection whose response is complete.
 
         Args:
           address: A pair of IP number and port.
           sock: A connected socket.
           headers: The response's headers, names in lower case.
+          attribution: The AnswerAttribution of its last call, or None.
         Returns:
           False if the pool is full and the connection must be closed.
         """
@@ -57,7 +62,7 @@
         if len(idle) >= _MAX_PER_ADDRESS:
             return False
         allowed_ms = _read_allowed_ms(headers.get('keep-alive'))
-        idle[sock] = _IdleEntry(self._now_ms(), allowed_ms)
+        idle[sock] = _IdleEntry(self._now_ms(), allowed_ms, attribution)
         self._addresses[sock] = address
         return True
 
@@ -83,19 +88,24 @@
         """Return the pooled sockets to an address, a list."""
         return list(self._by_address.get(address, ()))
 
-    def take(self, address, idle_ms=None):
+    def take(self, address, idle_ms=None, attribution=None):
         """Remove and return a usable connection.
 
+        A late answer to its last call must be distinct from the next answer.
+
         Args:
           address: A pair of IP number and port.
           idle_ms: The longest time it may have been idle, or None.
+          attribution: The AnswerAttribution of the next call, or None.
         Returns:
           A socket, or None.
         """
         idle = self._by_address[address]
         now_ms = self._now_ms()
         for sock in reversed(tuple(idle)):
-            if not idle[sock].is_usable(now_ms, idle_ms):
+            entry = idle[sock]
+            is_usable = entry.is_usable(now_ms, idle_ms)
+            if not (is_usable and entry.is_distinct(attribution)):
                 continue
             self.remove(sock)
             if self._is_open(sock) and not _has_input(sock):
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -8,6 +8,7 @@
 from crankchute.core.event_stream import EventSplitter
 from crankchute.core.forward_job import RetryMode
 from crankchute.errors import BackendError
+from crankchute.platform.answer_attribution import RequestIdAttribution
 from crankchute.platform.engine_reports import parse_load_header
 from crankchute.platform.server_calls import parse_notice
 from crankchute.platform.wire import (
@@ -200,7 +201,9 @@
             headers,
         )
         options = CallOptions(
-            idle_ms=choose_max_idle_ms(job), connect_ms=CONNECT_TIMEOUT_MS
+            idle_ms=choose_max_idle_ms(job),
+            connect_ms=CONNECT_TIMEOUT_MS,
+            attribution=RequestIdAttribution(job.request_id),
         )
         sink = AttemptResponseSink(job, listener)
         sink.call = self._calls.send(backend, request, sink, options)
--- a/crankchute/platform/engine_orders.py
+++ b/crankchute/platform/engine_orders.py
@@ -7,6 +7,7 @@
 from crankchute.adapters.http_call import CallOptions
 from crankchute.adapters.http_client import build_request
 from crankchute.core.reservations import ReservationPort
+from crankchute.platform.answer_attribution import RequestIdAttribution
 from crankchute.platform.wire import ORDER_PATH
 from crankchute.ports.http import WholeResponse
 
@@ -68,7 +69,11 @@
             lambda status, _body: pending.finish(status in _SUCCESS_STATUSES),
             lambda _exc: pending.finish(None),
         )
-        options = CallOptions(idle_ms=_MAX_IDLE_MS, connect_ms=timeout_ms)
+        options = CallOptions(
+            idle_ms=_MAX_IDLE_MS,
+            connect_ms=timeout_ms,
+            attribution=RequestIdAttribution(),
+        )
         pending.timeout_timer = self._timers.after(
             timeout_ms,
             pending.on_timeout,
--- a/crankchute/platform/engine_reports.py
+++ b/crankchute/platform/engine_reports.py
@@ -7,6 +7,7 @@
 from crankchute.adapters.log import log_change
 from crankchute.core.initial_load_poll import ReportPort
 from crankchute.core.reported_load import ReportedLoad
+from crankchute.platform.answer_attribution import RequestIdAttribution
 from crankchute.platform.wire import REPORT_PATH
 from crankchute.ports.http import WholeResponse
 
@@ -44,7 +45,11 @@
             backend,
             build_request('GET', backend.listed.address, path),
             WholeResponse(on_response, _log_failure),
-            CallOptions(idle_ms=_MAX_IDLE_MS, connect_ms=_CONNECT_TIMEOUT_MS),
+            CallOptions(
+                idle_ms=_MAX_IDLE_MS,
+                connect_ms=_CONNECT_TIMEOUT_MS,
+                attribution=RequestIdAttribution(),
+            ),
         )
 
 
--- a/crankchute/platform/late_answers_test.py
+++ b/crankchute/platform/late_answers_test.py
@@ -4,14 +4,19 @@
 """
 
 import itertools
+from contextlib import suppress
+from threading import Thread
 from types import MappingProxyType
 
 import pytest
 
 from crankchute.core.forward_job import RetryMode
+from crankchute.platform.answer_attribution import attribute_answer
 from crankchute.platform.backend_calls_test import BackendHarness
+from crankchute.ports.http import AnswerOwner
 
 _NOT_EXECUTED = b'X-Crankchute-Not-Executed: 1\r\n'
+_LATE_ID = b'X-Crankchute-Request-Id: r1\r\n'
 _SIGNATURE = b'X-Crankchute-Response-Signature: s\r\n'
 _LATE_ANSWERS = (
     (503, _NOT_EXECUTED),
@@ -29,6 +34,7 @@
     (RetryMode.ONCE, True),
     (RetryMode.RESUME, True),
 )
+_FAILED = (('failed', True),)
 _EVENTS = (b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n')
 _OWN_EVENTS = MappingProxyType(
     {
@@ -103,6 +109,11 @@
     harness.answer(listener, late + own)
 
 
+def send_quietly(connection, payload):
+    with suppress(OSError):
+        connection.sendall(payload)
+
+
 @pytest.mark.parametrize('is_split', [False, True])
 @pytest.mark.parametrize(('repeat', 'is_stream'), _MODES)
 @pytest.mark.parametrize('late_id', ['r1', None])
@@ -115,6 +126,80 @@
     own = make_own_answer('r2', is_stream=is_stream)
     answer_late(harness, listener, late, own, is_split=is_split)
     if late_id is None:
-        assert listener.events == [('failed', True)]
+        assert tuple(listener.events) == _FAILED
     else:
         assert listener.events == _OWN_EVENTS[is_stream]
+
+
+@pytest.mark.parametrize(
+    ('late', 'events'),
+    [
+        # Nothing says where the late answer ends.
+        (b'HTTP/1.1 200 OK\r\n%b\r\nlate' % _LATE_ID, _FAILED),
+        (make_answer(200, b'%bConnection: close\r\n' % _LATE_ID, ()), _FAILED),
+        (make_answer(200, _LATE_ID, ()) * 4, _OWN_EVENTS[False]),
+        (make_answer(200, _LATE_ID, ()) * 5, _FAILED),
+        (make_answer(200, _LATE_ID, (bytes(9_000_000),)), _FAILED),
+        (b'HTTP/1.1 100 Continue\r\n\r\n', _OWN_EVENTS[False]),
+    ],
+    ids=['no length', 'closing', 'four', 'five', 'huge', 'informational'],
+)
+def test_late_answers_are_skipped_within_bounds(late, events):
+    harness, listener = start_second_request(RetryMode.ONCE, is_stream=False)
+    own = make_own_answer('r2', is_stream=False)
+    connection = harness.connections[-1]
+    connection.setblocking(True)
+    sender = Thread(target=send_quietly, args=(connection, late + own))
+    sender.start()
+    harness.loop.run_until(lambda: listener.has_ended, 0.001)
+    sender.join()
+    assert listener.events == list(events)
+
+
+def test_own_rejection_after_a_late_answer_is_believed():
+    harness, listener = start_second_request(RetryMode.ONCE, is_stream=False)
+    late = make_late_answer(200, _SIGNATURE, 'r1')
+    own = make_late_answer(503, _NOT_EXECUTED, 'r2')
+    harness.answer(listener, late + own)
+    assert listener.events == [('not_run', 'full')]
+
+
+def test_connection_with_a_late_answer_is_not_reused():
+    harness, listener = start_second_request(RetryMode.ONCE, is_stream=False)
+    late = make_late_answer(503, _NOT_EXECUTED, 'r1')
+    harness.answer(listener, late + make_own_answer('r2', is_stream=False))
+    assert not harness.client.has_idle(harness.backend.listed.address)
+
+
+@pytest.mark.parametrize(('second_id', 'connections'), [('r1', 2), ('r2', 1)])
+def test_request_avoids_the_connection_that_answered_its_id(
+    second_id, connections
+):
+    """Its late answer could not be told from the new one."""
+    harness = BackendHarness()
+    for request_id in ('r1', second_id):
+        _call, listener = harness.send(request_id=request_id)
+        harness.receive()
+        own = make_own_answer(request_id, is_stream=False)
+        harness.answer(listener, own)
+    assert len(harness.connections) == connections
+
+
+@pytest.mark.parametrize(
+    ('request_id', 'answer_id', 'is_first', 'owner'),
+    [
+        ('r2', 'r2', True, AnswerOwner.OWN),
+        ('r2', 'r2', False, AnswerOwner.OWN),
+        ('r2', None, True, AnswerOwner.OWN),
+        ('r2', None, False, AnswerOwner.UNKNOWN),
+        ('r2', 'r1', True, AnswerOwner.UNKNOWN),
+        ('r2', 'r1', False, AnswerOwner.EARLIER),
+        (None, None, True, AnswerOwner.OWN),
+        (None, None, False, AnswerOwner.OWN),
+        (None, 'r1', True, AnswerOwner.UNKNOWN),
+        (None, 'r1', False, AnswerOwner.EARLIER),
+    ],
+)
+def test_answer_is_attributed_by_its_id(request_id, answer_id, is_first, owner):
+    found = attribute_answer(request_id, answer_id, is_first=is_first)
+    assert found == owner
--- a/crankchute/platform/relay_calls.py
+++ b/crankchute/platform/relay_calls.py
@@ -10,6 +10,7 @@
 from crankchute.adapters.http_client import build_request
 from crankchute.core.relay import RelayOutcome
 from crankchute.errors import BackendError
+from crankchute.platform.answer_attribution import RequestIdAttribution
 from crankchute.platform.backend_calls import (
     CONNECT_TIMEOUT_MS,
     AttemptResponseSink,
@@ -63,7 +64,9 @@
         )
         sink = RelayResponseSink(job, listener, placement)
         options = CallOptions(
-            idle_ms=choose_max_idle_ms(job), connect_ms=CONNECT_TIMEOUT_MS
+            idle_ms=choose_max_idle_ms(job),
+            connect_ms=CONNECT_TIMEOUT_MS,
+            attribution=RequestIdAttribution(job.request_id),
         )
         sink.call = self._client.send(address, request, sink, options)
         return sink.call
--- a/crankchute/platform/relayed_requests.py
+++ b/crankchute/platform/relayed_requests.py
@@ -62,6 +62,7 @@
         headers = [
             (RELAY_OUTCOME, self._classify(refusal).value),
             (RELAY_CODE, refusal.code),
+            *self._name_request(),
             *self._mark(()),
         ]
         if refusal.retry_after_ms is not None:
@@ -77,9 +78,15 @@
         headers = [
             (RELAY_OUTCOME, RelayOutcome.ELSEWHERE.value),
             (RELAY_CODE, code),
+            *self._name_request(),
         ]
         self._exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE, b'', headers)
 
+    def _name_request(self):
+        """Return the header by which the other instance knows its answer."""
+        request_id = self._exchange.header(REQUEST_ID)
+        return [] if request_id is None else [(REQUEST_ID, request_id)]
+
     def _mark(self, headers):
         """Add the id of the server to the headers of its answer."""
         marked = drop_relay_headers(headers)
--- a/crankchute/platform/server_calls.py
+++ b/crankchute/platform/server_calls.py
@@ -3,7 +3,7 @@
 The headers of any response (to a request, an order or a report query) may say
 that the server is shutting down or limit its request rate, and a 503 may ask
 for a pause with Retry-After.  All calls to backend servers go through
-ServerCalls, so that these headers are read in every response.
+ServerCalls, so that these headers are read in every response to the call.
 """
 
 from http import HTTPStatus
@@ -52,7 +52,7 @@
           backend: The Backend to call.
           request: The bytes of the whole request.
           sink: A ResponseSink.
-          options: CallOptions.
+          options: CallOptions with the attribution of the answer.
         Returns:
           An HttpCall.
         """
--- a/crankchute/ports/http.py
+++ b/crankchute/ports/http.py
@@ -1,6 +1,7 @@
 """Interface of the HTTP client to the receivers of responses."""
 
 import abc
+import enum
 
 from crankchute.errors import BackendError
 
@@ -8,6 +9,44 @@
 MAX_BUFFERED_BODY = 8 * 1024 * 1024
 
 
+class AnswerOwner(enum.Enum):
+    """Whose request an answer belongs to."""
+
+    #: The request that waits for an answer.
+    OWN = 'own'
+    #: An earlier request of the same connection; the own answer is still due.
+    EARLIER = 'earlier'
+    UNKNOWN = 'unknown'
+
+
+class AnswerAttribution(abc.ABC):
+    """Tells the answer to a call from answers to others on its connection.
+
+    Attributes:
+      request_id: The id that the server repeats in the answer, or None if the
+        request has none.
+    """
+
+    __slots__ = ('request_id',)
+
+    @abc.abstractmethod
+    def find_owner(self, call):
+        """Return the AnswerOwner of the answer whose head has arrived.
+
+        Args:
+          call: The HttpCall; its status and headers are those of the answer.
+        """
+
+    def is_distinct(self, earlier):
+        """Return whether answers to an earlier call can be told from this one's.
+
+        Args:
+          earlier: The AnswerAttribution of a call on the same connection, or
+            None.
+        """
+        return earlier is None or earlier.request_id != self.request_id
+
+
 class ResponseSink(abc.ABC):
     """Receives a response incrementally, and exactly one end."""
 
