--- a/bench/soak/attempts.py
+++ b/bench/soak/attempts.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from bench.soak.config import REPEATS, STREAM_PATHS
+from bench.soak.config import STREAM_PATHS
 from bench.soak.fleet import now_s
 from crankchute.platform.standin_http import format_message
 from crankchute.platform.standin_exchange import make_body, make_event
@@ -88,16 +88,6 @@
         self.closes = True
         self.faults = []
 
-    @property
-    def may_repeat(self):
-        """Whether the request may run more than once."""
-        return self.path in REPEATS
-
-    @property
-    def max_runs(self):
-        """How many servers may run the request."""
-        return REPEATS.get(self.path, 1)
-
     def format(self):
         """Return the bytes of the request."""
         headers = [
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -24,33 +24,6 @@
 _PATHS = tuple(fields[0] for fields in ROUTES)
 
 
-class Connection:
-    """A connection to an instance.
-
-    Attributes:
-      instance: The Instance.
-      reader, writer: Its streams.
-      requests: How many requests were sent.
-      rests_from: Since when it has been unused, in seconds.
-    """
-
-    __slots__ = ('instance', 'reader', 'requests', 'rests_from', 'writer')
-
-    def __init__(self, instance, streams):
-        """Create the record.
-
-        Args:
-          instance: The Instance.
-          streams: Its StreamReader and StreamWriter.
-        """
-        self.instance = instance
-        reader, writer = streams
-        self.reader = reader
-        self.writer = writer
-        self.requests = 0
-        self.rests_from = now_s()
-
-
 class Client:
     """Sends one request after another, on one connection as long as it can.
 
@@ -75,7 +48,11 @@
         self._ttl_factor = ttl_factor
         self._addresses = []
         self._resolved_until = 0
-        self._conn = None
+        self._instance = None
+        self._reader = None
+        self._writer = None
+        self._requests = 0
+        self._rests_from = 0
 
     async def run(self, seconds):
         """Send requests for some seconds.
@@ -87,32 +64,34 @@
         while now_s() < end:
             await asyncio.sleep(self._random.uniform(0, _LONGEST_PAUSE_S))
             await self._connect()
-            if self._conn is None:
+            if self._writer is None:
                 await asyncio.sleep(_RETRY_S)
             else:
                 await self._send_next()
         self._close()
 
     def _close(self):
-        if self._conn is not None:
-            self._conn.writer.close()
-            self._conn = None
+        if self._writer is not None:
+            self._writer.close()
+            self._writer = None
 
     async def _connect(self):
         has_expired = self._ttl_factor and now_s() > self._resolved_until
         if has_expired or not self._addresses:
             await self._resolve()
-        if self._conn is not None and not self._may_reuse():
+        if self._writer is not None and not self._may_reuse():
             self._close()
-        if self._conn is None and self._addresses:
+        if self._writer is None and self._addresses:
             await self._open()
 
     def _may_reuse(self):
-        conn = self._conn
-        rest_s = now_s() - conn.rests_from
-        if conn.reader.at_eof() or rest_s > _REST_SHARE * self._config.idle_s():
+        rest_s = now_s() - self._rests_from
+        if (
+            self._reader.at_eof()
+            or rest_s > _REST_SHARE * self._config.idle_s()
+        ):
             return False
-        return self._ttl_factor is None or conn.instance.ip in self._addresses
+        return self._ttl_factor is None or self._instance.ip in self._addresses
 
     async def _open(self):
         ip = self._addresses[0]
@@ -121,11 +100,15 @@
         instance = self._instances[ip]
         opening = asyncio.open_connection(*instance.address('frontend'))
         try:
-            streams = await asyncio.wait_for(opening, _CONNECT_S)
+            reader, writer = await asyncio.wait_for(opening, _CONNECT_S)
         except (OSError, asyncio.TimeoutError):
             self._addresses.remove(ip)
-        else:
-            self._conn = Connection(instance, streams)
+            return
+        self._instance = instance
+        self._reader = reader
+        self._writer = writer
+        self._requests = 0
+        self._rests_from = now_s()
 
     async def _resolve(self):
         asked = self._random.sample(
@@ -156,25 +139,24 @@
         return orjson.loads(message.body)
 
     async def _send_next(self):
-        conn = self._conn
         paths = (*_PATHS, *self._config.added_paths[-1:])
         attempt = Attempt(
             self._random,
             self._random.choice(paths),
-            conn.instance.name,
-            conn.requests,
+            self._instance.name,
+            self._requests,
         )
         self.attempts.append(attempt)
-        conn.requests += 1
-        await self._exchange(conn, attempt)
+        self._requests += 1
+        await self._exchange(attempt)
         attempt.ended = now_s()
-        conn.rests_from = attempt.ended
+        self._rests_from = attempt.ended
         if attempt.closes:
             self._close()
 
-    async def _exchange(self, conn, attempt):
-        conn.writer.write(attempt.format())
-        reading = read_message(conn.reader)
+    async def _exchange(self, attempt):
+        self._writer.write(attempt.format())
+        reading = read_message(self._reader)
         wait_s = attempt.deadline_s + _SLACK_S
         try:
             attempt.take(await asyncio.wait_for(reading, wait_s))
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 from http import HTTPStatus
 
+from bench.soak.config import REPEATS
 from bench.soak.fleet import GRACE_S
 
 #: Statuses that promise that a request did not run.
@@ -140,25 +141,21 @@
 @check('REFUSED')
 def _find_refused(case):
     attempt = case.attempt
-    if attempt.may_repeat or attempt.status not in _PROMISES or not case.runs:
+    if (
+        attempt.path in REPEATS
+        or attempt.status not in _PROMISES
+        or not case.runs
+    ):
         return None
     return f'told {attempt.status} after {case.took_s:.2f} s'
 
 
 @check('TWICE')
 def _find_repeated(case):
-    if case.attempt.may_repeat or len(case.runs) < 2:
+    allowed = REPEATS.get(case.attempt.path, 1)
+    if len(case.runs) <= allowed:
         return None
-    return f'{len(case.runs)} runs, told {case.attempt.status}'
-
-
-@check('BUDGET')
-def _find_surplus(case):
-    if not case.attempt.may_repeat:
-        return None
-    if len(case.runs) <= case.attempt.max_runs:
-        return None
-    return f'{len(case.runs)} runs, {case.attempt.max_runs} are allowed'
+    return f'{len(case.runs)} runs of at most {allowed}'
 
 
 @check('MIXED')
