--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -4,6 +4,7 @@
 import asyncio
 import random
 import shutil
+from collections import Counter
 from pathlib import Path
 
 import orjson
@@ -14,7 +15,7 @@
 from bench.soak.fleet import Fleet
 from bench.soak.plan import Plan
 from bench.soak.processes import ROOT
-from bench.soak.verdict import judge
+from bench.soak.verdict import find_violations, make_cases
 
 #: For how many times their time to live clients use addresses; None is until
 #: the process is gone.
@@ -56,6 +57,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     for name, read, default, text in _OPTIONS:
         parser.add_argument(f'--{name}', type=read, default=default, help=text)
+    parser.add_argument('--keep', action='store_true', help='keep all logs')
     return parser.parse_args(arguments)
 
 
@@ -76,14 +78,16 @@
     plan = Plan(fleet, Config(rng), rng, options.without)
     with fleet:
         attempts = asyncio.run(_soak(plan, options))
-    violations, outcomes = judge(attempts, fleet.read_records(), plan)
-    if violations:
+    cases = make_cases(attempts, fleet.read_records(), plan)
+    violations = find_violations(cases)
+    if violations or options.keep:
         _write_lines(out_dir / 'violations.txt', violations)
+        _write_lines(out_dir / 'cases.txt', map(str, cases))
         log = [orjson.dumps(event).decode() for event in plan.log]
         _write_lines(out_dir / 'plan.jsonl', log)
     else:
         shutil.rmtree(out_dir)
-    return violations, outcomes
+    return violations, Counter(case.outcome for case in cases)
 
 
 async def _soak(plan, options):
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -1,6 +1,6 @@
 """Judges the attempts of clients against what the servers recorded."""
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from http import HTTPStatus
 
 from bench.soak.config import REPEATS
@@ -60,6 +60,7 @@
         self.runs = [event for event in events if event['event'] == 'run']
         self._ends = [event for event in events if event['event'] == 'end']
         self._limit_s = min(attempt.deadline_s, timeout_s)
+        self._start = disturbances[0]['t']
         self._disturbances = [
             one
             for one in disturbances
@@ -110,10 +111,22 @@
             return f'{status} and ran'
         return status or self.attempt.outcome
 
-    def find_violations(self):
-        """Return pairs of a violation's name and a text."""
-        found = [(name, find(self)) for name, find in CHECKS.items()]
-        return [(name, what) for name, what in found if what is not None]
+    def __str__(self):
+        """Return a line with all that is known."""
+        attempt = self.attempt
+        parts = [
+            f't={attempt.sent - self._start:.2f} id={attempt.request_id}',
+            f'instance={attempt.instance} path={attempt.path}',
+            f'reused={attempt.reused} {self.outcome} {self.took_s:.2f}',
+        ]
+        if self.stopped_at is not None:
+            parts.append(f'SIGTERM{attempt.sent - self.stopped_at:+.2f}')
+        for event in self.events:
+            after_s = event['t'] - attempt.sent
+            detail = event.get('why') or event.get('status') or ''
+            name = f'{event["server"]} {event["event"]} {detail}'
+            parts.append(f'[{after_s:+.2f} {name.strip()}]')
+        return ' '.join(parts)
 
     def _is_cut_by_stop(self):
         """Whether a server was at work at the end on an early request."""
@@ -131,11 +144,10 @@
     attempt = case.attempt
     if attempt.outcome not in {'closed', 'cut'} or case.is_excused:
         return None
-    text = f'{attempt.outcome} after {case.took_s:.2f} s'
     if case.runs:
-        return text
+        return attempt.outcome
     is_held = attempt.reused and case.took_s > _HELD_S
-    return f'{text}, not run' if is_held else None
+    return 'not run' if is_held else None
 
 
 @check('REFUSED')
@@ -147,7 +159,7 @@
         or not case.runs
     ):
         return None
-    return f'told {attempt.status} after {case.took_s:.2f} s'
+    return f'told {attempt.status} though it ran'
 
 
 @check('TWICE')
@@ -167,7 +179,7 @@
 def _find_endless(case):
     if case.attempt.outcome != 'silent' or case.is_disturbed:
         return None
-    return f'no answer in {case.took_s:.2f} s'
+    return 'no answer'
 
 
 @check('DENIED')
@@ -179,20 +191,18 @@
     return f'told {status}' if is_denial and status not in _PROMISES else None
 
 
-def judge(attempts, events, plan):
-    """Judge a run.
+def make_cases(attempts, events, plan):
+    """Return the Case of each attempt.
 
     Args:
       attempts: All Attempts.
       events: The servers' events.
       plan: The Plan that disturbed the run.
-    Returns:
-      A tuple: texts of violations, and a Counter of outcomes.
     """
     events_of = defaultdict(list)
     for event in events:
         events_of[event.get('id')].append(event)
-    cases = [
+    return [
         Case(
             attempt,
             events_of[attempt.request_id],
@@ -201,27 +211,17 @@
         )
         for attempt in attempts
     ]
-    start = plan.log[0]['t']
-    violations = [
-        f't={case.attempt.sent - start:.2f} {name}: {what}; {_describe(case)}'
-        for case in cases
-        for name, what in case.find_violations()
-    ]
-    return violations, Counter(case.outcome for case in cases)
 
 
-def _describe(case):
-    attempt = case.attempt
-    parts = [
-        f'id={attempt.request_id} instance={attempt.instance}',
-        f'path={attempt.path} reused={attempt.reused}',
+def find_violations(cases):
+    """Return texts that each describe a violation.
+
+    Args:
+      cases: Cases.
+    """
+    found = [
+        (name, find(case), case)
+        for case in cases
+        for name, find in CHECKS.items()
     ]
-    if case.stopped_at is not None:
-        parts.append(f'SIGTERM{attempt.sent - case.stopped_at:+.2f}')
-    for event in case.events:
-        after_s = event['t'] - attempt.sent
-        detail = event.get('why') or event.get('status') or ''
-        parts.append(
-            f'[{after_s:+.2f} {event["server"]} {event["event"]} {detail}]'
-        )
-    return ' '.join(parts)
+    return [f'{name}: {what}; {case}' for name, what, case in found if what]
