--- a/bench/soak/attempts.py
+++ b/bench/soak/attempts.py
@@ -18,6 +18,10 @@
 _MS_PER_SECOND = 1000
 _ID_BITS = 64
 _DEADLINES_S = (3, 6, 10)
+#: Bytes of plain answers; most are small.
+_SIZES = (*(300,) * 20, 100_000, 6_000_000)
+#: Pauses within the request and before its answer is read; most are zero.
+_PAUSES_S = (*(0,) * 10, 0.1, 0.5, 1)
 _WORK_MS = (2, 10, 50, 200, 700, 2500, 5100)
 _PROMPT_TOKENS = 800
 _READ_MS = 100
@@ -38,6 +42,8 @@
       ended: When the client knew what became of it, or None before.
       deadline_s: The deadline, from `sent`.
       work: What the server is asked to do, a map.
+      write_pause_s: A pause within the request, in seconds.
+      read_pause_s: A pause before its answer is read, in seconds.
       outcome: `answered`, `cut` (an answer without its end), `closed` (no
         answer), `silent` (no answer long after the deadline) or `garbled`.
       status: The status of the answer, or None.
@@ -53,11 +59,13 @@
         'instance',
         'outcome',
         'path',
+        'read_pause_s',
         'request_id',
         'reused',
         'sent',
         'status',
         'work',
+        'write_pause_s',
     )
 
     def __init__(self, random, path, instance, reused):
@@ -76,13 +84,19 @@
         self.sent = now_s()
         self.ended = None
         self.deadline_s = random.choice(_DEADLINES_S)
-        self.work = {'ms': random.choice(_WORK_MS), 'events': 0}
+        self.work = {
+            'ms': random.choice(_WORK_MS),
+            'events': 0,
+            'size': random.choice(_SIZES),
+        }
         if path in STREAM_PATHS:
             self.work = {
                 'ms': _READ_MS,
                 'events': random.choice(_EVENTS),
                 'gap_ms': _GAP_MS,
             }
+        self.write_pause_s = random.choice(_PAUSES_S)
+        self.read_pause_s = random.choice(_PAUSES_S)
         self.outcome = 'silent'
         self.status = None
         self.closes = True
@@ -134,6 +148,6 @@
 
     def _expect_body(self):
         if not self.work['events']:
-            return make_body(self.request_id)
+            return make_body(self.request_id, self.work['size'])
         numbers = range(self.work['events'])
         return b''.join(make_event(self.request_id, num) for num in numbers)
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -155,11 +155,9 @@
             self._close()
 
     async def _exchange(self, attempt):
-        self._writer.write(attempt.format())
-        reading = read_message(self._reader)
         wait_s = attempt.deadline_s + _SLACK_S
         try:
-            attempt.take(await asyncio.wait_for(reading, wait_s))
+            message = await asyncio.wait_for(self._call(attempt), wait_s)
         except asyncio.TimeoutError:
             attempt.outcome = 'silent'
         except OSError:
@@ -167,3 +165,14 @@
         except ValueError as exc:
             attempt.outcome = 'garbled'
             attempt.faults.append(f'no answer in the protocol: {exc}')
+        else:
+            attempt.take(message)
+
+    async def _call(self, attempt):
+        payload = attempt.format()
+        middle = len(payload) // 2
+        self._writer.write(payload[:middle])
+        await asyncio.sleep(attempt.write_pause_s)
+        self._writer.write(payload[middle:])
+        await asyncio.sleep(attempt.read_pause_s)
+        return await read_message(self._reader)
--- a/crankchute/platform/standin_exchange.py
+++ b/crankchute/platform/standin_exchange.py
@@ -23,7 +23,6 @@
 _NO_DEADLINE_MS = 60_000
 _STEP_S = 0.02
 _MEMORY = 200_000
-_FILLER = bytes(300)  # noqa: WPS432  (any size)
 #: How many answers are sent once more to one that is sent right before the next
 #: answer, instead of when the next request arrives.
 _COPIES_PER_DUE = 4
@@ -192,7 +191,8 @@
         elif time.monotonic() > self._deadline:
             self._reply('504 Gateway Timeout', b'', signature)
         else:
-            self._reply('200 OK', make_body(self._request_id), signature)
+            body = make_body(self._request_id, work['size'])
+            self._reply('200 OK', body, signature)
         await self._writer.drain()
 
     async def _stream(self, work, signature):
@@ -209,13 +209,14 @@
         self._writer.write(format_chunk(b''))
 
 
-def make_body(request_id):
+def make_body(request_id, size):
     """Return the body of the answer to a plain request.
 
     Args:
       request_id: The id of the request.
+      size: The number of bytes in addition to the id.
     """
-    return b'answer to %b%b' % (request_id.encode(), _FILLER)
+    return request_id.encode() + bytes(size)
 
 
 def make_event(request_id, number):
