Test lost paths when no other instance answers

An instance that asks others about servers that refuse connections takes a missing answer for one that says that nobody reaches them.

--- a/crankchute/platform/crash_checks_test.py
+++ b/crankchute/platform/crash_checks_test.py
@@ -1,7 +1,12 @@
 """Tests that instances agree on which servers crashed."""
 
+from functools import partial
+
+import pytest
+
 from crankchute.core.forward_job import RetryMode
 from crankchute.platform.standin_engine import Behaviour
+from crankchute.platform.standin_paths import PathFault
 from crankchute.platform.standin_world import (
     SOUND,
     StandinWorld,
@@ -26,6 +31,28 @@
         world.wait(20)
 
 
+def drop_questions(world, node, count):
+    """Leave the first questions of an instance to others unanswered.
+
+    Args:
+      world: The StandinWorld.
+      node: The ForwardNode.
+      count: How many of them; each goes to two instances.
+    """
+    client = node.peers.peer_client
+    call = client.call
+    dropped = []
+
+    def drop(address, method, request, on_reply, *, timeout_ms):
+        if method == 'Reach' and len(dropped) < count:
+            dropped.append(address)
+            world.loop.timers.after(0, partial(on_reply, None))
+        else:
+            call(address, method, request, on_reply, timeout_ms=timeout_ms)
+
+    client.call = drop
+
+
 def prove_reached(world, engines):
     """Let all instances open a connection to some servers."""
     replies = []
@@ -48,3 +75,16 @@
         engine.crash()
     world.wait(_SETTLED_MS)
     assert [len(one.crashes) for one in world.nodes] == [3, 3, 3]
+
+
+@pytest.mark.parametrize('dropped', [2, 8, 10_000])
+def test_lost_paths_are_crashes_because_no_instance_answers(dropped):
+    """Those that are asked may be busy."""
+    world = StandinWorld(engines=4, is_plain=True)
+    world.wait(_CONNECTED_MS)
+    node = world.nodes[0]
+    leave_unanswered(world, node)
+    drop_questions(world, node, dropped)
+    world.lose_paths(node, PathFault.RESET)
+    world.wait(_SETTLED_MS)
+    assert [len(one.crashes) for one in world.nodes] == [0, 0, 0]
