Test that late answers to requests do not answer orders

Orders about memory and load reports share connections with requests. A late answer to a request was taken for the one to an order (reserved or refused), for a load report, and its state (leaving, Retry-After) for that of now.

--- a/crankchute/platform/backend_calls_test.py
+++ b/crankchute/platform/backend_calls_test.py
@@ -69,8 +69,8 @@
     def __init__(self):
         self.loop = Loop()
         self.client = HttpClient(timers=self.loop.timers).register(self.loop)
-        calls = ServerCalls(self.client, self.loop.timers.clock)
-        self.calls = BackendCalls(self.client, calls)
+        self.server_calls = ServerCalls(self.client, self.loop.timers.clock)
+        self.calls = BackendCalls(self.client, self.server_calls)
         self.listening_socket = socket.create_server((_LOOPBACK, 0))
         self.listening_socket.setblocking(False)
         port = self.listening_socket.getsockname()[1]
@@ -105,10 +105,10 @@
         )
         return call, listener
 
-    def receive(self):
+    def receive(self, end=b'body'):
         """Receive one request and return its bytes."""
         self.received = b''
-        self.loop.run_until(self._has_received_request, 0.001)
+        self.loop.run_until(lambda: self._has_received(end), 0.001)
         return self.received
 
     def answer(self, listener, payload, *, reset=False):
@@ -119,7 +119,7 @@
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.loop.run_until(lambda: listener.has_ended, 0.001)
 
-    def _has_received_request(self):
+    def _has_received(self, end):
         with suppress(BlockingIOError):
             connection, _address = self.listening_socket.accept()
             connection.setblocking(False)
@@ -127,7 +127,7 @@
         for open_connection in self.connections:
             with suppress(BlockingIOError):
                 self.received += open_connection.recv(65_536)
-        return self.received.endswith(b'body')
+        return self.received.endswith(end)
 
 
 def make_response(status, headers, body=b'ok'):
