Log the shutdown and the requests that it ends

Nothing named a request that was in progress when the process ended, and nothing said whether bytes of answers were left. The lines `stopping`, `ended_by_stop` and `stopped` (with `unsent`) tell the hypotheses apart: requests begun late in the shutdown, and a process that ends with bytes unsent.

The shutdown moves from ForwardNode to a module of its own, and the code that connects an exchange to its flow has one copy. No change of logic.

--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -34,15 +34,11 @@
 from crankchute.entry.forward_peers import ForwardPeers
 from crankchute.entry.limit_prober import LimitProber
 from crankchute.entry.path_checks import PathChecks
+from crankchute.entry.shutdown import Shutdown
 
 JOINING = 'joining'
 SERVING = 'serving'
 DRAINING = 'draining'
-#: Some callers keep an address response for three times its time to live.
-_ADDRESS_TTL_FACTOR = 3
-#: Part of the grace period reserved for the delivery of the last responses.
-_GRACE_MARGIN_MS = 800
-_DRAIN_CHECK_INTERVAL_MS = 100
 _INSTANCE_COUNT_INTERVAL_MS = 1000
 _MS_PER_SECOND = 1000
 
@@ -130,8 +126,8 @@
       journal: The ForwardJournal.
       servers: The ServerList published by the platform.
       crashes: The CrashHistory.
+      shutdown: The Shutdown.
       on_serving: Called when the instance begins to serve.
-      on_draining: Called when the shutdown begins.
       on_stopped: Called when the shutdown is complete.
     """
 
@@ -151,7 +147,6 @@
         self.metrics = PrometheusMetrics()
         self.random = random.Random(identity.boot)
         self.phase = JOINING
-        self.on_draining = None
         self.on_serving = None
         self.on_stopped = None
         self.holder = ForwardConfigHolder()
@@ -169,7 +164,7 @@
         self._is_connected = wiring.port.is_connected
         self._choosers = {}
         self._has_server_list = False
-        self._drain_started_ms = None
+        self.shutdown = Shutdown(self, lambda: self._limits)
         self.journal = ForwardJournal(self.holder, self.timers.clock)
         self._reservations = ReservationManager(
             wiring.reservations,
@@ -247,10 +242,7 @@
             return
         self._enter_phase(DRAINING)
         self.peers.announce(is_serving=False)
-        self._drain_started_ms = self.now_ms()
-        self.timers.every(_DRAIN_CHECK_INTERVAL_MS, self._check_drained)
-        if self.on_draining is not None:
-            self.on_draining()
+        self.shutdown.start()
 
     def record_listed(self):
         """Record that the list of backend servers is known, even if empty."""
@@ -424,19 +416,6 @@
     def _update_instance_count(self):
         self.desk.record_instances(len(self.peers.membership))
 
-    def _check_drained(self):
-        elapsed_ms = self.now_ms() - self._drain_started_ms
-        grace_ms = self._limits.grace_ms - _GRACE_MARGIN_MS
-        cached_addresses_ms = self._limits.address_ttl_ms * _ADDRESS_TTL_FACTOR
-        if elapsed_ms < min(cached_addresses_ms, grace_ms):
-            return
-        if elapsed_ms < grace_ms and self.desk.in_progress:
-            return
-        log_change('stopped', in_progress=self.desk.in_progress)
-        self.peers.stop()
-        if self.on_stopped is not None:
-            self.on_stopped()
-
     def _enter_phase(self, phase):
         self.phase = phase
         log_change('phase', phase=phase)
--- a/crankchute/platform/answers.py
+++ b/crankchute/platform/answers.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 
 from crankchute.adapters.forward_server import write_retry_after
+from crankchute.core.forward_flow import AnswerReading
 from crankchute.core.outcomes import Outcome
 from crankchute.ports.forwarding import AnswerSink
 
@@ -57,6 +58,20 @@
         )
 
 
+def attach_flow(exchange, flow):
+    """Connect an exchange to the flow that answers it.
+
+    Args:
+      exchange: A ForwardExchange.
+      flow: A ForwardFlow.
+    """
+    if flow.ended:
+        return
+    exchange.on_gone = flow.cancel
+    exchange.request_id = flow.job.request_id
+    exchange.source = AnswerReading(flow)
+
+
 def http_status_of(refusal):
     """Return the HTTP status of a refusal.
 
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -8,18 +8,17 @@
 from crankchute.adapters.log import log_change
 from crankchute.adapters.operator_pages import OperatorPages
 from crankchute.core.admission import make_key_admission
-from crankchute.core.forward_flow import AnswerReading
 from crankchute.core.freshness_proof import choose_max_age_ms
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_notice import ServerNotices
 from crankchute.entry.forward_node import ForwardNode
 from crankchute.entry.forward_state import dump_forward_node
 from crankchute.errors import RequestRefused
-from crankchute.platform.answers import ExchangeAnswer
+from crankchute.platform.answers import ExchangeAnswer, attach_flow
+from crankchute.platform.caller_servers import CallerServers
 from crankchute.platform.directory import DirectoryHandler, ReadinessHandler
 from crankchute.platform.instance_limits import (
     ADDRESS_TTL_MS,
-    make_intake_limits,
     read_identity,
     read_limits,
 )
@@ -117,7 +116,8 @@
         self._backpressure = self._make_backpressure()
         self._listen_all(loop)
         self.node.holder.subscribe(self._on_config)
-        self.node.on_draining = self._on_draining
+        self.node.shutdown.on_started = self._caller_servers.announce_close
+        self.node.shutdown.has_unsent = self._caller_servers.has_unsent
         self.node.on_serving = self._early_requests.record_informed
         self._watch_store()
 
@@ -161,9 +161,11 @@
             listeners.callers,
             self._early_requests.take,
         )
-        self._caller_servers = [self._server, *self._listen_for_relays(loop)]
+        self._caller_servers = CallerServers(
+            [self._server, *self._listen_for_relays(loop)]
+        )
         if self._backpressure is not None:
-            for server in self._caller_servers:
+            for server in self._caller_servers.servers:
                 self._backpressure.watch_callers(server)
         readiness = ReadinessHandler(lambda: self.node.is_accepting)
         self._listen(loop, listeners.readiness, readiness.respond)
@@ -278,10 +280,7 @@
             self.node.record_refused(exchange.header(REQUEST_ID), refusal)
             raise
         flow = self.node.desk.submit(job, ExchangeAnswer(exchange))
-        if not flow.ended:
-            exchange.on_gone = flow.cancel
-            exchange.request_id = job.request_id
-            exchange.source = AnswerReading(flow)
+        attach_flow(exchange, flow)
 
     def _apply_config(self, payload):
         self._config_listener.apply(payload)
@@ -290,12 +289,4 @@
         return self._servers_listener.apply(changes)
 
     def _on_config(self, config):
-        request_limits = config.request_limits
-        if request_limits is not None:
-            for server in self._caller_servers:
-                server.idle_ms = request_limits.idle_timeout_ms
-                server.limits = make_intake_limits(request_limits)
-
-    def _on_draining(self):
-        for server in self._caller_servers:
-            server.is_closing = True
+        self._caller_servers.apply_limits(config.request_limits)
--- a/crankchute/platform/relayed_requests.py
+++ b/crankchute/platform/relayed_requests.py
@@ -6,7 +6,6 @@
 
 from http import HTTPStatus
 
-from crankchute.core.forward_flow import AnswerReading
 from crankchute.core.forward_job import RelayOrigin
 from crankchute.core.relay import (
     RELAYS_BUSY,
@@ -15,7 +14,11 @@
     classify_refusal,
 )
 from crankchute.errors import RequestRefused
-from crankchute.platform.answers import ExchangeAnswer, http_status_of
+from crankchute.platform.answers import (
+    ExchangeAnswer,
+    attach_flow,
+    http_status_of,
+)
 from crankchute.platform.relay_words import (
     RELAY_AVOIDED,
     RELAY_CODE,
@@ -134,10 +137,7 @@
         self._node.metrics.count('relays_taken')
         flow = self._node.desk.submit(job, answer)
         answer.flow = flow
-        if not flow.ended:
-            exchange.on_gone = flow.cancel
-            exchange.request_id = job.request_id
-            exchange.source = AnswerReading(flow)
+        attach_flow(exchange, flow)
 
 
 def _take_origin(exchange):
