Refuse requests that a shutdown would cut, and end the others truly

Callers saw: around SIGTERM, requests that an instance had accepted ended with a closed connection though a server ran them.

Cause: an instance accepted requests until its process ended, and ended at grace-s less 800 ms with whatever was in progress. A stream of 4 s that began 4 s after SIGTERM was cut. A plain request that outlasted the stop got a closed connection as well, instead of a status. The stop waited for requests but not for bytes that a caller had not read, and a request read in the turn of the loop in which the stop ended was sent to a server and cut. Limits that were reloaded moved the end of a stop under way.

Now a request is accepted during a stop only if it can be expected to end before the process: by its deadline; in the time for which callers keep addresses if nine in ten recent requests of its kind were as short; later if it is plain and half as long again as the longest recent one, those in progress included, plus 200 ms fits. Others get 503 with a short Retry-After and 'Connection: close'; a relayed one goes back to be relayed elsewhere. Requests that wait for a server are refused by the same rule. At the end the rest get what is true: 503 if they were not sent, 502 if they may have run; only a stream that has begun is cut. The stop then waits for unsent bytes, within the grace period, and refuses requests that are half read. Its stages are fixed when it begins.

--- a/crankchute/adapters/forward_server.py
+++ b/crankchute/adapters/forward_server.py
@@ -15,6 +15,7 @@
 
 from crankchute.adapters.http_intake import DEFAULT_LIMITS, RequestReader
 from crankchute.adapters.log import log_change
+from crankchute.adapters.retry_after import list_retry_after
 from crankchute.adapters.sockets import (
     DirectServer,
     bound_buffer,
@@ -305,6 +306,17 @@
         if exchange is not None and exchange.source is not None:
             exchange.source.resume_reading()
 
+    def refuse_unread(self, refusal):
+        """Refuse the requests that have not been read completely.
+
+        Args:
+          refusal: A RequestRefused.
+        """
+        for sock, connection in tuple(self._connections.items()):
+            is_begun = connection.reader.started_ms is not None
+            if connection.exchange is None and is_begun:
+                self._reject(sock, refusal)
+
     def record_held(self, sock, size):
         """Record the bytes of a request or answer that is being collected.
 
@@ -433,24 +445,11 @@
 
 
 def _reply_refusal(exchange, refusal):
-    headers = []
-    if refusal.retry_after_ms is not None:
-        headers.append(write_retry_after(refusal.retry_after_ms))
+    headers = list_retry_after(refusal.retry_after_ms)
     document = {'error': refusal.code, 'message': refusal.text}
     exchange.reply_json(int(refusal.status), document, headers)
 
 
-def write_retry_after(retry_after_ms):
-    """Return a Retry-After header.
-
-    Args:
-      retry_after_ms: Milliseconds.
-    Returns:
-      A pair of name and text; the text is in seconds with three decimals.
-    """
-    return 'Retry-After', f'{retry_after_ms / 1000:.3f}'  # noqa: WPS432
-
-
 def _reason_phrase(status):
     with suppress(ValueError):
         return HTTPStatus(status).phrase
--- a/crankchute/adapters/retry_after.py
+++ b/crankchute/adapters/retry_after.py
@@ -1,4 +1,4 @@
-"""Parsing of the Retry-After header."""
+"""Parsing and writing of the Retry-After header."""
 
 import re
 
@@ -21,3 +21,17 @@
     if found is None:
         return 0
     return min(float(found.group(1)) * _MS_PER_SECOND, _MAX_DELAY_MS)
+
+
+def list_retry_after(retry_after_ms):
+    """Return the headers that suggest a delay.
+
+    Args:
+      retry_after_ms: Milliseconds, or None to suggest nothing.
+    Returns:
+      A list of pairs of name and text; the text is in seconds with three
+      decimals.
+    """
+    if retry_after_ms is None:
+        return []
+    return [('Retry-After', f'{retry_after_ms / _MS_PER_SECOND:.3f}')]
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -86,16 +86,20 @@
         self._timer = self._context.after(remaining_ms, self._on_deadline)
         self._try_next(None)
 
-    def end(self, refusal):
-        """End the request with a refusal.
+    def give_up(self, code, text, retry_after_ms=None):
+        """End the request now; its caller learns whether it may have run.
 
         Args:
-          refusal: A Refusal.
+          code: A short identifier for programs.
+          text: A sentence for people.
+          retry_after_ms: The retry hint if it did not run, or None.
         """
-        if not self.ended:
-            self._cancel_attempt()
-            self._sink.on_refused(refusal)
-            self._end(refusal.outcome, refusal.code)
+        if self.ended:
+            return
+        if self._cancel_attempt():
+            self._may_have_run = True
+        self._last_answer = None
+        self._fail(code, text, retry_after_ms)
 
     def cancel(self):
         """Cancel the request because its caller disconnected."""
@@ -269,12 +273,7 @@
         return self.ended
 
     def _on_deadline(self):
-        if self.ended:
-            return
-        if self._cancel_attempt():
-            self._may_have_run = True
-        self._last_answer = None
-        self._fail('deadline_exceeded', 'the deadline has passed')
+        self.give_up('deadline_exceeded', 'the deadline has passed')
 
     def _cancel_attempt(self):
         """Cancel the attempt; return whether it may have reached its server."""
@@ -327,30 +326,6 @@
         self._context.record_end(self, outcome, code)
 
 
-class AnswerReading:
-    """Pauses and resumes reading the answer of a flow from its server."""
-
-    __slots__ = ('_flow',)
-
-    def __init__(self, flow):
-        """Create the control.
-
-        Args:
-          flow: A ForwardFlow.
-        """
-        self._flow = flow
-
-    def pause_reading(self):
-        """Stop reading, since the caller reads too slowly."""
-        if self._flow.attempt is not None:
-            self._flow.attempt.pause_reading()
-
-    def resume_reading(self):
-        """Read again."""
-        if self._flow.attempt is not None:
-            self._flow.attempt.resume_reading()
-
-
 def _is_new(event, last_event_id):
     if event.number is None or last_event_id is None:
         return True
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -16,6 +16,8 @@
 from crankchute.core.permit_lending import NoLending
 from crankchute.core.prompt_admission import OVERLOADED
 from crankchute.core.relay import choose_relay, relay_stalled_at_ms
+from crankchute.core.request_placement import choose_isolated
+from crankchute.core.shutdown_admission import ShutdownAdmission
 from crankchute.core.sliding_budget import RetryBudgets
 from crankchute.ports.forwarding import MOVED
 
@@ -32,6 +34,7 @@
       paths: The ServerPaths.
       find_chooser: A function that maps a pool name to a Chooser or None.
       flows: The ForwardFlows in progress, a set.
+      shutdown: The ShutdownAdmission.
     """
 
     def __init__(self, ports, limits, ended_counter='requests_ended'):
@@ -49,6 +52,7 @@
         self._budgets = RetryBudgets(limits)
         self.flows = set()
         self._hints = ports.hints
+        self.shutdown = ShutdownAdmission(self, ports.hints)
         self._record_moved = ports.record_moved
         self._reservations = ports.reservations
         self.crash_detector = CrashDetector(
@@ -138,25 +142,26 @@
         Returns:
           A Placement, or a Refusal.
         """
-        chooser = self.find_chooser(flow.job.pool)
+        refusal = self.shutdown.find_refusal(flow)
+        if refusal is not None:
+            return refusal
+        job = flow.job
+        chooser = self.find_chooser(job.pool)
         if chooser is None:
-            return refuse_not_run(
-                'no_pool',
-                f'there is no pool {flow.job.pool!r}',
-            )
-        refusal = self.crash_detector.find_refusal(flow.job)
+            return refuse_not_run('no_pool', f'there is no pool {job.pool!r}')
+        refusal = self.crash_detector.find_refusal(job)
         if refusal is not None:
             return refusal
-        if self.paths.is_lost(flow.job.pool):
-            return choose_relay(self.paths, flow.job, avoided)
-        if self.crash_detector.is_suspect(flow.job):
-            choice = choose_isolated(chooser, flow.job, avoided)
+        if self.paths.is_lost(job.pool):
+            return choose_relay(self.paths, job, avoided)
+        if self.crash_detector.is_suspect(job):
+            choice = choose_isolated(chooser, job, avoided)
         else:
-            choice = chooser.choose(flow.job, avoided)
+            choice = chooser.choose(job, avoided)
         if isinstance(choice, Placement):
-            chooser.record_sent(flow.job, choice)
+            chooser.record_sent(job, choice)
         elif choice.inputs is not None:
-            record_not_admitted(self.journal, self.metrics, flow.job, choice)
+            record_not_admitted(self.journal, self.metrics, job, choice)
         return choice
 
     def stalled_at_ms(self, flow, attempt):
@@ -282,6 +287,8 @@
         self.metrics.observe_request(flow.job.pool, waited_ms)
         if outcome == Outcome.NOT_RUN:
             self.metrics.count('refusals', code)
+        elif outcome == Outcome.OK:
+            self.shutdown.record_answered(flow.job, waited_ms)
         self.journal.log_end(flow, outcome, code)
 
 
@@ -326,25 +333,6 @@
     return 'connection_lost' if exc.connection_lost else 'no_answer'
 
 
-def choose_isolated(chooser, job, avoided):
-    """Choose a server for a request that is suspected of crashing servers.
-
-    An idle server is preferred: if it crashes as well, no other request is
-    interrupted, and no other request can be the cause.
-
-    Args:
-      chooser: A Chooser.
-      job: A ForwardJob.
-      avoided: A set of ids of excluded servers.
-    Returns:
-      A Placement, or a Refusal.
-    """
-    isolated = chooser.choose(job, avoided | chooser.list_busy())
-    if isinstance(isolated, Placement):
-        return isolated
-    return chooser.choose(job, avoided)
-
-
 class ForwarderPorts:
     """The dependencies of a Forwarder."""
 
--- a/crankchute/core/relay.py
+++ b/crankchute/core/relay.py
@@ -4,6 +4,7 @@
 
 from crankchute.core.forward_job import RelayPlacement, RetryMode
 from crankchute.core.outcomes import Outcome, refuse_not_run
+from crankchute.core.shutdown_admission import STOPPING
 
 #: Refusal code: no known instance reaches the backend servers.
 NO_PATH = 'no_path'
@@ -51,7 +52,8 @@
     """
     if refusal.outcome != Outcome.NOT_RUN:
         return RelayOutcome.FAILED
-    if refusal.code == NO_PATH:
+    is_elsewhere = refusal.code == STOPPING and not was_sent
+    if is_elsewhere or refusal.code == NO_PATH:
         return RelayOutcome.ELSEWHERE
     return RelayOutcome.REJECTED if was_sent else RelayOutcome.REFUSED
 
--- a/crankchute/core/relay_test.py
+++ b/crankchute/core/relay_test.py
@@ -9,6 +9,7 @@
     make_job,
 )
 from crankchute.core.forward_job import RelayOrigin, RelayPlacement, RetryMode
+from crankchute.core.shutdown_admission import STOPPING
 from crankchute.core.outcomes import Outcome, Refusal
 from crankchute.core.relay import (
     NO_PATH,
@@ -67,6 +68,9 @@
     [
         (Outcome.NOT_RUN, NO_PATH, False, RelayOutcome.ELSEWHERE),
         (Outcome.NOT_RUN, NO_PATH, True, RelayOutcome.ELSEWHERE),
+        (Outcome.NOT_RUN, STOPPING, False, RelayOutcome.ELSEWHERE),
+        (Outcome.NOT_RUN, STOPPING, True, RelayOutcome.REJECTED),
+        (Outcome.FAILED, STOPPING, True, RelayOutcome.FAILED),
         (Outcome.NOT_RUN, 'crowded', False, RelayOutcome.REFUSED),
         (Outcome.NOT_RUN, 'full', True, RelayOutcome.REJECTED),
         (Outcome.UNKNOWN, 'backend_failed', True, RelayOutcome.FAILED),
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -164,7 +164,7 @@
         self._is_connected = wiring.port.is_connected
         self._choosers = {}
         self._has_server_list = False
-        self.shutdown = Shutdown(self, lambda: self._limits)
+        self.shutdown = Shutdown(self)
         self.journal = ForwardJournal(self.holder, self.timers.clock)
         self._reservations = ReservationManager(
             wiring.reservations,
@@ -242,7 +242,7 @@
             return
         self._enter_phase(DRAINING)
         self.peers.announce(is_serving=False)
-        self.shutdown.start()
+        self.shutdown.start(self._limits)
 
     def record_listed(self):
         """Record that the list of backend servers is known, even if empty."""
--- a/crankchute/entry/shutdown.py
+++ b/crankchute/entry/shutdown.py
@@ -1,15 +1,13 @@
 """The graceful shutdown of an instance that forwards requests."""
 
+from crankchute.adapters.log import log_change
 from crankchute.adapters.shutdown_log import (
     log_ended_by_stop,
     log_stopped,
     log_stopping,
 )
+from crankchute.core.shutdown_admission import STOPPING, ShutdownSchedule
 
-#: Some callers keep an address response for three times its time to live.
-_ADDRESS_TTL_FACTOR = 3
-#: Part of the grace period reserved for the delivery of the last responses.
-_GRACE_MARGIN_MS = 800
 _CHECK_INTERVAL_MS = 100
 
 
@@ -17,54 +15,93 @@
     """Ends the process once its requests are completed.
 
     Attributes:
-      on_started: Called when the shutdown begins.
-      has_unsent: A function that returns whether bytes of answers are buffered
-        for callers, or None.
+      host: The ShutdownHost; set by the host before the shutdown.
     """
 
-    def __init__(self, node, read_limits):
+    def __init__(self, node):
         """Create the component; start() begins the shutdown.
 
         Args:
           node: The ForwardNode.
-          read_limits: A function that returns the ForwardLimits.
         """
         self._node = node
-        self._read_limits = read_limits
-        self._started_ms = None
         self._timer = None
-        self.on_started = None
-        self.has_unsent = None
+        self.host = ShutdownHost()
 
-    def start(self):
-        """Begin the shutdown."""
+    def start(self, limits):
+        """Begin the shutdown; later calls of this and of reload do nothing.
+
+        Args:
+          limits: The ForwardLimits.
+        """
         node = self._node
-        self._started_ms = node.now_ms()
-        log_stopping(self._read_limits().grace_ms, node.desk.flows)
+        node.desk.shutdown.schedule = ShutdownSchedule(
+            node.now_ms(), limits.grace_ms, limits.address_ttl_ms
+        )
+        log_stopping(limits.grace_ms, node.desk.flows)
         self._timer = node.timers.every(_CHECK_INTERVAL_MS, self._check)
-        if self.on_started is not None:
-            self.on_started()
+        self.host.on_started()
 
     def _check(self):
-        limits = self._read_limits()
-        elapsed_ms = self._node.now_ms() - self._started_ms
-        grace_ms = limits.grace_ms - _GRACE_MARGIN_MS
-        cached_addresses_ms = limits.address_ttl_ms * _ADDRESS_TTL_FACTOR
-        if elapsed_ms < min(cached_addresses_ms, grace_ms):
+        desk = self._node.desk
+        schedule = desk.shutdown.schedule
+        now_ms = self._node.now_ms()
+        if now_ms >= schedule.end_ms:
+            self._end_requests()
+        else:
+            self._refuse_waiting()
+        has_unsent = self.host.has_unsent()
+        if desk.in_progress or now_ms < schedule.known_ms:
             return
-        if elapsed_ms < grace_ms and self._node.desk.in_progress:
+        if has_unsent and now_ms < schedule.exit_ms:
             return
-        self._stop(elapsed_ms)
+        if desk.shutdown.is_closed:
+            self._stop(now_ms - schedule.started_ms, has_unsent=has_unsent)
+        else:
+            self._close()
+
+    def _close(self):
+        """Refuse all requests; those already on their way are read first."""
+        self._node.desk.shutdown.is_closed = True
+        log_change('stopping_closed', in_progress=self._node.desk.in_progress)
+
+    def _refuse_waiting(self):
+        """Refuse requests that wait for a server for too long."""
+        desk = self._node.desk
+        for flow in tuple(desk.flows):
+            refusal = desk.shutdown.find_refusal(flow)
+            if refusal is not None:
+                flow.give_up(refusal.code, refusal.text, refusal.retry_after_ms)
+
+    def _end_requests(self):
+        """End the requests in progress, so that callers learn what is true."""
+        desk = self._node.desk
+        started_ms = desk.shutdown.schedule.started_ms
+        if not desk.shutdown.is_closed:
+            self._close()
+        for flow in tuple(desk.flows):
+            log_ended_by_stop(flow, started_ms)
+            flow.give_up(STOPPING, 'this instance is shutting down')
 
-    def _stop(self, elapsed_ms):
+    def _stop(self, elapsed_ms, *, has_unsent):
         node = self._node
-        for flow in node.desk.flows:
-            log_ended_by_stop(flow, self._started_ms)
-        log_stopped(
-            elapsed_ms,
-            node.desk.in_progress,
-            has_unsent=self.has_unsent is not None and self.has_unsent(),
-        )
+        self._timer.cancel()
+        self.host.refuse_unread()
+        log_stopped(elapsed_ms, node.desk.in_progress, has_unsent=has_unsent)
         node.peers.stop()
         if node.on_stopped is not None:
             node.on_stopped()
+
+
+class ShutdownHost:
+    """What the host of a ForwardNode does in a shutdown; here nothing."""
+
+    def on_started(self):
+        """Prepare for the shutdown."""
+
+    def has_unsent(self):
+        """Return whether bytes of answers are buffered for callers."""
+        return False
+
+    def refuse_unread(self):
+        """Refuse the requests that have not been read completely."""
--- a/crankchute/platform/answers.py
+++ b/crankchute/platform/answers.py
@@ -2,8 +2,8 @@
 
 from http import HTTPStatus
 
-from crankchute.adapters.forward_server import write_retry_after
-from crankchute.core.forward_flow import AnswerReading
+from crankchute.adapters.retry_after import list_retry_after
+from crankchute.core.answer_reading import AnswerReading
 from crankchute.core.outcomes import Outcome
 from crankchute.ports.forwarding import AnswerSink
 
@@ -48,9 +48,7 @@
         if self._exchange.started:
             self._exchange.abort()
             return
-        headers = []
-        if refusal.retry_after_ms is not None:
-            headers.append(write_retry_after(refusal.retry_after_ms))
+        headers = list_retry_after(refusal.retry_after_ms)
         self._exchange.reply_json(
             http_status_of(refusal),
             {'error': refusal.code, 'message': refusal.text},
--- a/crankchute/platform/caller_servers.py
+++ b/crankchute/platform/caller_servers.py
@@ -1,22 +1,29 @@
 """The servers of an instance for callers and for relayed requests."""
 
+from http import HTTPStatus
+
+from crankchute.core.shutdown_admission import STOPPING
+from crankchute.entry.shutdown import ShutdownHost
 from crankchute.platform.instance_limits import make_intake_limits
+from crankchute.errors import RequestRefused
 
 
-class CallerServers:
+class CallerServers(ShutdownHost):
     """Configures several ForwardServers together.
 
     Attributes:
       servers: The ForwardServers, a list.
     """
 
-    def __init__(self, servers):
+    def __init__(self, servers, early_requests):
         """Create the group.
 
         Args:
           servers: ForwardServers.
+          early_requests: The EarlyRequests.
         """
         self.servers = list(servers)
+        self._early_requests = early_requests
 
     def apply_limits(self, request_limits):
         """Apply the limits of a configuration.
@@ -30,11 +37,22 @@
             server.idle_ms = request_limits.idle_timeout_ms
             server.limits = make_intake_limits(request_limits)
 
-    def announce_close(self):
-        """Have all further responses say that their connections close."""
+    def on_started(self):
+        """Announce that connections close, and let no request wait."""
         for server in self.servers:
             server.is_closing = True
+        self._early_requests.record_informed()
 
     def has_unsent(self):
-        """Return whether bytes are buffered for any caller."""
+        """See ShutdownHost."""
         return any(server.has_unsent for server in self.servers)
+
+    def refuse_unread(self):
+        """See ShutdownHost."""
+        refusal = RequestRefused(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            STOPPING,
+            'this instance is shutting down',
+        )
+        for server in self.servers:
+            server.refuse_unread(refusal)
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -116,8 +116,7 @@
         self._backpressure = self._make_backpressure()
         self._listen_all(loop)
         self.node.holder.subscribe(self._on_config)
-        self.node.shutdown.on_started = self._caller_servers.announce_close
-        self.node.shutdown.has_unsent = self._caller_servers.has_unsent
+        self.node.shutdown.host = self._caller_servers
         self.node.on_serving = self._early_requests.record_informed
         self._watch_store()
 
@@ -162,7 +161,8 @@
             self._early_requests.take,
         )
         self._caller_servers = CallerServers(
-            [self._server, *self._listen_for_relays(loop)]
+            [self._server, *self._listen_for_relays(loop)],
+            self._early_requests,
         )
         if self._backpressure is not None:
             for server in self._caller_servers.servers:
--- a/crankchute/platform/standin_stop.py
+++ b/crankchute/platform/standin_stop.py
@@ -4,10 +4,7 @@
 loop.  The clock advances by a fixed step for each iteration of the loop.
 """
 
-import enum
 import socket
-from http import HTTPStatus
-from urllib.parse import parse_qs, urlsplit
 
 import orjson
 
@@ -18,172 +15,25 @@
 from crankchute.platform.node import PlatformNode
 from crankchute.platform.server_entries import POOL_LABEL
 from crankchute.platform.settings import read_settings
-from crankchute.platform.wire import REQUEST_ID, SIGNATURE
-from crankchute.ports.time import Clock
+from crankchute.platform.standin_paced import (
+    Caller,
+    Ending,
+    PacedServer,
+    StepClock,
+)
+from crankchute.platform.wire import REQUEST_ID
 from crankchute.standins.ports import LOOPBACK, pick_ports
 
 _HOST = 'a.example'
 _POOL = 'pool'
 _STEP_MS = 4
 _TICK_S = 0.001
-_IDLE_MS = 60_000
-_EVENT_INTERVAL_MS = 100
-_READ_SIZE = 65_536
+_FINAL_TICKS = 4
+_DEADLINE_MS = 10_000
 #: The time after the signal at which the platform kills the process.
 GRACE_MS = 8000
 
 
-class Ending(enum.Enum):
-    """What a caller received for a request."""
-
-    WHOLE = 'whole'
-    NOT_RUN = 'not run'
-    FAILED = 'failed'
-    #: The connection ended without a complete response.
-    CUT = 'cut'
-
-
-class StepClock(Clock):
-    """A clock that a test advances.
-
-    Attributes:
-      time_ms: The time.
-    """
-
-    def __init__(self):
-        """Start the clock at zero."""
-        self.time_ms = float(0)
-
-    def now_ms(self):
-        """See Clock."""
-        return self.time_ms
-
-
-class PacedServer:
-    """A server that works for as long as each request's query says.
-
-    Attributes:
-      runs: The ids of the requests that it began to process, a set.
-    """
-
-    def __init__(self, loop):
-        """Start the server.
-
-        Args:
-          loop: The Loop.
-        """
-        self._timers = loop.timers
-        self._server = ForwardServer(
-            (LOOPBACK, 0),
-            self._on_request,
-            loop.timers,
-            channel='paced',
-            idle_ms=_IDLE_MS,
-        ).register(loop)
-        self.runs = set()
-
-    @property
-    def address(self):
-        """The address that it listens on, "IP:port"."""
-        return f'{LOOPBACK}:{self._server.port}'
-
-    def _on_request(self, exchange):
-        request_id = exchange.header(REQUEST_ID)
-        self.runs.add(request_id)
-        headers = [(REQUEST_ID, request_id), (SIGNATURE, 'signed')]
-        target = urlsplit(exchange.target)
-        takes_ms = int(parse_qs(target.query)['ms'][0])
-        if target.path.startswith('/stream/'):
-            exchange.start(HTTPStatus.OK, headers)
-            self._send_event(exchange, takes_ms, 0)
-            return
-        timer = self._timers.after(
-            takes_ms, lambda: exchange.reply(HTTPStatus.OK, b'done', headers)
-        )
-        exchange.on_gone = timer.cancel
-
-    def _send_event(self, exchange, left_ms, number):
-        exchange.send(b'id: %d\ndata: piece\n\n' % number)
-        if left_ms <= 0:
-            exchange.finish()
-            return
-        pause_ms = min(left_ms, _EVENT_INTERVAL_MS)
-        timer = self._timers.after(
-            pause_ms,
-            lambda: self._send_event(exchange, left_ms - pause_ms, number + 1),
-        )
-        exchange.on_gone = timer.cancel
-
-
-class Caller:
-    """A request of a caller.
-
-    Attributes:
-      request_id: The request's id, a string.
-      sent_ms: When it was sent, in milliseconds after the signal.
-      ending: An Ending, or None while the caller waits.
-      status: The HTTP status, an int, or None.
-      reads: Whether the caller reads what arrives, a bool.
-    """
-
-    def __init__(self, sock, request_id, sent_ms):
-        """Wait for the response to a request.
-
-        Args:
-          sock: The connection on which it was sent.
-          request_id: A string.
-          sent_ms: See the class.
-        """
-        self.sock = sock
-        self.request_id = request_id
-        self.sent_ms = sent_ms
-        self.ending = None
-        self.status = None
-        self.reads = True
-        self._received = b''
-
-    @property
-    def keeps_connection(self):
-        """Whether the connection can be used again, a bool."""
-        return self.ending != Ending.CUT and b'\r\nConnection: close' not in (
-            self._received
-        )
-
-    def poll(self):
-        """Read what has arrived."""
-        if self.ending is not None or not self.reads:
-            return
-        try:
-            chunk = self.sock.recv(_READ_SIZE)
-        except BlockingIOError:
-            return
-        except OSError:
-            chunk = b''
-        self._received += chunk
-        if self._is_complete():
-            self.status = int(self._received.split(b' ', 2)[1])
-            self.ending = _classify(self.status)
-        elif not chunk:
-            self.ending = Ending.CUT
-
-    def _is_complete(self):
-        head, separator, body = self._received.partition(b'\r\n\r\n')
-        if not separator:
-            return False
-        if b'Transfer-Encoding' in head:
-            return body.endswith(b'0\r\n\r\n')
-        length = head.split(b'Content-Length: ')[1].split(b'\r\n')[0]
-        return len(body) >= int(length)
-
-
-def _classify(status):
-    if status == HTTPStatus.OK:
-        return Ending.WHOLE
-    if status == HTTPStatus.SERVICE_UNAVAILABLE:
-        return Ending.NOT_RUN
-    return Ending.FAILED
-
-
 class StoppingInstance:
     """An instance with one server, and its callers.
 
@@ -227,6 +77,14 @@
             self._stopped_at_ms = self.clock.time_ms
         self.node.stop()
 
+    def reload(self, grace_ms):
+        """Deliver the signal of changed settings.
+
+        Args:
+          grace_ms: The new grace period.
+        """
+        self.platform.reload(_make_settings(grace_ms))
+
     def connect(self):
         """Return a connection to the instance, None if it is refused."""
         sock = socket.socket()
@@ -238,15 +96,14 @@
         sock.setblocking(False)
         return sock
 
-    def send(self, target, *, sock=None, deadline_ms=10_000, body=b''):
+    def send(self, target, *, sock=None, missing=0):
         """Send a request.
 
         Args:
           target: `/once/`, `/again/` or `/stream/`, with `?ms=` and how long
-            the server works.
+            the server works, and optionally `&size=` of a plain answer.
           sock: The connection; a new one by default.
-          deadline_ms: For how long the caller waits.
-          body: Bytes.
+          missing: How many bytes of the body are not sent.
         Returns:
           The Caller, or None if the connection is refused.
         """
@@ -259,11 +116,11 @@
             f'POST {target} HTTP/1.1',
             f'Host: {_HOST}',
             f'{REQUEST_ID}: {caller.request_id}',
-            f'X-Crankchute-Deadline-Ms: {deadline_ms}',
-            f'Content-Length: {len(body)}',
+            f'X-Crankchute-Deadline-Ms: {_DEADLINE_MS}',
+            f'Content-Length: {missing}',
             '\r\n',
         )
-        sock.sendall('\r\n'.join(lines).encode() + body)
+        sock.sendall('\r\n'.join(lines).encode())
         return caller
 
     def since_stop_ms(self):
@@ -282,23 +139,32 @@
         ]
 
     def _advance(self):
-        for caller in self.requests:
-            caller.poll()
+        self._poll()
         if self._has_stopped and self.ended_ms is None:
             self._end_process()
         self.clock.time_ms += _STEP_MS
         return self.clock.time_ms
 
+    def _poll(self):
+        for caller in self.requests:
+            caller.poll()
+
     def _on_stopped(self):
         self._has_stopped = True
 
     def _end_process(self):
         """End all connections, as the system does for a process that ends."""
         self.ended_ms = self.since_stop_ms()
+        # A loop that stops still handles what it has read from the poller.
+        self.loop._running = False  # noqa: SLF001, WPS437
+        for _ in range(_FINAL_TICKS):
+            self.loop.tick(0)
+        self.loop._running = True  # noqa: SLF001, WPS437
         for component in tuple(self.loop.components):
             if isinstance(component, ForwardServer):
                 _close_all(component)
         _close_all(self.platform.http_client.hub)
+        self._poll()
 
     def _configure(self):
         config = {
@@ -342,14 +208,14 @@
         'path-prefix': prefix,
         'kind': kind,
         'service': _POOL,
-        'timeout-ms': 10_000,
+        'timeout-ms': _DEADLINE_MS,
         'target-latency-ms': 300,
         'gap_aim_ms': 1000,
         'max-attempts': 2,
     }
 
 
-def _make_settings():
+def _make_settings(grace_ms=GRACE_MS):
     *ports, metrics_port = pick_ports(4)
     callers, readiness, control = (f'{LOOPBACK}:{port}' for port in ports)
     settings = read_settings(
@@ -363,7 +229,7 @@
                 'readiness': readiness,
                 'control': control,
             },
-            'bounds': {'grace-s': GRACE_MS / 1000},
+            'bounds': {'grace-s': grace_ms / 1000},
             'platform': {'address': f'{LOOPBACK}:1'},
         }
     )
