--- a/crankchute/platform/answers.py
+++ b/crankchute/platform/answers.py
@@ -2,8 +2,9 @@
 
 from http import HTTPStatus
 
-from crankchute.adapters.forward_server import write_retry_after
 from crankchute.adapters.log import log_change
+from crankchute.adapters.retry_after import list_retry_after
+from crankchute.core.answer_reading import AnswerReading
 from crankchute.core.outcomes import Outcome
 from crankchute.platform.wire import REQUEST_ID
 from crankchute.ports.forwarding import AnswerSink
@@ -50,9 +51,7 @@
         if self._exchange.started:
             self._exchange.abort()
             return
-        headers = []
-        if refusal.retry_after_ms is not None:
-            headers.append(write_retry_after(refusal.retry_after_ms))
+        headers = list_retry_after(refusal.retry_after_ms)
         self._exchange.reply_json(
             http_status_of(refusal),
             {'error': refusal.code, 'message': refusal.text},
@@ -90,6 +89,20 @@
         )
 
 
+def attach_flow(exchange, flow):
+    """Connect an exchange to the flow that answers it.
+
+    Args:
+      exchange: A ForwardExchange.
+      flow: A ForwardFlow.
+    """
+    if flow.ended:
+        return
+    exchange.on_gone = flow.cancel
+    exchange.request_id = flow.job.request_id
+    exchange.source = AnswerReading(flow)
+
+
 def http_status_of(refusal):
     """Return the HTTP status of a refusal.
 
