Log what could take the place of an attempt whose server is silent

Lines of the record end attempts with "the backend server fell silent" and one attempt made, and do not say whether another one was possible. Each such attempt now has a line attempt_silent and counts under silent_attempts: sent elsewhere, or not since the attempts are used up, servers crashed with the request, the budget is empty, or no other server can be expected to answer. A server can if it was heard from within 250 ms; if none was, an idle one.

No decision changes. The breaker of a server keeps when it was last heard from.

--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -1,10 +1,14 @@
 """Structured logging of the decisions about forwarded requests."""
 
 from crankchute.adapters.log import log_change
+from crankchute.adapters.path_journal import PathJournal
 from crankchute.core.outcomes import Outcome
 
+#: How many servers a line names that could take the place of another one.
+_MAX_SERVERS_LOGGED = 4
 
-class ForwardJournal:
+
+class ForwardJournal(PathJournal):
     """Logs each decision with its inputs and their age."""
 
     def __init__(self, holder, clock):
@@ -129,6 +133,30 @@
             events=flow.forwarded_events,
         )
 
+    def log_silent(self, flow, attempt, alternatives):
+        """Log what becomes of an attempt whose server fell silent.
+
+        Args:
+          flow: The ForwardFlow.
+          attempt: The Attempt.
+          alternatives: The Alternatives.
+        """
+        log_change(
+            'attempt_silent',
+            failed=True,
+            request=flow.job.request_id,
+            server=attempt.backend.identity,
+            number=flow.attempts,
+            verdict=alternatives.verdict.value,
+            silent_ms=_round(flow.now_ms() - attempt.last_event_ms),
+            heard_ms_ago=_round(
+                _elapsed_ms(flow.now_ms(), attempt.backend.breaker.heard_ms)
+            ),
+            usable=alternatives.usable,
+            responsive=alternatives.responsive[:_MAX_SERVERS_LOGGED],
+            remaining_ms=_round(flow.job.remaining_ms(flow.now_ms())),
+        )
+
     def log_crash(self, backend, fingerprints):
         """Log that a server crashed.
 
@@ -144,45 +172,6 @@
             fingerprints=[write_fingerprint(one) for one in fingerprints],
         )
 
-    def log_paths_lost(self, pool, servers, instances):
-        """Log that only other instances reach the servers of a pool.
-
-        Args:
-          pool: The pool's name.
-          servers: The Backends to which this instance tried to connect.
-          instances: The ids of instances that reach one of them.
-        """
-        log_change(
-            'paths_lost',
-            failed=True,
-            pool=pool,
-            servers=[one.identity for one in servers],
-            reached_by=instances,
-        )
-
-    def log_servers_down(self, pool, servers):
-        """Log that no instance that was asked reaches some servers.
-
-        Args:
-          pool: The name of their pool.
-          servers: The Backends.
-        """
-        log_change(
-            'servers_down',
-            failed=True,
-            pool=pool,
-            servers=[one.identity for one in servers],
-        )
-
-    def log_paths_restored(self, pool, lost_for_ms):
-        """Log that this instance reaches the servers of a pool again.
-
-        Args:
-          pool: The pool's name.
-          lost_for_ms: For how long it relayed requests.
-        """
-        log_change('paths_restored', pool=pool, lost_for_ms=_round(lost_for_ms))
-
     def log_notice(self, backend, notice):
         """Log the state that a server reported in a response.
 
@@ -322,7 +311,9 @@
 
 
 def _elapsed_ms(end_ms, start_ms):
-    return None if end_ms is None else end_ms - start_ms
+    if end_ms is None or start_ms is None:
+        return None
+    return end_ms - start_ms
 
 
 def _round(number):
--- a/crankchute/adapters/metrics.py
+++ b/crankchute/adapters/metrics.py
@@ -26,6 +26,7 @@
     ('relays_taken', 'Requests relayed by other instances.', None),
     ('retries', 'Attempts repeated after a failure.', None),
     ('retries_denied', 'Retries that the budget did not allow.', None),
+    ('silent_attempts', 'Attempts with a silent server.', 'verdict'),
     ('requests_held', 'Requests found to crash servers.', None),
     ('reservations', 'Memory reservations at single engines.', 'outcome'),
     ('renewals_lost', 'Reservations that could not be renewed.', None),
--- a/crankchute/core/attempt_context.py
+++ b/crankchute/core/attempt_context.py
@@ -37,6 +37,15 @@
         """
         return flow.job.deadline_ms
 
+    def handle_silence(self, flow, attempt):
+        """Decide what becomes of an attempt whose server fell silent.
+
+        Args:
+          flow: A ForwardFlow.
+          attempt: The Attempt.
+        """
+        attempt.fail_stalled()
+
     def record_load(self, flow, attempt, load):
         """Record the ReportedLoad that a server reported with its answer."""
 
--- a/crankchute/core/attempt_watchdog.py
+++ b/crankchute/core/attempt_watchdog.py
@@ -73,7 +73,7 @@
                 checks.append((late_ms, self._record_late))
         stalled_ms = self._stalled_at_ms()
         if stalled_ms is not None:
-            checks.append((stalled_ms, self._attempt.fail_stalled))
+            checks.append((stalled_ms, self._handle_silence))
         return checks
 
     def _stalled_at_ms(self):
@@ -104,6 +104,9 @@
         self._context.record_late(self._flow, self._attempt)
         self.arm()
 
+    def _handle_silence(self):
+        self._context.handle_silence(self._flow, self._attempt)
+
     def _on_timer(self):
         self._timer = None
         if not self._attempt.is_closed:
--- a/crankchute/core/breaker.py
+++ b/crankchute/core/breaker.py
@@ -11,9 +11,20 @@
 
 
 class Breaker:
-    """The circuit breaker of one backend server."""
+    """The circuit breaker of one backend server.
 
-    __slots__ = ('_failures', '_has_trial', '_pause_ms', '_retry_at_ms')
+    Attributes:
+      heard_ms: When the server last sent anything in answer to a request of
+        this instance, or None.
+    """
+
+    __slots__ = (
+        '_failures',
+        '_has_trial',
+        '_pause_ms',
+        '_retry_at_ms',
+        'heard_ms',
+    )
 
     def __init__(self):
         """Create a closed breaker."""
@@ -21,6 +32,7 @@
         self._pause_ms = _INITIAL_PAUSE_MS
         self._retry_at_ms = None
         self._has_trial = False
+        self.heard_ms = None
 
     @property
     def is_open(self):
@@ -41,6 +53,14 @@
         """Record that a request was sent; it is a trial if the breaker is open."""
         self._has_trial = self.is_open
 
+    def record_heard(self, now_ms):
+        """Record that the server sent something; it may not be a success.
+
+        Args:
+          now_ms: The time in milliseconds.
+        """
+        self.heard_ms = now_ms
+
     def record_success(self):
         """Close the breaker: the server answered."""
         self._failures = 0
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -178,12 +178,14 @@
         """See AttemptListener."""
         if self.is_closed:
             return
+        self._record_heard()
         self._head = head
         if head.load is not None:
             self._context.record_load(self._flow, self, head.load)
 
     def on_body(self, chunk):
         """See AttemptListener."""
+        self._record_heard()
         self._body.append(chunk)
         self._collected += len(chunk)
         self._flow.record_collected(self._collected)
@@ -209,6 +211,7 @@
     def on_not_run(self, rejection):
         """See AttemptListener."""
         if self._close():
+            self._record_heard()
             self.backend.breaker.record_abandoned()
             self._flow.on_attempt_not_run(self, rejection)
 
@@ -220,7 +223,11 @@
             )
             self._flow.on_attempt_failed(self, exc)
 
+    def _record_heard(self):
+        self.backend.breaker.record_heard(self._context.now_ms())
+
     def _record_event(self):
+        self._record_heard()
         now_ms = self._context.now_ms()
         if self.first_ms is None:
             self.first_ms = now_ms
--- a/crankchute/core/forward_fakes.py
+++ b/crankchute/core/forward_fakes.py
@@ -242,12 +242,14 @@
     Attributes:
       ends: The outcome codes of requests, a list.
       memory_events: Tuples of an event's name and its main values, a list.
+      silences: The Verdicts on silent attempts, a list.
     """
 
     def __init__(self):
         """Create the journal without entries."""
         self.ends = []
         self.memory_events = []
+        self.silences = []
 
     def log_request(self, job):
         """See ForwardJournal."""
@@ -261,6 +263,10 @@
     def log_attempt_end(self, flow, attempt, cause):
         """See ForwardJournal."""
 
+    def log_silent(self, flow, attempt, alternatives):
+        """See ForwardJournal."""
+        self.silences.append(alternatives.verdict)
+
     def log_crash(self, backend, fingerprints):
         """See ForwardJournal."""
 
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -327,30 +327,6 @@
         self._context.record_end(self, outcome, code)
 
 
-class AnswerReading:
-    """Pauses and resumes reading the answer of a flow from its server."""
-
-    __slots__ = ('_flow',)
-
-    def __init__(self, flow):
-        """Create the control.
-
-        Args:
-          flow: A ForwardFlow.
-        """
-        self._flow = flow
-
-    def pause_reading(self):
-        """Stop reading, since the caller reads too slowly."""
-        if self._flow.attempt is not None:
-            self._flow.attempt.pause_reading()
-
-    def resume_reading(self):
-        """Read again."""
-        if self._flow.attempt is not None:
-            self._flow.attempt.resume_reading()
-
-
 def _is_new(event, last_event_id):
     if event.number is None or last_event_id is None:
         return True
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -16,6 +16,8 @@
 from crankchute.core.permit_lending import NoLending
 from crankchute.core.prompt_admission import OVERLOADED
 from crankchute.core.relay import choose_relay, relay_stalled_at_ms
+from crankchute.core.request_placement import choose_isolated
+from crankchute.core.silent_attempts import SilentAttempts
 from crankchute.core.sliding_budget import RetryBudgets
 from crankchute.ports.forwarding import MOVED
 
@@ -32,6 +34,7 @@
       paths: The ServerPaths.
       find_chooser: A function that maps a pool name to a Chooser or None.
       flows: The ForwardFlows in progress, a set.
+      budgets: The RetryBudgets.
     """
 
     def __init__(self, ports, limits, ended_counter='requests_ended'):
@@ -46,7 +49,7 @@
         self._ended_counter = ended_counter
         self._timers = ports.timers
         self.find_chooser = ports.find_chooser
-        self._budgets = RetryBudgets(limits)
+        self.budgets = RetryBudgets(limits)
         self.flows = set()
         self._hints = ports.hints
         self._record_moved = ports.record_moved
@@ -59,6 +62,7 @@
             confirm=lambda *args: self.paths.confirm_crash(*args),
         )
         self.lending = NoLending()
+        self._silent_attempts = SilentAttempts(self)
         self.port = ports.forward
         self.metrics = ports.metrics
         self.journal = ports.journal
@@ -80,7 +84,7 @@
         self.journal.log_request(job)
         if job.relay is None:
             # A relayed request counts at the instance that retries it.
-            self._budgets.of(job).record_request(self.now_ms())
+            self.budgets.of(job).record_request(self.now_ms())
         flow = ForwardFlow(job, self, sink)
         self.flows.add(flow)
         flow.start()
@@ -94,7 +98,7 @@
         Args:
           count: An int.
         """
-        self._budgets.record_instances(count)
+        self.budgets.record_instances(count)
 
     def record_restarted(self, backend):
         """End the attempts at a server that restarted.
@@ -108,14 +112,6 @@
                 text = f'{backend.identity} started again'
                 attempt.end_lost(backend, text)
 
-    def change_limits(self, limits):
-        """Change the retry limits without resetting the usage.
-
-        Args:
-          limits: RetryLimits.
-        """
-        self._budgets.change_limits(limits)
-
     def now_ms(self):
         """Return the current time on this process's clock."""
         return self._timers.clock.now_ms()
@@ -175,9 +171,14 @@
             return flow.job.deadline_ms
         return chooser.overdue_at_ms(flow.job, attempt)
 
+    def handle_silence(self, flow, attempt):
+        """See AttemptContext; the alternatives are logged."""
+        self._silent_attempts.record(flow, attempt)
+        super().handle_silence(flow, attempt)
+
     def take_retry(self, job):
         """Take a retry from the pool's budget; return False if empty."""
-        taken = self._budgets.of(job).take(self.now_ms())
+        taken = self.budgets.of(job).take(self.now_ms())
         self.metrics.count('retries' if taken else 'retries_denied')
         return taken
 
@@ -326,25 +327,6 @@
     return 'connection_lost' if exc.connection_lost else 'no_answer'
 
 
-def choose_isolated(chooser, job, avoided):
-    """Choose a server for a request that is suspected of crashing servers.
-
-    An idle server is preferred: if it crashes as well, no other request is
-    interrupted, and no other request can be the cause.
-
-    Args:
-      chooser: A Chooser.
-      job: A ForwardJob.
-      avoided: A set of ids of excluded servers.
-    Returns:
-      A Placement, or a Refusal.
-    """
-    isolated = chooser.choose(job, avoided | chooser.list_busy())
-    if isinstance(isolated, Placement):
-        return isolated
-    return chooser.choose(job, avoided)
-
-
 class ForwarderPorts:
     """The dependencies of a Forwarder."""
 
--- a/crankchute/core/paused_attempt_test.py
+++ b/crankchute/core/paused_attempt_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from crankchute.core.forward_fakes import ForwardHarness
-from crankchute.core.forward_flow import AnswerReading
+from crankchute.core.answer_reading import AnswerReading
 from crankchute.core.forward_flow_test import fail, send_events
 from crankchute.core.forward_job import RetryMode
 
--- a/crankchute/core/relay_test.py
+++ b/crankchute/core/relay_test.py
@@ -105,7 +105,7 @@
 def test_relayed_request_counts_for_two_retry_budgets():
     """Only the instance that retries it may count it."""
     harness = ForwardHarness()
-    harness.forwarder.change_limits(
+    harness.forwarder.budgets.change_limits(
         RetryLimits(ratio=1, slack=0, window_ms=10_000)
     )
     for _ in range(4):
--- a/crankchute/core/request_placement.py
+++ b/crankchute/core/request_placement.py
@@ -43,3 +43,22 @@
         chooser.list_without_permit(avoided), on_permit
     ):
         on_choice(choice)
+
+
+def choose_isolated(chooser, job, avoided):
+    """Choose a server for a request that is suspected of crashing servers.
+
+    An idle server is preferred: if it crashes as well, no other request is
+    interrupted, and no other request can be the cause.
+
+    Args:
+      chooser: A Chooser.
+      job: A ForwardJob.
+      avoided: A set of ids of excluded servers.
+    Returns:
+      A Placement, or a Refusal.
+    """
+    isolated = chooser.choose(job, avoided | chooser.list_busy())
+    if isinstance(isolated, Placement):
+        return isolated
+    return chooser.choose(job, avoided)
--- a/crankchute/core/sliding_budget.py
+++ b/crankchute/core/sliding_budget.py
@@ -78,20 +78,28 @@
         self._requests.append(now_ms)
         self._drop_old(now_ms)
 
-    def take(self, now_ms):
-        """Take one retry from the budget.
+    def has_retry(self, now_ms):
+        """Return whether the budget allows a retry, without taking it.
 
         Args:
           now_ms: The time in milliseconds.
-        Returns:
-          True if the retry may be made.
         """
         self._drop_old(now_ms)
         share = self._limits.slack / (
             self._max_instances * _UNSEEN_INSTANCE_FACTOR
         )
         allowed = self._limits.ratio * len(self._requests) + share
-        if len(self._retries) + 1 > allowed * _SAFETY_FACTOR:
+        return len(self._retries) + 1 <= allowed * _SAFETY_FACTOR
+
+    def take(self, now_ms):
+        """Take one retry from the budget.
+
+        Args:
+          now_ms: The time in milliseconds.
+        Returns:
+          True if the retry may be made.
+        """
+        if not self.has_retry(now_ms):
             return False
         self._retries.append(now_ms)
         return True
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -236,7 +236,7 @@
           seeds: Pairs of IP and port.
         """
         self._limits = limits
-        self.desk.change_limits(limits.retries)
+        self.desk.budgets.change_limits(limits.retries)
         self._reservations.change_limits(limits.unused_ms)
         reload_cold_bounds(self, limits.cold)
         self.peers.replace_seeds(seeds)
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -8,7 +8,7 @@
 from crankchute.adapters.log import log_change
 from crankchute.adapters.operator_pages import OperatorPages
 from crankchute.core.admission import make_key_admission
-from crankchute.core.forward_flow import AnswerReading
+from crankchute.core.answer_reading import AnswerReading
 from crankchute.core.freshness_proof import choose_max_age_ms
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.server_notice import ServerNotices
--- a/crankchute/platform/relayed_requests.py
+++ b/crankchute/platform/relayed_requests.py
@@ -6,7 +6,7 @@
 
 from http import HTTPStatus
 
-from crankchute.core.forward_flow import AnswerReading
+from crankchute.core.answer_reading import AnswerReading
 from crankchute.core.forward_job import RelayOrigin
 from crankchute.core.relay import (
     RELAYS_BUSY,
--- a/crankchute/platform/slow_readers_relay_test.py
+++ b/crankchute/platform/slow_readers_relay_test.py
@@ -22,7 +22,7 @@
     make_chooser_parts,
     make_job,
 )
-from crankchute.core.forward_flow import AnswerReading
+from crankchute.core.answer_reading import AnswerReading
 from crankchute.core.forward_job import RetryMode
 from crankchute.core.forwarder import Forwarder, ForwarderPorts
 from crankchute.core.reservations import ReservationManager
