Show requests that fail though their silent servers go on

One, two or all three servers of a pool fall silent for 2.5 s and then answer everything that they have not been told to stop.

--- /dev/null
+++ b/crankchute/core/silent_attempts_test.py
@@ -0,0 +1,182 @@
+"""Tests of requests whose servers fall silent for a while and then go on."""
+
+import itertools
+from functools import partial
+
+import pytest
+
+from crankchute.core.choosers import LeastBusyChooser
+from crankchute.core.engine_chooser import EngineChooser
+from crankchute.core.engine_plans import PlacementKey
+from crankchute.core.forward_fakes import (
+    POOL,
+    FakeForwardPort,
+    ForwardHarness,
+    make_chooser_parts,
+)
+from crankchute.core.forward_job import Placement, RetryMode
+from crankchute.ports.forwarding import AnswerHead, StreamEvent
+
+_SERVERS = 3
+_REQUESTS = 9
+_EVENTS = 20
+_EVENT_MS = 50
+_ANSWER_MS = 60
+#: Longer than any limit on the silence of a server.
+_SILENCE_MS = 2500
+_DEADLINE_MS = 10_000
+_PLAIN = (('answer', 200),)
+_STREAM = (
+    ('head', 200),
+    *(('event', number) for number in range(1, _EVENTS + 1)),
+    ('end', None),
+)
+KINDS = (
+    ('plain', RetryMode.AGAIN, 20),
+    ('plain', RetryMode.ONCE, 20),
+    ('stream', RetryMode.RESUME, 20),
+    ('stream', RetryMode.RESUME, 500),
+    ('stream', RetryMode.ONCE, 20),
+    ('stream', RetryMode.ONCE, 500),
+)
+
+
+class SpreadingChooser(EngineChooser):
+    """Spreads requests evenly; the limits on silence are those of engines."""
+
+    def choose(self, job, avoided):
+        """See Chooser."""
+        usable = self.usable(avoided)
+        if not usable:
+            return self.refuse()
+        chosen = min(usable, key=lambda one: one.in_flight)
+        return Placement(chosen, first_ms=_ANSWER_MS, key=PlacementKey(()))
+
+
+class PausableServers(FakeForwardPort):
+    """Servers that answer every request, later if they are paused.
+
+    Attributes:
+      paused_until_ms: A dict from the ids of paused servers to when they go on.
+      repeats_to_paused: The number of repeated requests that paused servers got.
+    """
+
+    def __init__(self, timers):
+        """Create servers that are not paused."""
+        super().__init__()
+        self._timers = timers
+        self.paused_until_ms = {}
+        self.repeats_to_paused = 0
+
+    def send(self, job, placement, attempt, listener):
+        """See ForwardPort."""
+        call = super().send(job, placement, attempt, listener)
+        is_paused = self._pause_ms(call) > 0
+        self.repeats_to_paused += is_paused and attempt.number > 1
+        if job.is_stream:
+            first = (attempt.resume_after or 0) + 1
+            self._after(_ANSWER_MS, call, partial(self._send_event, first))
+        else:
+            self._after(_ANSWER_MS, call, self._send_answer)
+        return call
+
+    def _pause_ms(self, call):
+        until_ms = self.paused_until_ms.get(call.placement.answering, 0)
+        return until_ms - self._timers.clock.now_ms()
+
+    def _after(self, delay_ms, call, act):
+        """Act after a delay, and not before the server goes on."""
+
+        def act_unless_paused():
+            pause_ms = self._pause_ms(call)
+            if pause_ms > 0:
+                self._timers.after(pause_ms, act_unless_paused)
+            elif not call.cancelled:
+                act(call)
+
+        self._timers.after(delay_ms, act_unless_paused)
+
+    def _send_answer(self, call):
+        call.listener.on_head(AnswerHead(200))
+        call.listener.on_body(b'body')
+        call.listener.on_end()
+
+    def _send_event(self, number, call):
+        if number == 1 or call.order.resume_after == number - 1:
+            call.listener.on_head(AnswerHead(200))
+        if number > _EVENTS:
+            call.listener.on_end()
+            return
+        call.listener.on_event(StreamEvent(number, b'id: 1\n\n'))
+        self._after(_EVENT_MS, call, partial(self._send_event, number + 1))
+
+
+class SilentWorld:
+    """Requests at servers of which some are paused.
+
+    Attributes:
+      harness: The ForwardHarness.
+      servers: The PausableServers.
+      sinks: The FakeSinks of the requests, a list.
+    """
+
+    def __init__(self, kind, slack=100):
+        """Create servers of a kind, "plain" or "stream"."""
+        self.harness = ForwardHarness(_SERVERS, slack)
+        self.timers = self.harness.timers
+        self.servers = PausableServers(self.timers)
+        self.harness.forwarder.port = self.servers
+        parts = make_chooser_parts(self.timers, lambda: self.harness.backends)
+        chooser_class = (
+            SpreadingChooser if kind == 'stream' else LeastBusyChooser
+        )
+        chooser = chooser_class(parts)
+        self.harness.forwarder.find_chooser = {POOL: chooser}.get
+        self.sinks = []
+        self._kind = kind
+        self._numbers = itertools.count()
+
+    def submit(self, count, repeat, max_attempts=2):
+        """Submit requests."""
+        for _ in range(count):
+            now_ms = self.timers.clock.now_ms()
+            _flow, sink = self.harness.submit(
+                request_id=f'r{next(self._numbers)}',
+                repeat=repeat,
+                max_attempts=max_attempts,
+                is_stream=self._kind == 'stream',
+                arrived_ms=now_ms,
+                deadline_ms=now_ms + _DEADLINE_MS,
+            )
+            self.sinks.append(sink)
+
+    def pause(self, count, for_ms=_SILENCE_MS):
+        """Pause servers for a while, the first ones."""
+        until_ms = self.timers.clock.now_ms() + for_ms
+        for backend in self.harness.backends[:count]:
+            self.servers.paused_until_ms[backend.identity] = until_ms
+
+    def list_answers(self):
+        """Return what the callers got, a set of tuples."""
+        return {tuple(sink.events) for sink in self.sinks}
+
+
+@pytest.mark.parametrize('slack', [100, 0])
+@pytest.mark.parametrize('max_attempts', [1, 2])
+@pytest.mark.parametrize(('kind', 'repeat', 'pause_after_ms'), KINDS)
+@pytest.mark.parametrize('silent', [1, 2, 3])
+def test_request_fails_though_its_silent_server_goes_on(
+    silent, kind, repeat, pause_after_ms, max_attempts, slack
+):
+    world = SilentWorld(kind, slack)
+    world.submit(_REQUESTS, repeat, max_attempts)
+    assert {one.in_flight for one in world.harness.backends} == {3}
+    world.timers.advance(pause_after_ms)
+    world.pause(silent)
+    world.timers.advance(_DEADLINE_MS - pause_after_ms)
+    expected = _STREAM if kind == 'stream' else _PLAIN
+    assert world.list_answers() == {expected}
+    assert world.servers.repeats_to_paused == 0
+    may_repeat = repeat != RetryMode.ONCE and max_attempts == 2 and slack
+    repeated = len(world.servers.calls) - _REQUESTS
+    assert repeated == (3 * silent if may_repeat and silent < 3 else 0)
