End silent attempts only if another one can be expected to do better

Callers got a 502 about 900 ms after a plain request was sent, with one attempt made, though the server answered 300 ms later; streams were cut in the same way.

Cause: the limit on silence ended the attempt first, and only then was it asked whether another one may follow. With the attempts used up, the budget empty, or all servers silent nothing was gained: the request failed, or went to the next silent server, which got the work twice.

Now the next server is chosen first. It must have been heard from within 250 ms, or be idle if none was. Otherwise the attempt goes on and is judged again every 250 ms, until its deadline. A retry that is not made is not charged.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -26,6 +26,8 @@
 _HISTORY = 'crankchute/core/crash_history.py'
 _ENDLESS_TEST = 'crankchute/platform/endless_bytes_test.py'
 _RELAYED_TEST = 'crankchute/platform/relayed_requests_test.py'
+_SILENT = 'crankchute/core/silent_attempts.py'
+_SILENT_TEST = 'crankchute/core/silent_attempts_test.py'
 
 
 class Mutation:
@@ -409,6 +411,27 @@
         'if job.relay is None:',
         'if job is not None:',
     ),
+    Mutation(
+        'silence: an attempt ends though none may follow',
+        _SILENT_TEST,
+        _SILENT,
+        'if flow.attempts >= job.max_attempts:',
+        'if flow.attempts > job.max_attempts:',
+    ),
+    Mutation(
+        'silence: a request is sent to one silent server after another',
+        _SILENT_TEST,
+        _SILENT,
+        'return heard or [one for one in backends if not one.in_flight]',
+        'return heard or list(backends)',
+    ),
+    Mutation(
+        'silence: servers that hang keep getting requests',
+        _SILENT_TEST,
+        'crankchute/core/fleet.py',
+        'self.breaker.record_failure(now_ms)\n\n    def record_overdue',
+        'self.breaker.record_abandoned()\n\n    def record_overdue',
+    ),
     Mutation(
         'paths: a proxy makes several attempts',
         _RELAYED_TEST,
--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -4,7 +4,7 @@
 from crankchute.adapters.path_journal import PathJournal
 from crankchute.core.outcomes import Outcome
 
-#: How many servers a line names that could take the place of another one.
+#: How many servers a line names that may take the place of another one.
 _MAX_SERVERS_LOGGED = 4
 
 
@@ -152,8 +152,8 @@
             heard_ms_ago=_round(
                 _elapsed_ms(flow.now_ms(), attempt.backend.breaker.heard_ms)
             ),
-            usable=alternatives.usable,
             responsive=alternatives.responsive[:_MAX_SERVERS_LOGGED],
+            silent=alternatives.silent[:_MAX_SERVERS_LOGGED],
             remaining_ms=_round(flow.job.remaining_ms(flow.now_ms())),
         )
 
--- a/crankchute/core/attempt_watchdog.py
+++ b/crankchute/core/attempt_watchdog.py
@@ -3,6 +3,8 @@
 #: The part of the time until a first event is overdue after which it is late.
 #: A late event says nothing of the server, but the path to it is checked.
 _LATE_SHARE = 0.5
+#: How often a silent attempt is judged again.
+_JUDGE_INTERVAL_MS = 250
 
 
 class AttemptWatchdog:
@@ -12,15 +14,18 @@
       is_late: Whether the first event was late, a bool.
       is_overdue: Whether it was so late that the server may have failed, a
         bool.
+      verdict: The last Verdict on the silence of its server, or None.
     """
 
     __slots__ = (
         '_attempt',
         '_context',
         '_flow',
+        '_judge_again_ms',
         '_timer',
         'is_late',
         'is_overdue',
+        'verdict',
     )
 
     def __init__(self, attempt, flow, context):
@@ -34,9 +39,11 @@
         self._attempt = attempt
         self._context = context
         self._flow = flow
+        self._judge_again_ms = 0
         self._timer = None
         self.is_late = False
         self.is_overdue = False
+        self.verdict = None
 
     def arm(self):
         """Wait until the next check, unless a timer is running.
@@ -46,6 +53,8 @@
         """
         if self._timer is not None or self._attempt.is_paused:
             return
+        if self._attempt.is_closed:
+            return
         checks = self._list_checks()
         if not checks:
             return
@@ -71,23 +80,18 @@
                 sent_ms = self._attempt.sent_ms
                 late_ms = sent_ms + (overdue_ms - sent_ms) * _LATE_SHARE
                 checks.append((late_ms, self._record_late))
-        stalled_ms = self._stalled_at_ms()
+        stalled_ms = self._context.stalled_at_ms(self._flow, self._attempt)
         if stalled_ms is not None:
-            checks.append((stalled_ms, self._handle_silence))
-        return checks
-
-    def _stalled_at_ms(self):
-        """Return the time when a silent server counts as stalled, or None.
-
-        Unused reservations have a limit of their own, so that a hung engine
-        does not tie up memory at its helpers until the caller disconnects.
-        """
-        until_ms = self._context.stalled_at_ms(self._flow, self._attempt)
+            due_ms = max(stalled_ms, self._judge_again_ms)
+            checks.append((due_ms, self._handle_silence))
         reservation = self._attempt.reservation
-        if reservation is None or self._attempt.started:
-            return until_ms
-        unused_ms = reservation.use_deadline_ms
-        return unused_ms if until_ms is None else min(until_ms, unused_ms)
+        if reservation is not None and not self._attempt.started:
+            # A hung engine must not tie up memory at its helpers until the
+            # caller disconnects.
+            checks.append(
+                (reservation.use_deadline_ms, self._attempt.fail_stalled)
+            )
+        return checks
 
     def _record_late(self):
         self.is_late = True
@@ -105,7 +109,10 @@
         self.arm()
 
     def _handle_silence(self):
+        """Have the silence judged, and again later if the attempt goes on."""
+        self._judge_again_ms = self._context.now_ms() + _JUDGE_INTERVAL_MS
         self._context.handle_silence(self._flow, self._attempt)
+        self.arm()
 
     def _on_timer(self):
         self._timer = None
--- a/crankchute/core/fleet.py
+++ b/crankchute/core/fleet.py
@@ -263,6 +263,16 @@
         self.breaker.record_failure(now_ms)
         self.failure_estimator.record_failure(now_ms, weight)
 
+    def record_silent(self, now_ms, sent_ms):
+        """Record that a request of this instance waits for a silent server.
+
+        Args:
+          now_ms: The time.
+          sent_ms: When the request was sent.
+        """
+        if sent_ms >= self.judged_from_ms:
+            self.breaker.record_failure(now_ms)
+
     def record_overdue(self, now_ms, sent_ms):
         """Record that the first event of a request of this instance is late.
 
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -11,6 +11,8 @@
 _SERVER_ERROR_WEIGHT = 0.5
 #: Why the next attempt is made, in the log.
 _EXCLUDED = 'evacuated'
+#: Why an attempt ended, in the log.
+_SILENT = 'the backend server fell silent'
 
 
 class Attempt(AttemptListener):
@@ -102,9 +104,7 @@
         Returns:
           True if the attempt was open and may have reached its server.
         """
-        if not self._close():
-            return False
-        if self._call is None:
+        if not self._close() or self._call is None:
             return False
         self.backend.breaker.record_abandoned()
         self._call.cancel()
@@ -171,8 +171,14 @@
         """End the attempt because its server fell silent."""
         if self._call is not None:
             self._call.cancel()
-        text = 'the backend server fell silent'
-        self.on_failed(BackendError(text, sent=True))
+        self.on_failed(BackendError(_SILENT, sent=True))
+
+    def end_replaced(self):
+        """End the attempt, whose successor is placed; return the BackendError."""
+        self._close()
+        self._call.cancel()
+        self.backend.record_failed(self._context.now_ms(), sent_ms=self.sent_ms)
+        return BackendError(_SILENT, sent=True)
 
     def on_head(self, head):
         """See AttemptListener."""
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -166,7 +166,7 @@
             self._last_answer = (head, body)
             self._try_next(head.status)
         elif self._streaming:
-            self._abort_stream('not_resumed', 'the stream was not taken up')
+            self._fail('not_resumed', 'the stream was not taken up')
         else:
             self._sink.on_answer(head, body)
             outcome = Outcome.FAILED if is_server_error else Outcome.OK
@@ -212,6 +212,17 @@
         )
         self._after_failure(attempt, exc, after_check)
 
+    def replace_attempt(self, attempt, placement):
+        """Send the request to another server, since its own is silent.
+
+        Args:
+          attempt: The Attempt in progress.
+          placement: The Placement of the next one, for which a retry was
+            taken from the budget.  There must be time left.
+        """
+        self._record_failed(attempt, attempt.end_replaced())
+        self._try_next('failed', placement)
+
     def _after_failure(self, attempt, exc, callback):
         """Call back once it is known whether the server crashed.
 
@@ -230,7 +241,7 @@
         self.avoided.add(attempt.placement.answering)
         self._may_have_run = self._may_have_run or exc.sent
 
-    def _try_next(self, cause):
+    def _try_next(self, cause, choice=None):
         if self._expire_if_late():
             return
 
@@ -245,7 +256,10 @@
             self.attempt = Attempt(self, self._context, choice)
             self.attempt.start()
 
-        place_request(self._context, self, self.avoided, start_attempt)
+        if choice is None:
+            place_request(self._context, self, self.avoided, start_attempt)
+        else:
+            start_attempt(choice)
 
     def _finish_stream(self, head):
         if not self._streaming:
@@ -286,10 +300,7 @@
         return True
 
     def _fail(self, code, text, retry_after_ms=None):
-        if self._streaming:
-            self._abort_stream(code, text)
-            return
-        if self._last_answer is not None:
+        if self._last_answer is not None and not self._streaming:
             # An error answer from a server is more specific than a refusal.
             head, body = self._last_answer
             self._sink.on_answer(head, body)
@@ -297,8 +308,8 @@
             return
         if retry_after_ms is None:
             retry_after_ms = self._context.choose_retry_after_ms(self.job)
-        if self._may_have_run:
-            may_retry = self.job.may_retry
+        if self._may_have_run or self._streaming:
+            may_retry = self.job.may_retry or self._streaming
             refusal = Refusal(
                 Outcome.FAILED if may_retry else Outcome.UNKNOWN,
                 code,
@@ -310,16 +321,6 @@
         self._sink.on_refused(refusal)
         self._end(refusal.outcome, code)
 
-    def _abort_stream(self, code, text):
-        refusal = Refusal(
-            Outcome.FAILED,
-            code,
-            text,
-            retry_after_ms=self.unfinished_retry_after_ms,
-        )
-        self._sink.on_refused(refusal)
-        self._end(Outcome.FAILED, code)
-
     def _end(self, outcome, code):
         self.ended = True
         if self._timer is not None:
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -172,9 +172,8 @@
         return chooser.overdue_at_ms(flow.job, attempt)
 
     def handle_silence(self, flow, attempt):
-        """See AttemptContext; the alternatives are logged."""
-        self._silent_attempts.record(flow, attempt)
-        super().handle_silence(flow, attempt)
+        """See AttemptContext."""
+        self._silent_attempts.judge(flow, attempt)
 
     def take_retry(self, job):
         """Take a retry from the pool's budget; return False if empty."""
--- a/crankchute/core/silent_attempts.py
+++ b/crankchute/core/silent_attempts.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from functools import partial
 
 from crankchute.core.forward_job import Placement
 from crankchute.core.relay import choose_relay
@@ -36,17 +37,18 @@
 
     Attributes:
       verdict: The Verdict.
-      usable: The number of other servers that accept the request.
-      responsive: The ids of those that can be expected to answer, a list.
+      responsive: The ids of other servers that accept the request and can be
+        expected to answer, a list.
+      silent: The ids of those that cannot be expected to, a list.
     """
 
-    __slots__ = ('responsive', 'usable', 'verdict')
+    __slots__ = ('responsive', 'silent', 'verdict')
 
-    def __init__(self, verdict, usable=0, responsive=()):
+    def __init__(self, verdict, responsive=(), silent=()):
         """Create the record; see the class for the arguments."""
         self.verdict = verdict
-        self.usable = usable
         self.responsive = responsive
+        self.silent = silent
 
 
 def list_responsive(backends, now_ms):
@@ -69,6 +71,13 @@
     return heard_ms is not None and now_ms - heard_ms <= _RECENT_MS
 
 
+def _is_waiting(flow, attempt):
+    """Return whether the answer of an attempt is still read, and has time."""
+    if attempt.is_closed or attempt.is_paused:
+        return False
+    return flow.job.remaining_ms(flow.now_ms()) > 0
+
+
 class SilentAttempts:
     """Judges the silent attempts of one Forwarder."""
 
@@ -82,18 +91,65 @@
         """
         self._forwarder = forwarder
 
-    def record(self, flow, attempt):
-        """Log and count that an attempt is silent, and what its alternatives are.
+    def judge(self, flow, attempt):
+        """Replace a silent attempt if that can be expected to help.
+
+        Otherwise it goes on, until its deadline at the latest, and is judged
+        again later.  Nothing is decided before it is known whether the path to
+        the server is lost.
 
         Args:
           flow: A ForwardFlow.
           attempt: Its Attempt.
         """
-        alternatives = self._find_alternatives(flow, attempt)
-        self._forwarder.metrics.count(
-            'silent_attempts', alternatives.verdict.value
+        if attempt.watchdog.verdict is None:
+            self._forwarder.record_late(flow, attempt)
+        self._forwarder.paths.after_check(
+            flow.job,
+            partial(self._decide, flow, attempt, attempt.last_event_ms),
         )
+
+    def _decide(self, flow, attempt, since_ms):
+        if attempt.last_event_ms > since_ms or not _is_waiting(flow, attempt):
+            return
+        alternatives = self._find_alternatives(flow, attempt)
+        choice = self._choose(flow, attempt, alternatives)
+        self._record(flow, attempt, alternatives)
+        if choice is not None:
+            self._forwarder.take_retry(flow.job)
+            flow.replace_attempt(attempt, choice)
+
+    def _record(self, flow, attempt, alternatives):
+        """Log and count a verdict, unless it is the same as before."""
+        verdict = alternatives.verdict
+        previous = attempt.watchdog.verdict
+        if verdict == previous:
+            return
+        attempt.watchdog.verdict = verdict
+        self._forwarder.metrics.count('silent_attempts', verdict.value)
         self._forwarder.journal.log_silent(flow, attempt, alternatives)
+        if previous is None and verdict != Verdict.REPLACED:
+            attempt.backend.record_silent(
+                self._forwarder.now_ms(), attempt.sent_ms
+            )
+
+    def _choose(self, flow, attempt, alternatives):
+        """Return the Placement of the next attempt, or None.
+
+        The verdict is corrected if there is none.
+        """
+        if not alternatives.responsive:
+            return None
+        excluded = {
+            attempt.placement.answering,
+            *flow.avoided,
+            *alternatives.silent,
+        }
+        choice = self._forwarder.choose(flow, excluded)
+        if isinstance(choice, Placement):
+            return choice
+        alternatives.verdict = Verdict.NO_SERVER
+        return None
 
     def _find_alternatives(self, flow, attempt):
         obstacle = self._find_obstacle(flow)
@@ -102,12 +158,12 @@
         usable = self._list_usable(
             flow, flow.avoided | {attempt.placement.answering}
         )
-        responsive = [
-            one.identity
-            for one in list_responsive(usable, self._forwarder.now_ms())
-        ]
-        verdict = Verdict.REPLACED if responsive else Verdict.NO_SERVER
-        return Alternatives(verdict, len(usable), responsive)
+        responsive = list_responsive(usable, self._forwarder.now_ms())
+        return Alternatives(
+            Verdict.REPLACED if responsive else Verdict.NO_SERVER,
+            responsive=[one.identity for one in responsive],
+            silent=[one.identity for one in usable if one not in responsive],
+        )
 
     def _find_obstacle(self, flow):
         """Return the Verdict that rules out any other attempt, or None."""
--- a/crankchute/core/silent_attempts_test.py
+++ b/crankchute/core/silent_attempts_test.py
@@ -12,9 +12,11 @@
     POOL,
     FakeForwardPort,
     ForwardHarness,
+    make_backends,
     make_chooser_parts,
 )
 from crankchute.core.forward_job import Placement, RetryMode
+from crankchute.core.silent_attempts import Verdict, list_responsive
 from crankchute.ports.forwarding import AnswerHead, StreamEvent
 
 _SERVERS = 3
@@ -178,5 +180,62 @@
     assert world.list_answers() == {expected}
     assert world.servers.repeats_to_paused == 0
     may_repeat = repeat != RetryMode.ONCE and max_attempts == 2 and slack
-    repeated = len(world.servers.calls) - _REQUESTS
-    assert repeated == (3 * silent if may_repeat and silent < 3 else 0)
+    repeated = 3 * silent if may_repeat and silent < _SERVERS else 0
+    assert len(world.servers.calls) == _REQUESTS + repeated
+
+
+@pytest.mark.parametrize('kind', ['plain', 'stream'])
+def test_request_stays_at_a_hung_server_while_another_one_answers(kind):
+    """The other server is silent too at first, and goes on earlier."""
+    world = SilentWorld(kind)
+    repeat = RetryMode.RESUME if kind == 'stream' else RetryMode.AGAIN
+    world.submit(_SERVERS, repeat)
+    world.pause(_SERVERS)
+    world.pause(1, _DEADLINE_MS)
+    world.timers.advance(_DEADLINE_MS - 1)
+    expected = _STREAM if kind == 'stream' else _PLAIN
+    assert world.list_answers() == {expected}
+    assert len(world.servers.calls) == _SERVERS + 1
+    assert world.harness.journal.silences[0] == Verdict.NO_SERVER
+    assert world.harness.journal.silences[-1] == Verdict.REPLACED
+
+
+def test_retry_is_charged_though_no_server_can_take_it():
+    world = SilentWorld('plain')
+    world.submit(_SERVERS, RetryMode.AGAIN)
+    world.pause(_SERVERS, _DEADLINE_MS)
+    world.timers.advance(_DEADLINE_MS + 1)
+    assert len(world.servers.calls) == _SERVERS
+    assert 'retries' not in world.harness.forwarder.metrics.counts
+    assert all(call.cancelled for call in world.servers.calls)
+
+
+def test_silent_servers_that_hang_get_new_requests():
+    """Three requests of one attempt each wait at a server that hangs."""
+    world = SilentWorld('plain')
+    world.pause(1, _DEADLINE_MS)
+    world.submit(_REQUESTS, RetryMode.AGAIN, max_attempts=1)
+    world.timers.advance(1000)
+    hung = world.harness.backends[0]
+    assert hung.breaker.is_open
+    world.submit(_SERVERS, RetryMode.AGAIN)
+    assert hung.in_flight == 3
+
+
+@pytest.mark.parametrize(
+    ('heard_ms_ago', 'in_flight', 'expected'),
+    [
+        ((10, 10, 900), (1, 1, 1), [0, 1]),
+        ((10, 900, None), (1, 0, 0), [0]),
+        ((900, 900, None), (1, 0, 0), [1, 2]),
+        ((900, None, 260), (1, 2, 1), []),
+    ],
+)
+def test_silent_server_is_expected_to_answer(heard_ms_ago, in_flight, expected):
+    backends = make_backends(_SERVERS)
+    for number, backend in enumerate(backends):
+        backend.in_flight = in_flight[number]
+        if heard_ms_ago[number] is not None:
+            backend.breaker.record_heard(1000 - heard_ms_ago[number])
+    responsive = list_responsive(backends, 1000)
+    assert responsive == [backends[number] for number in expected]
