Keep idle connections open until callers must know a shorter idle time

Callers take up connections that rested for less than four fifths of the idle time that they know. A configuration with a shorter one was applied to all connections at once, so a caller that did not know it yet found its connection closed, or its request crossed the close.

The longest idle time of the configurations that callers may know is now in force: an earlier one counts for config-apply-ms after its successor, also if several follow each other.

--- a/crankchute/platform/instance_limits.py
+++ b/crankchute/platform/instance_limits.py
@@ -3,6 +3,7 @@
 from crankchute.adapters.http_intake import IntakeLimits
 from crankchute.core.cold_bounds import ColdBounds
 from crankchute.core.evacuations import Evacuations
+from crankchute.core.idle_timeout import IdleTimeout
 from crankchute.core.sliding_budget import RetryLimits
 from crankchute.entry.forward_node import ForwardLimits, InstanceIdentity
 
@@ -75,3 +76,45 @@
         header_timeout_ms=request_limits.header_timeout_ms,
         body_rate=_MIN_BODY_BYTES_PER_MS,
     )
+
+
+class CallerLimits:
+    """Applies the limits of the configuration to the connections of callers."""
+
+    __slots__ = ('_idle', '_overlap_ms', '_servers', '_timers')
+
+    def __init__(self, servers, timers, overlap_ms):
+        """Create the record of servers with their initial limits.
+
+        Args:
+          servers: The ForwardServers for callers, a list.
+          timers: A TimerService.
+          overlap_ms: How long a caller may not know a new configuration, in
+            milliseconds.
+        """
+        self._servers = servers
+        self._timers = timers
+        self._overlap_ms = overlap_ms
+        self._idle = IdleTimeout(servers[0].idle_ms, overlap_ms)
+
+    def apply(self, config):
+        """Apply the limits of a new configuration, if it has any.
+
+        Args:
+          config: A ForwardConfig.
+        """
+        request_limits = config.request_limits
+        if request_limits is None:
+            return
+        for server in self._servers:
+            server.limits = make_intake_limits(request_limits)
+        self._idle.change(
+            request_limits.idle_timeout_ms, self._timers.clock.now_ms()
+        )
+        self._apply_idle_timeout()
+        self._timers.after(self._overlap_ms, self._apply_idle_timeout)
+
+    def _apply_idle_timeout(self):
+        idle_ms = self._idle.in_force_ms(self._timers.clock.now_ms())
+        for server in self._servers:
+            server.idle_ms = idle_ms
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -19,7 +19,7 @@
 from crankchute.platform.directory import DirectoryHandler, ReadinessHandler
 from crankchute.platform.instance_limits import (
     ADDRESS_TTL_MS,
-    make_intake_limits,
+    CallerLimits,
     read_identity,
     read_limits,
 )
@@ -116,7 +116,12 @@
         )
         self._backpressure = self._make_backpressure()
         self._listen_all(loop)
-        self.node.holder.subscribe(self._on_config)
+        caller_limits = CallerLimits(
+            self._caller_servers,
+            loop.timers,
+            settings.bounds.config_apply_ms,
+        )
+        self.node.holder.subscribe(caller_limits.apply)
         self.node.on_draining = self._on_draining
         self.node.on_serving = self._early_requests.record_informed
         self._watch_store()
@@ -289,13 +294,6 @@
     def _apply_servers(self, changes):
         return self._servers_listener.apply(changes)
 
-    def _on_config(self, config):
-        request_limits = config.request_limits
-        if request_limits is not None:
-            for server in self._caller_servers:
-                server.idle_ms = request_limits.idle_timeout_ms
-                server.limits = make_intake_limits(request_limits)
-
     def _on_draining(self):
         for server in self._caller_servers:
             server.is_closing = True
