Show kept connections that apply the limits of an earlier configuration

A configuration allows larger bodies. Requests on connections that were opened before it are refused with 413, for as long as these connections are kept.

--- a/crankchute/platform/config_changes_test.py
+++ b/crankchute/platform/config_changes_test.py
@@ -62,10 +62,10 @@
         self.instance.loop.run_until(is_done, 0.001)
         return int(received[0].split()[1]) if received[0] else None
 
-    def ask(self):
+    def ask(self, size=10):
         """Return the status of the answer to a request, or None."""
         try:
-            self.send(_REQUEST % (10, b'x' * 10))
+            self.send(_REQUEST % (size, b'x' * size))
         except OSError:
             return None
         return self.read()
@@ -96,6 +96,23 @@
     assert connection.read() is None
 
 
+@pytest.mark.parametrize(
+    ('changes', 'size', 'status'),
+    [
+        ({'max_body_bytes': 1000}, 500, 404),
+        ({'max_body_bytes': 50}, 80, 413),
+        ({'max_header_bytes': 10}, 10, 431),
+    ],
+)
+def test_kept_connection_has_limits_of_an_earlier_configuration(
+    monkeypatch, changes, size, status
+):
+    connection = CallerConnection(monkeypatch)
+    assert connection.ask() == 404
+    connection.change(**changes)
+    assert connection.ask(size) == status
+
+
 @pytest.mark.parametrize(
     'changes',
     [
