Apply the limits in force to each request of a kept connection

A connection kept the limits of the configuration under which it was opened. After a configuration that allows larger bodies or headers, callers with kept connections were refused with 413 or 431 for as long as they kept them.

A request now has the limits that are in force when its first bytes arrive; one that is half read keeps them.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -26,6 +26,7 @@
 _HISTORY = 'crankchute/core/crash_history.py'
 _ENDLESS_TEST = 'crankchute/platform/endless_bytes_test.py'
 _RELAYED_TEST = 'crankchute/platform/relayed_requests_test.py'
+_CONFIG_CHANGES_TEST = 'crankchute/platform/config_changes_test.py'
 _SILENT = 'crankchute/core/silent_attempts.py'
 _SILENT_TEST = 'crankchute/core/silent_attempts_test.py'
 
@@ -432,6 +433,20 @@
         'self.breaker.record_failure(now_ms)\n\n    def record_overdue',
         'self.breaker.record_abandoned()\n\n    def record_overdue',
     ),
+    Mutation(
+        'configuration: a shorter idle time applies at once',
+        _CONFIG_CHANGES_TEST,
+        'crankchute/core/idle_timeout.py',
+        'return max([self._newest_ms, *earlier])',
+        'return self._newest_ms if earlier else self._newest_ms',
+    ),
+    Mutation(
+        'configuration: kept connections have earlier limits',
+        _CONFIG_CHANGES_TEST,
+        'crankchute/adapters/http_intake.py',
+        '            self._limits = self._choose_limits()\n',
+        '',
+    ),
     Mutation(
         'paths: a proxy makes several attempts',
         _RELAYED_TEST,
--- a/crankchute/adapters/forward_server.py
+++ b/crankchute/adapters/forward_server.py
@@ -224,7 +224,7 @@
 
     Attributes:
       is_closing: Whether responses carry `Connection: close`.
-      limits: The IntakeLimits of new connections.
+      limits: The IntakeLimits of new requests.
       idle_ms: How long a connection may be idle, in milliseconds.
     """
 
@@ -347,7 +347,7 @@
             set_tcp_options(sock, _BOUNDED_TIMEOUT_MS)
             bound_buffer(sock, socket.SO_SNDBUF)
         reader = RequestReader(
-            self.limits, lambda reply: self.write(sock, reply)
+            lambda: self.limits, lambda reply: self.write(sock, reply)
         )
         connection = _Connection(reader, self._clock.now_ms())
         self._connections[sock] = connection
--- a/crankchute/adapters/http_intake.py
+++ b/crankchute/adapters/http_intake.py
@@ -67,6 +67,7 @@
 
     __slots__ = (
         '_body_size',
+        '_choose_limits',
         '_has_host',
         '_head_done',
         '_head_size',
@@ -83,14 +84,16 @@
         'target',
     )
 
-    def __init__(self, limits, reply):
+    def __init__(self, choose_limits, reply):
         """Start with an empty request.
 
         Args:
-          limits: IntakeLimits.
+          choose_limits: A function that returns the IntakeLimits of a request
+            that begins.
           reply: A function that writes bytes to the caller.
         """
-        self._limits = limits
+        self._choose_limits = choose_limits
+        self._limits = choose_limits()
         self._reply = reply
         self.reset()
 
@@ -131,6 +134,7 @@
         """
         if self.started_ms is None:
             self.started_ms = now_ms
+            self._limits = self._choose_limits()
         self._size += len(chunk)
         try:
             self._parser.feed_data(chunk)
--- a/crankchute/adapters/http_server.py
+++ b/crankchute/adapters/http_server.py
@@ -274,7 +274,7 @@
 
     def _new_reader(self, sock):
         reader = RequestReader(
-            self._limits,
+            lambda: self._limits,
             lambda reply: self.write_now(sock, reply),
         )
         self._readers[sock] = reader
--- a/crankchute/platform/instance_limits.py
+++ b/crankchute/platform/instance_limits.py
@@ -65,7 +65,7 @@
 
 
 def make_intake_limits(request_limits):
-    """Return the IntakeLimits of new connections.
+    """Return the IntakeLimits of new requests.
 
     Args:
       request_limits: The RequestLimits of the configuration.
