--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -11,6 +11,8 @@
 _SERVER_ERROR_WEIGHT = 0.5
 #: Why the next attempt is made, in the log.
 _EXCLUDED = 'evacuated'
+#: Why an attempt ended, in the log.
+_SILENT = 'the backend server fell silent'
 
 
 class Attempt(AttemptListener):
@@ -102,9 +104,7 @@
         Returns:
           True if the attempt was open and may have reached its server.
         """
-        if not self._close():
-            return False
-        if self._call is None:
+        if not self._close() or self._call is None:
             return False
         self.backend.breaker.record_abandoned()
         self._call.cancel()
@@ -171,19 +171,27 @@
         """End the attempt because its server fell silent."""
         if self._call is not None:
             self._call.cancel()
-        text = 'the backend server fell silent'
-        self.on_failed(BackendError(text, sent=True))
+        self.on_failed(BackendError(_SILENT, sent=True))
+
+    def end_replaced(self):
+        """End the attempt, whose successor is placed; return the BackendError."""
+        self._close()
+        self._call.cancel()
+        self.backend.record_failed(self._context.now_ms(), sent_ms=self.sent_ms)
+        return BackendError(_SILENT, sent=True)
 
     def on_head(self, head):
         """See AttemptListener."""
         if self.is_closed:
             return
+        self._record_heard()
         self._head = head
         if head.load is not None:
             self._context.record_load(self._flow, self, head.load)
 
     def on_body(self, chunk):
         """See AttemptListener."""
+        self._record_heard()
         self._body.append(chunk)
         self._collected += len(chunk)
         self._flow.record_collected(self._collected)
@@ -209,6 +217,7 @@
     def on_not_run(self, rejection):
         """See AttemptListener."""
         if self._close():
+            self._record_heard()
             self.backend.breaker.record_abandoned()
             self._flow.on_attempt_not_run(self, rejection)
 
@@ -220,7 +229,11 @@
             )
             self._flow.on_attempt_failed(self, exc)
 
+    def _record_heard(self):
+        self.backend.breaker.record_heard(self._context.now_ms())
+
     def _record_event(self):
+        self._record_heard()
         now_ms = self._context.now_ms()
         if self.first_ms is None:
             self.first_ms = now_ms
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -18,6 +18,7 @@
 from crankchute.core.relay import choose_relay, relay_stalled_at_ms
 from crankchute.core.request_placement import choose_isolated
 from crankchute.core.shutdown_admission import ShutdownAdmission
+from crankchute.core.silent_attempts import SilentAttempts
 from crankchute.core.sliding_budget import RetryBudgets
 from crankchute.ports.forwarding import MOVED
 
@@ -34,6 +35,7 @@
       paths: The ServerPaths.
       find_chooser: A function that maps a pool name to a Chooser or None.
       flows: The ForwardFlows in progress, a set.
+      budgets: The RetryBudgets.
       shutdown: The ShutdownAdmission.
     """
 
@@ -49,7 +51,7 @@
         self._ended_counter = ended_counter
         self._timers = ports.timers
         self.find_chooser = ports.find_chooser
-        self._budgets = RetryBudgets(limits)
+        self.budgets = RetryBudgets(limits)
         self.flows = set()
         self._hints = ports.hints
         self.shutdown = ShutdownAdmission(self, ports.hints)
@@ -63,6 +65,7 @@
             confirm=lambda *args: self.paths.confirm_crash(*args),
         )
         self.lending = NoLending()
+        self._silent_attempts = SilentAttempts(self)
         self.port = ports.forward
         self.metrics = ports.metrics
         self.journal = ports.journal
@@ -84,7 +87,7 @@
         self.journal.log_request(job)
         if job.relay is None:
             # A relayed request counts at the instance that retries it.
-            self._budgets.of(job).record_request(self.now_ms())
+            self.budgets.of(job).record_request(self.now_ms())
         flow = ForwardFlow(job, self, sink)
         self.flows.add(flow)
         flow.start()
@@ -98,7 +101,7 @@
         Args:
           count: An int.
         """
-        self._budgets.record_instances(count)
+        self.budgets.record_instances(count)
 
     def record_restarted(self, backend):
         """End the attempts at a server that restarted.
@@ -112,14 +115,6 @@
                 text = f'{backend.identity} started again'
                 attempt.end_lost(backend, text)
 
-    def change_limits(self, limits):
-        """Change the retry limits without resetting the usage.
-
-        Args:
-          limits: RetryLimits.
-        """
-        self._budgets.change_limits(limits)
-
     def now_ms(self):
         """Return the current time on this process's clock."""
         return self._timers.clock.now_ms()
@@ -180,9 +175,13 @@
             return flow.job.deadline_ms
         return chooser.overdue_at_ms(flow.job, attempt)
 
+    def handle_silence(self, flow, attempt):
+        """See AttemptContext."""
+        self._silent_attempts.judge(flow, attempt)
+
     def take_retry(self, job):
         """Take a retry from the pool's budget; return False if empty."""
-        taken = self._budgets.of(job).take(self.now_ms())
+        taken = self.budgets.of(job).take(self.now_ms())
         self.metrics.count('retries' if taken else 'retries_denied')
         return taken
 
--- a/crankchute/platform/caller_servers.py
+++ b/crankchute/platform/caller_servers.py
@@ -4,12 +4,11 @@
 
 from crankchute.core.shutdown_admission import STOPPING
 from crankchute.entry.shutdown import ShutdownHost
-from crankchute.platform.instance_limits import make_intake_limits
 from crankchute.errors import RequestRefused
 
 
 class CallerServers(ShutdownHost):
-    """Configures several ForwardServers together.
+    """Shuts several ForwardServers down together.
 
     Attributes:
       servers: The ForwardServers, a list.
@@ -25,18 +24,6 @@
         self.servers = list(servers)
         self._early_requests = early_requests
 
-    def apply_limits(self, request_limits):
-        """Apply the limits of a configuration.
-
-        Args:
-          request_limits: RequestLimits, or None to change nothing.
-        """
-        if request_limits is None:
-            return
-        for server in self.servers:
-            server.idle_ms = request_limits.idle_timeout_ms
-            server.limits = make_intake_limits(request_limits)
-
     def on_started(self):
         """Announce that connections close, and let no request wait."""
         for server in self.servers:
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -23,6 +23,7 @@
 from crankchute.platform.directory import DirectoryHandler, ReadinessHandler
 from crankchute.platform.instance_limits import (
     ADDRESS_TTL_MS,
+    CallerLimits,
     read_identity,
     read_limits,
 )
@@ -119,7 +120,12 @@
         )
         self._backpressure = self._make_backpressure()
         self._listen_all(loop)
-        self.node.holder.subscribe(self._on_config)
+        caller_limits = CallerLimits(
+            self._caller_servers.servers,
+            loop.timers,
+            settings.bounds.config_apply_ms,
+        )
+        self.node.holder.subscribe(caller_limits.apply)
         self.node.shutdown.host = self._caller_servers
         self.node.on_serving = self._early_requests.record_informed
         self._watch_store()
@@ -290,6 +296,3 @@
 
     def _apply_servers(self, changes):
         return self._servers_listener.apply(changes)
-
-    def _on_config(self, config):
-        self._caller_servers.apply_limits(config.request_limits)
