Tell no request that its server has answered that it did not run

A stream that its server has answered with a success and no events was refused with 503 ("not run") if the end was read after the deadline but before the deadline's timer, as after a pause of the process. Cause: the end of an answer did not count as a run, only failures and cancelled attempts did. The end of an answer now counts as a run at once, whatever its status. ForwardFlow.end(), which had no caller and dropped the knowledge of a sent attempt, is removed.

--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -86,17 +86,6 @@
         self._timer = self._context.after(remaining_ms, self._on_deadline)
         self._try_next(None)
 
-    def end(self, refusal):
-        """End the request with a refusal.
-
-        Args:
-          refusal: A Refusal.
-        """
-        if not self.ended:
-            self._cancel_attempt()
-            self._sink.on_refused(refusal)
-            self._end(refusal.outcome, refusal.code)
-
     def cancel(self):
         """Cancel the request because its caller disconnected."""
         if self.ended:
@@ -153,6 +142,7 @@
     def on_attempt_end(self, attempt, head, body):
         """End with the server's answer, or retry after a 5xx status."""
         self.attempt = None
+        self._may_have_run = True
         self._context.record_attempt_end(self, attempt, str(head.status))
         self._context.crash_detector.record_answered(attempt, self.job, head)
         if self.job.is_stream and head.is_success:
@@ -162,7 +152,6 @@
         is_server_error = head.status >= FIRST_SERVER_ERROR
         may_retry = is_server_error and self.job.may_retry
         if may_retry and self._may_retry(attempt.placement.answering):
-            self._may_have_run = True
             self._last_answer = (head, body)
             self._try_next(head.status)
         elif self._streaming:
