--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -441,6 +441,20 @@
         'if flow.attempts >= job.max_attempts:',
         'if flow.attempts > job.max_attempts:',
     ),
+    Mutation(
+        'shutdown: requests are accepted that the process cuts',
+        'crankchute/platform/stops_test.py',
+        'crankchute/core/shutdown_admission.py',
+        'if not self.is_closed and needed_ms <= left_ms:',
+        'if not self.is_closed:',
+    ),
+    Mutation(
+        'shutdown: requests are accepted in the last turn',
+        'crankchute/platform/stops_test.py',
+        'crankchute/core/shutdown_admission.py',
+        'if not self.is_closed and needed_ms <= left_ms:',
+        'if needed_ms <= left_ms:',
+    ),
     Mutation(
         'silence: a request is sent to one silent server after another',
         _SILENT_TEST,
