Count parts of a plain answer as signs of life

A plain answer that took longer to arrive than the limit on silence was ended in its middle and requested from another server, and its server was counted as silent: only events moved the time from which silence is measured. Parts of bodies now move it as well. test_answer_that_arrives_slowly_is_taken_for_silence was red and passes.

--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -25,8 +25,8 @@
       is_closed: Whether the attempt has ended, a bool.
       sent_ms: When the request was sent, or None.
       first_ms: When the first event arrived, or None.
-      last_event_ms: When the last event arrived, or else when the request was
-        sent.
+      last_event_ms: When the last event or part of a body arrived, or else when
+        the request was sent.
       longest_gap_ms: The longest gap between two events, in milliseconds.
     """
 
@@ -192,6 +192,7 @@
     def on_body(self, chunk):
         """See AttemptListener."""
         self._record_heard()
+        self.last_event_ms = self._context.now_ms()
         self._body.append(chunk)
         self._collected += len(chunk)
         self._flow.record_collected(self._collected)
--- a/crankchute/core/silent_attempts_test.py
+++ b/crankchute/core/silent_attempts_test.py
@@ -24,6 +24,8 @@
 _EVENTS = 20
 _EVENT_MS = 50
 _ANSWER_MS = 60
+#: Shorter than any limit on silence.
+_PART_MS = 300
 #: Longer than any limit on the silence of a server.
 _SILENCE_MS = 2500
 _DEADLINE_MS = 10_000
@@ -239,3 +241,17 @@
             backend.breaker.record_heard(1000 - heard_ms_ago[number])
     responsive = list_responsive(backends, 1000)
     assert responsive == [backends[number] for number in expected]
+
+
+def test_answer_that_arrives_slowly_is_taken_for_silence():
+    world = SilentWorld('plain')
+    world.harness.forwarder.port = world.harness.port
+    world.submit(1, RetryMode.AGAIN)
+    call = world.harness.port.calls[0]
+    call.listener.on_head(AnswerHead(200))
+    for _ in range(_EVENTS):
+        world.timers.advance(_PART_MS)
+        call.listener.on_body(b'part')
+    call.listener.on_end()
+    assert len(world.harness.port.calls) == 1
+    assert world.list_answers() == {_PLAIN}
