Send no rejected request again that a shutdown would cut

Each request was checked against the end of the process only before its first attempt. One that a server rejected shortly before the end was sent again, and ended as unknown, or as a cut stream. The check now applies until a server may have run the request.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -87,8 +87,8 @@
         'a call with a lost answer is reported as not run',
         'not run is true',
         _FORWARD_FLOW,
-        'if self._may_have_run or self._streaming:',
-        'if self._may_have_run and self.job.may_retry or self._streaming:',
+        'if self.may_have_run or self._streaming:',
+        'if self.may_have_run and self.job.may_retry or self._streaming:',
     ),
     Mutation(
         'a key may start twice',
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -29,6 +29,8 @@
       avoided: The ids of servers that must not get the request, a set.
       last_event_id: The id of the last event that the caller received, or None.
       ended: Whether the request has ended.
+      may_have_run: Whether a server may have run the request in an attempt that
+        has ended, a bool.
       forwarded_events: The number of forwarded events.
       server: The id of the server of the last attempt, or None.
     """
@@ -40,7 +42,6 @@
         '_cause',
         '_context',
         '_last_answer',
-        '_may_have_run',
         '_refused_reservations',
         '_sink',
         '_streaming',
@@ -52,6 +53,7 @@
         'forwarded_events',
         'job',
         'last_event_id',
+        'may_have_run',
         'server',
     )
 
@@ -69,7 +71,7 @@
         self.avoided = set(job.relay.avoided if job.relay else ())
         self._cause = None
         self._last_answer = None
-        self._may_have_run = False
+        self.may_have_run = False
         self._refused_reservations = 0
         self._streaming = False
         self._timer = None
@@ -97,7 +99,7 @@
         if self.ended:
             return
         if self._cancel_attempt():
-            self._may_have_run = True
+            self.may_have_run = True
         self._last_answer = None
         self._fail(code, text, retry_after_ms)
 
@@ -157,7 +159,7 @@
     def on_attempt_end(self, attempt, head, body):
         """End with the server's answer, or retry after a 5xx status."""
         self.attempt = None
-        self._may_have_run = True
+        self.may_have_run = True
         self._context.record_attempt_end(self, attempt, str(head.status))
         self._context.crash_detector.record_answered(attempt, self.job, head)
         if self.job.is_stream and head.is_success:
@@ -243,7 +245,7 @@
         self.attempt = None
         self._context.record_failed(self, attempt, exc)
         self.avoided.add(attempt.placement.answering)
-        self._may_have_run = self._may_have_run or exc.sent
+        self.may_have_run = self.may_have_run or exc.sent
 
     def _try_next(self, cause, choice=None):
         if self._expire_if_late():
@@ -307,7 +309,7 @@
             return
         if retry_after_ms is None:
             retry_after_ms = self._context.choose_retry_after_ms(self.job)
-        if self._may_have_run or self._streaming:
+        if self.may_have_run or self._streaming:
             may_retry = self.job.may_retry or self._streaming
             refusal = Refusal(
                 Outcome.FAILED if may_retry else Outcome.UNKNOWN,
--- a/crankchute/core/shutdown_admission.py
+++ b/crankchute/core/shutdown_admission.py
@@ -84,7 +84,7 @@
         Returns:
           A Refusal, or None if it may be sent.
         """
-        if self.schedule is None or flow.attempts:
+        if self.schedule is None or flow.may_have_run or _is_sent(flow):
             return None
         job = flow.job
         now_ms = flow.now_ms()
@@ -115,3 +115,8 @@
             return remaining_ms
         longest_ms = self._durations.longest_ms(job, self._desk.flows)
         return min(remaining_ms, longest_ms * _MARGIN_FACTOR + _MARGIN_MS)
+
+
+def _is_sent(flow):
+    """Return whether an attempt of a request has reached its server."""
+    return flow.attempt is not None and flow.attempt.sent_ms is not None
--- a/crankchute/core/shutdown_admission_test.py
+++ b/crankchute/core/shutdown_admission_test.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from crankchute.core.forward_fakes import FakeJournal, make_job
+from crankchute.core.forward_fakes import (
+    FakeJournal,
+    ForwardHarness,
+    make_job,
+)
+from crankchute.core.forward_job import RetryMode
 from crankchute.core.outcomes import Outcome
 from crankchute.core.retry_hints import RetryHints
 from crankchute.core.shutdown_admission import (
@@ -12,6 +17,8 @@
     ShutdownAdmission,
     ShutdownSchedule,
 )
+from crankchute.errors import BackendError
+from crankchute.ports.forwarding import Rejection
 
 _EARLY_MS = 2000
 _LATE_MS = 4000
@@ -23,7 +30,8 @@
 class Desk:
     """What the decision reads of a Forwarder, and a flow of it."""
 
-    attempts = 0
+    attempt = None
+    may_have_run = False
 
     def __init__(self, job, now_ms):
         self.job = job
@@ -104,3 +112,28 @@
     assert grace_ms * 5 / 6 < schedule.end_ms < schedule.exit_ms
     assert schedule.exit_ms < grace_ms
     assert schedule.known_ms <= schedule.end_ms
+
+
+@pytest.mark.parametrize('is_stream', [True, False])
+@pytest.mark.parametrize(
+    ('repeat', 'is_rejected', 'is_sent_again'),
+    [
+        (RetryMode.ONCE, True, False),
+        (RetryMode.AGAIN, True, False),
+        (RetryMode.AGAIN, False, True),
+    ],
+)
+def test_rejected_request_is_sent_again_though_the_process_ends_first(
+    repeat, is_rejected, is_sent_again, is_stream
+):
+    harness = ForwardHarness()
+    _flow, sink = harness.submit(repeat=repeat, is_stream=is_stream)
+    harness.forwarder.shutdown.schedule = ShutdownSchedule(-7190, 8000, 1000)
+    listener = harness.port.calls[0].listener
+    if is_rejected:
+        listener.on_not_run(Rejection('full'))
+    else:
+        listener.on_failed(BackendError('lost', sent=True))
+    assert len(harness.port.calls) == 1 + is_sent_again
+    if not is_sent_again:
+        assert sink.events[-1][1] == Outcome.NOT_RUN
