Wait until instances agree before their active instances are counted

A trace of one: two of six instances took another one for silent for 0.2 s, then all listed the same three. The test now waits for a state that it did not require before: that all instances list the same three, without the one that has no paths.

--- a/crankchute/platform/lost_paths_test.py
+++ b/crankchute/platform/lost_paths_test.py
@@ -50,6 +50,16 @@
     world.loop.run_until(is_inactive, _TICK_S)
 
 
+def wait_until_agreed(world):
+    """Wait until all instances direct callers to the same three instances."""
+
+    def is_agreed():
+        lists = {tuple(one.peers.list_active()) for one in world.nodes}
+        return len(lists) == 1 and len(lists.pop()) == 3
+
+    world.loop.run_until(is_agreed, _TICK_S)
+
+
 @pytest.mark.parametrize('is_plain', [False, True])
 @pytest.mark.parametrize('fault', _FAULTS)
 def test_instance_without_paths_fails_its_callers(fault, is_plain):
@@ -70,7 +80,10 @@
     )
     lose_all_paths(world, node, fault)
     wait_until_inactive(world, node)
-    assert {len(one.peers.sharing.active) for one in world.nodes} == {3}
+    wait_until_agreed(world)
+    active = world.nodes[0].peers.list_active()
+    assert len(active) == 3
+    assert node.identity.instance not in active
 
 
 @pytest.mark.parametrize('repeat', [RetryMode.AGAIN, RetryMode.ONCE])
