--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from bench.soak.processes import PORTS, Instance, PeerHost
+from crankchute.platform.wire import CONFIG_KEY, SERVERS_PREFIX
 
 GRACE_S = 8
 _PEER_PORTS = (21_040, 21_055)
@@ -145,11 +146,13 @@
 
     def publish(self, document):
         """Write a configuration to the store."""
-        self.store.tell('put', key='op/config', document=document)
+        self.store.tell('put', key=CONFIG_KEY, document=document)
 
     def list_server(self, identity, entry):
         """Write the entry of a server; None removes it."""
-        self.store.tell('put', key=f'servers/{identity}', document=entry)
+        self.store.tell(
+            'put', key=f'{SERVERS_PREFIX}{identity}', document=entry
+        )
 
     def replace_server(self, identity):
         """Start another server of the pool of one that ends.
--- a/crankchute/adapters/http_call.py
+++ b/crankchute/adapters/http_call.py
@@ -242,11 +242,9 @@
     def on_body(self, chunk):
         """Parser callback: a part of the body."""
         self._framing_bytes = 0
-        if self._finished:
-            return
-        if self._is_skipping:
+        if self._is_skipping and not self._finished:
             self._skip(chunk)
-        else:
+        elif not self._finished:
             self._sink.on_body(chunk)
 
     def on_message_complete(self):
--- a/crankchute/core/shutdown_admission.py
+++ b/crankchute/core/shutdown_admission.py
@@ -59,14 +59,14 @@
       is_closed: Whether no request is accepted any more, a bool.
     """
 
-    def __init__(self, desk, hints):
+    def __init__(self, forwarder, hints):
         """Create the decision for an instance that is not shutting down.
 
         Args:
-          desk: The Forwarder.
+          forwarder: The Forwarder.
           hints: RetryHints.
         """
-        self._desk = desk
+        self._forwarder = forwarder
         self._hints = hints
         self._durations = RecentDurations()
         self.schedule = None
@@ -102,7 +102,7 @@
             'left_ms': left_ms,
             'needed_ms': needed_ms,
         }
-        self._desk.journal.log_not_admitted(job, refusal)
+        self._forwarder.journal.log_not_admitted(job, refusal)
         return refusal
 
     def _estimate_ms(self, job, now_ms):
@@ -113,7 +113,7 @@
         if job.is_stream:
             # A stream that has begun cannot end with a status.
             return remaining_ms
-        longest_ms = self._durations.longest_ms(job, self._desk.flows)
+        longest_ms = self._durations.longest_ms(job, self._forwarder.flows)
         return min(remaining_ms, longest_ms * _MARGIN_FACTOR + _MARGIN_MS)
 
 
--- a/crankchute/entry/shutdown.py
+++ b/crankchute/entry/shutdown.py
@@ -15,7 +15,7 @@
     """Ends the process once its requests are completed.
 
     Attributes:
-      host: The ShutdownHost; set by the host before the shutdown.
+      host: A ShutdownHost; one that does nothing by default.
     """
 
     def __init__(self, node):
@@ -29,7 +29,7 @@
         self.host = ShutdownHost()
 
     def start(self, limits):
-        """Begin the shutdown; later calls of this and of reload do nothing.
+        """Begin the shutdown, once; later changes of the limits do not affect it.
 
         Args:
           limits: The ForwardLimits.
--- a/crankchute/platform/answer_attribution.py
+++ b/crankchute/platform/answer_attribution.py
@@ -26,9 +26,7 @@
     def find_owner(self, call):
         """See AnswerAttribution."""
         answer_id = call.headers.get(REQUEST_ID) or None
-        owner = attribute_answer(
-            self.request_id, answer_id, is_first=call.is_new
-        )
+        owner = attribute_answer(self.request_id, answer_id, is_new=call.is_new)
         if owner != AnswerOwner.OWN:
             host, port = call.address
             log_change(
@@ -44,17 +42,17 @@
         return owner
 
 
-def attribute_answer(request_id, answer_id, *, is_first):
+def attribute_answer(request_id, answer_id, *, is_new):
     """Return the AnswerOwner of an answer.
 
     Args:
       request_id: The id of the request that waits for an answer, or None.
       answer_id: The id in the answer's head, or None.
-      is_first: Whether that request is the first of its connection, a bool.
+      is_new: Whether that request is the first of its connection, a bool.
     """
     if answer_id == request_id:
         return AnswerOwner.OWN
-    if is_first:
+    if is_new:
         # There is no earlier request that the answer could belong to.
         is_unnamed = answer_id is None
         return AnswerOwner.OWN if is_unnamed else AnswerOwner.UNKNOWN
--- a/crankchute/platform/backend_calls.py
+++ b/crankchute/platform/backend_calls.py
@@ -288,5 +288,5 @@
     if SIGNATURE not in headers and status < _FIRST_REDIRECT_STATUS:
         return 'the answer is not signed'
     if status in _NOT_EXECUTED_STATUSES:
-        return f'the server answered {status} without saying that it ran not'
+        return f'the server answered {status} without saying that it did not run it'
     return None
