Reserve a range of ports for each process that picks ports

Cause: test workers with the same number in two runs shared a range, in which each picks a port that the other has picked and not yet bound: a run beside another one ended with "cannot listen on 127.0.0.1:14670".

Each process now reserves a range by keeping its first port bound.

--- a/crankchute/standins/ports.py
+++ b/crankchute/standins/ports.py
@@ -1,63 +1,92 @@
 """Allocates TCP ports for the processes of a test run.
 
 Ports come from below the ephemeral range, so that no outgoing connection can
-take one before the server binds it.  Parallel runs use different subranges.
+take one before the server binds it.  Each process that picks ports has a range
+of its own, so that parallel runs cannot pick the same port.
 """
 
 import itertools
-import os
 import socket
+from functools import cache
 
 LOOPBACK = '127.0.0.1'
 _FIRST_PORT = 12_000
-_SUBRANGES = 16
-_SUBRANGE_SIZE = 1_200
-#: Distance between the first ports of processes with consecutive ids.
-_PROCESS_STRIDE = 151
-_WORKER_VARIABLE = 'PYTEST_XDIST_WORKER'
+_RANGES = 16
+_RANGE_SIZE = 1_200
+_END_PORT = _FIRST_PORT + _RANGES * _RANGE_SIZE
 
 
-def _choose_subrange():
-    """Return the index of the subrange, from the test worker or process id."""
-    worker = os.environ.get(_WORKER_VARIABLE, '')
-    if worker:
-        return int(worker.removeprefix('gw')) % (_SUBRANGES // 2)
-    return _SUBRANGES // 2 + os.getpid() % (_SUBRANGES // 2)
+class PortsExhaustedError(Exception):
+    """All ranges are in use by other processes."""
 
+    def __str__(self):
+        """Return the message."""
+        return f'all {_RANGES} ranges of ports are in use'
 
-def _list_subrange():
-    """Return the ports of the subrange, rotated by process id.
 
-    Parallel runs may share a subrange; different first ports keep them from
-    picking a port that another run has picked but not yet bound.
+class PortRange:
+    """A range of ports that is reserved for this process.
+
+    The first port stays bound until the process ends; other processes see from
+    it that the range is in use.
     """
-    first_port = _FIRST_PORT + _choose_subrange() * _SUBRANGE_SIZE
-    offset = os.getpid() * _PROCESS_STRIDE % _SUBRANGE_SIZE
-    ports = range(first_port, first_port + _SUBRANGE_SIZE)
-    return [*ports[offset:], *ports[:offset]]
 
+    __slots__ = ('_candidates', '_reservation')
+
+    def __init__(self):
+        """Reserve the first range that is free.
+
+        Raises:
+          PortsExhaustedError: If there is none.
+        """
+        first_ports = range(_FIRST_PORT, _END_PORT, _RANGE_SIZE)
+        bound = filter(None, map(_bind, first_ports))
+        self._reservation = next(bound, None)
+        if self._reservation is None:
+            raise PortsExhaustedError
+        first_port = self._reservation.getsockname()[1]
+        # A port is reused only after all others of the range were tried.
+        self._candidates = itertools.cycle(
+            range(first_port + 1, first_port + _RANGE_SIZE)
+        )
 
-_candidates = itertools.cycle(_list_subrange())
+    def pick(self, count):
+        """Return free ports, a list of ints."""
+        free = filter(_is_free, self._candidates)
+        return list(itertools.islice(free, count))
 
 
 def pick_ports(count):
     """Return free ports of the loopback interface.
 
-    A port is reused only after all others of the subrange were tried.
-
     Args:
       count: The number of ports.
     Returns:
       A list of ints.
+    Raises:
+      PortsExhaustedError: If other processes use all ranges.
     """
-    free = filter(_is_free, _candidates)
-    return list(itertools.islice(free, count))
+    return _get_range().pick(count)
+
+
+@cache
+def _get_range():
+    return PortRange()
 
 
 def _is_free(port):
-    with socket.socket() as sock:
-        try:
-            sock.bind((LOOPBACK, port))
-        except OSError:
-            return False
-    return True
+    sock = _bind(port)
+    if sock is not None:
+        sock.close()
+    return sock is not None
+
+
+def _bind(port):
+    """Return a socket bound to a port, or None if the port is in use."""
+    sock = socket.socket()
+    try:
+        sock.bind((LOOPBACK, port))
+    except OSError:
+        sock.close()
+        return None
+    return sock
--- a/crankchute/standins/ports_test.py
+++ b/crankchute/standins/ports_test.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from crankchute.standins.ports import pick_ports
+from crankchute.standins.ports import PortRange, pick_ports
 
 _EPHEMERAL_RANGE = Path('/proc/sys/net/ipv4/ip_local_port_range')
 
@@ -18,3 +18,9 @@
 def test_consecutive_calls_return_different_ports():
     """Consecutive calls return disjoint ports."""
     assert not set(pick_ports(50)) & set(pick_ports(50))
+
+
+def test_parallel_runs_pick_the_same_port():
+    ranges = [PortRange() for _ in range(2)]
+    first, second = (one.pick(1_000) for one in ranges)
+    assert not set(first) & set(second)
