Close what tests of whole instances start

Cause: instances and servers that a test starts within its process were never closed. One worker of a whole run held 10,621 sockets at its end.

--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -68,6 +68,7 @@
 #: The bound on requests to cold servers.
 COLD_BOUNDS = ColdBounds(overage=1.5, slack=5)  # noqa: WPS432
 _RETRIES = RetryLimits(ratio=0, slack=100, window_ms=1000)
+_open_worlds = []
 
 
 class StandinWorld:
@@ -112,6 +113,7 @@
         self._relay_servers = {}
         self._submitted = {}
         self._peer_ports = []
+        _open_worlds.append(self)
         for _ in range(instances):
             self.start_instance()
         for _ in range(engines):
@@ -307,6 +309,15 @@
         self.lose_paths(node, PathFault.RESET)
         self.stop_relays(node)
 
+    def close(self):
+        """Stop listening, and close the connections between instances."""
+        for node in self.nodes:
+            node.peers.stop()
+        for server in self._relay_servers.values():
+            server.close()
+        for engine in self.engines:
+            engine.crash()
+
     def reports(self, node):
         """Return the EngineReports of an instance.
 
@@ -381,6 +392,12 @@
         return all(len(node.peers.membership) == count for node in self.nodes)
 
 
+def close_worlds():
+    """Close all worlds that were started since the last call."""
+    while _open_worlds:
+        _open_worlds.pop().close()
+
+
 def list_engine(engine, data_centre='here'):
     """Return the ListedServer record of a StandinEngine."""
     return ListedServer(
