Accept all waiting connections in a turn of the loop

A server accepted one connection in each turn, so a burst of new connections waited for as many turns, unread, while requests on open connections were read at once. It now accepts up to 128 in a turn, at once instead of in a task of the next turn.

--- a/crankchute/adapters/sockets.py
+++ b/crankchute/adapters/sockets.py
@@ -34,6 +34,9 @@
 #: Size of the buffers of sockets whose unsent or unread bytes are bounded; the
 #: system doubles it.  Its default bound is several megabytes for a socket.
 _BOUNDED_BUFFER_BYTES = 131_072
+#: The most connections that a server accepts in a turn of the loop, so that open
+#: ones are read in between.
+_MAX_ACCEPTED = 128
 #: Buffered bytes from this size on are sent from a view, since a large rest
 #: would otherwise be copied after every send.
 _VIEW_BYTES = 65_536
@@ -127,6 +130,17 @@
         """
         return _query_size(sock, termios.TIOCOUTQ)
 
+    def _accept(self):
+        """Accept the waiting connections; the base class accepts only one.
+
+        Its generator yields only during handshakes of TLS, which is not used.
+        """
+        for _ in range(_MAX_ACCEPTED):
+            count = len(self._clients)
+            tuple(super()._accept())
+            if len(self._clients) == count:
+                return
+
     def _write(self, sock, data):  # noqa: WPS110  (as in the base class)
         """Send buffered bytes and report the progress."""
         if self.unsent is None:
