Show that requests are relayed to an instance known to lack paths

An instance with lost paths keeps a proxy until 2.5 s after the proxy last confirmed its paths, and looks for expired ones every 0.5 s. A proxy that loses its own paths announces that at once, and is no longer asked, but it still gets relayed requests, each of which returns unserved after two more hops.

--- /dev/null
+++ b/crankchute/platform/lost_proxies_test.py
@@ -0,0 +1,30 @@
+"""Tests of relays to instances that lose their own paths."""
+
+from crankchute.core.forward_fakes import POOL
+from crankchute.platform.lost_paths_test import (
+    lose_all_paths,
+    wait_until_lost,
+)
+from crankchute.platform.standin_paths import PathFault
+from crankchute.platform.standin_world import StandinWorld
+
+_TICK_S = 0.001
+
+
+def list_proxies(node):
+    """Return the ids of the instances to which requests are relayed."""
+    return node.desk.paths.describe_state()[POOL]['proxies']
+
+
+def test_proxy_is_used_after_it_announced_that_its_paths_are_lost():
+    """Each request relayed to it would return after two more hops."""
+    world = StandinWorld()
+    node, proxy, _other = world.nodes
+    name = proxy.identity.instance
+    lose_all_paths(world, node, PathFault.RESET)
+    wait_until_lost(world, node)
+    world.loop.run_until(lambda: name in list_proxies(node), _TICK_S)
+    lose_all_paths(world, proxy, PathFault.RESET)
+    known = node.peers.sharing.instances
+    world.loop.run_until(lambda: POOL in known.view(name).lost_pools, _TICK_S)
+    assert name not in list_proxies(node)
