Relay no requests to an instance that announced its own loss

The announcement, which every message between instances carries, now ends its use as a proxy for the pools that it names, as a relayed request that returns unserved did already. It is used again once it confirms its paths.

--- a/crankchute/core/server_paths.py
+++ b/crankchute/core/server_paths.py
@@ -101,14 +101,16 @@
         """
         return self._find(pool).choose_proxy(avoided)
 
-    def drop_proxy(self, instance):
+    def drop_proxy(self, instance, pools=None):
         """Relay no more requests to an instance until it confirms its paths.
 
         Args:
           instance: The instance's id.
+          pools: Names of the pools that it does not reach; None for all.
         """
         for paths in self._by_pool.values():
-            paths.drop_proxy(instance)
+            if pools is None or paths.pool in pools:
+                paths.drop_proxy(instance)
 
     def confirm_crash(self, backend, on_known, questions_left=_MAX_QUESTIONS):
         """Ask other instances about a server that refuses connections.
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -293,7 +293,7 @@
             proof_age_ms=lambda: node.holder.proof_age_ms(self._now_ms()),
             lost_pools=lambda: node.desk.paths.lost_pools,
             make_message=self._make_message,
-            on_lost_pools=self._discard_impressions,
+            on_lost_pools=self._apply_lost_pools,
             on_message=self._apply_briefing,
             send=self._send,
         )
@@ -378,8 +378,9 @@
                     message.instance, impression.signs
                 )
 
-    def _discard_impressions(self, message):
-        """Discard what a sender with lost paths has told of the servers."""
+    def _apply_lost_pools(self, message):
+        """Relay nothing to a sender with lost paths, nor believe its reports."""
+        self._node.desk.paths.drop_proxy(message.instance, message.lost_pools)
         for pool in message.lost_pools:
             for backend in self._node.fleet.members_of(pool):
                 backend.failure_estimator.forget_remote(message.instance)
--- a/crankchute/platform/lost_proxies_test.py
+++ b/crankchute/platform/lost_proxies_test.py
@@ -1,6 +1,9 @@
 """Tests of relays to instances that lose their own paths."""
 
+import pytest
+
 from crankchute.core.forward_fakes import POOL
+from crankchute.core.pool_paths_test import World
 from crankchute.platform.lost_paths_test import (
     lose_all_paths,
     wait_until_lost,
@@ -28,3 +31,16 @@
     known = node.peers.sharing.instances
     world.loop.run_until(lambda: POOL in known.view(name).lost_pools, _TICK_S)
     assert name not in list_proxies(node)
+
+
+@pytest.mark.parametrize(
+    ('pools', 'is_dropped'),
+    [((POOL,), True), (('other', POOL), True), (('other',), False)],
+)
+def test_announced_loss_of_one_pool_counts_for_another(pools, is_dropped):
+    world = World()
+    world.lose_all()
+    world.suspect()
+    proxy = world.choose()
+    world.paths.drop_proxy(proxy, pools)
+    assert (world.choose() is None) == is_dropped
