Count relays only after the requests from before the loss have ended

test_requests_are_relayed_to_instance_without_paths lets 60 requests wait at each of two instances that lose their paths, waits 2.5 s, and demands that neither gets a relayed request from then on. Two things went beyond the 2.5 s on a slow machine, and each failed the test: requests of the first instance that the second one had still to read ([0, 33] == [0, 30] in a trace; all were sent while it had paths, and three of them read after the wait, 4 s later), and a proxy whose confirmation had not expired yet ([0, 1] == [0, 0]). The failure seen beside load, [0, 60] == [0, 54], was not itself seen again; it fits the former, with all 60 requests relayed instead of 33.

The test now waits until all these requests have ended and both instances relay to the third one only. What it demands is the same.

--- a/crankchute/platform/lost_paths_test.py
+++ b/crankchute/platform/lost_paths_test.py
@@ -25,11 +25,16 @@
 
 
 def lose_all_paths(world, node, fault):
-    """Lose the paths while requests need more connections than are open."""
+    """Lose the paths while requests need more connections than are open.
+
+    Returns:
+      Functions that wait for the end of each request.
+    """
     ask_often(world, node)
     world.lose_paths(node, fault)
-    for _ in range(_BURST):
-        world.submit(node, SOUND, goal_ms=_GOAL_MS)
+    return [
+        world.submit(node, SOUND, goal_ms=_GOAL_MS)[1] for _ in range(_BURST)
+    ]
 
 
 def wait_until_lost(world, node):
@@ -244,28 +249,6 @@
         assert finish() == ('refused', Outcome.UNKNOWN)
 
 
-def count_taken(world):
-    """Return the relayed requests that each instance has got."""
-    return [one.metrics.counts.get('relays_taken', 0) for one in world.nodes]
-
-
-def test_requests_are_relayed_to_instance_without_paths():
-    """Two of three instances have no paths, so the third one serves all."""
-    world = StandinWorld()
-    for cut in world.nodes[:2]:
-        lose_all_paths(world, cut, PathFault.RESET)
-    for lost in world.nodes[:2]:
-        wait_until_lost(world, lost)
-    # The first one may have been helped before it was alone.
-    world.wait(_SETTLED_MS)
-    earlier = count_taken(world)
-    ended = world.send_load(world.nodes, 30, 1000)
-    assert set(ended) <= ANSWERED
-    taken = count_taken(world)
-    assert taken[:2] == earlier[:2]
-    assert taken[2] > earlier[2]
-
-
 def test_instance_that_starts_without_paths_is_active():
     """It checks its paths before callers show that they are lost."""
     world = StandinWorld(instances=2)
--- a/crankchute/platform/lost_proxies_test.py
+++ b/crankchute/platform/lost_proxies_test.py
@@ -9,7 +9,7 @@
     wait_until_lost,
 )
 from crankchute.platform.standin_paths import PathFault
-from crankchute.platform.standin_world import StandinWorld
+from crankchute.platform.standin_world import ANSWERED, StandinWorld
 
 _TICK_S = 0.001
 
@@ -19,6 +19,37 @@
     return node.desk.paths.describe_state()[POOL]['proxies']
 
 
+def count_taken(world):
+    """Return the relayed requests that each instance has got."""
+    return [one.metrics.counts.get('relays_taken', 0) for one in world.nodes]
+
+
+def test_requests_are_relayed_to_instance_without_paths():
+    """Two of three instances have no paths, so the third one serves all."""
+    world = StandinWorld()
+    *lost, helper = world.nodes
+    waiting = [
+        finish
+        for cut in lost
+        for finish in lose_all_paths(world, cut, PathFault.RESET)
+    ]
+    for cut in lost:
+        wait_until_lost(world, cut)
+    # The first one may have been helped before the second one was lost.
+    for finish in waiting:
+        finish()
+    proxies = [helper.identity.instance]
+    world.loop.run_until(
+        lambda: all(list_proxies(node) == proxies for node in lost), _TICK_S
+    )
+    earlier = count_taken(world)
+    ended = world.send_load(world.nodes, 30, 1000)
+    assert set(ended) <= ANSWERED
+    taken = count_taken(world)
+    assert taken[:2] == earlier[:2]
+    assert taken[2] > earlier[2]
+
+
 def test_proxy_is_used_after_it_announced_that_its_paths_are_lost():
     """Each request relayed to it would return after two more hops."""
     world = StandinWorld()
