--- a/crankchute/platform/relayed_requests_test.py
+++ b/crankchute/platform/relayed_requests_test.py
@@ -26,11 +26,7 @@
 
 _TICK_S = 0.001
 _IDLE_MS = 60_000
-_HEADERS = (
-    ('Host', 'a.example'),
-    ('X-Crankchute-Request-Id', 'r1'),
-    ('X-Custom', 'kept'),
-)
+_HEADERS = (('Host', 'a.example'), ('X-Custom', 'kept'))
 
 
 class RecordingListener(AttemptListener):
@@ -108,7 +104,7 @@
             sink.on_refused(self.refusal)
             return
         headers = [
-            ('X-Crankchute-Request-Id', 'r1'),
+            ('X-Crankchute-Request-Id', flow.job.request_id),
             ('X-Crankchute-Response-Signature', 'sig'),
             ('Relay-Outcome', 'elsewhere'),
         ]
@@ -120,8 +116,8 @@
 
     def __init__(self, **reader_fields):
         self.loop = Loop()
-        client = HttpClient(timers=self.loop.timers).register(self.loop)
-        self.calls = RelayCalls(client, 'entry-0')
+        self.client = HttpClient(timers=self.loop.timers).register(self.loop)
+        self.calls = RelayCalls(self.client, 'entry-0')
         self.desk = FakeDesk(self.loop.timers)
         self.refused = []
         node = SimpleNamespace(
@@ -139,10 +135,11 @@
             idle_ms=_IDLE_MS,
         ).register(self.loop)
 
-    def send(self, authorization='Bearer key-1'):
+    def send(self, authorization='Bearer key-1', request_id='r1'):
         """Relay a request, and return the listener and the placement."""
+        headers = [*_HEADERS, ('X-Crankchute-Request-Id', request_id)]
         payload = RequestPayload(
-            'POST', '/p/x', list(_HEADERS), b'body', authorization
+            'POST', '/p/x', headers, b'body', authorization
         )
         listed = ListedServer(
             {
@@ -155,7 +152,8 @@
         placement = RelayPlacement(Backend(listed))
         order = AttemptOrder(2, 800.7, 12, ['i-1', 'i-2@9'])
         listener = RecordingListener()
-        self.calls.send(make_job(payload=payload), placement, order, listener)
+        job = make_job(payload=payload, request_id=request_id)
+        self.calls.send(job, placement, order, listener)
         self.loop.run_until(lambda: listener.end is not None, _TICK_S)
         return listener, placement
 
@@ -233,6 +231,38 @@
     assert [(args[0], args[2]) for args in pair.refused] == [('r1', 'entry-0')]
 
 
+@pytest.mark.parametrize(
+    ('refusal', 'relays', 'authorization', 'end'),
+    [
+        (
+            Refusal(Outcome.NOT_RUN, NO_PATH, 'text'),
+            0,
+            'Bearer key-1',
+            ('failed', NO_PATH, False),
+        ),
+        (
+            Refusal(Outcome.NOT_RUN, 'crowded', 'text'),
+            0,
+            'Bearer key-1',
+            ('not run', 'crowded', True, None),
+        ),
+        (None, 64, 'Bearer key-1', ('failed', 'relays_busy', False)),
+        (None, 0, None, ('failed', 'unknown_key', False)),
+    ],
+)
+def test_refusal_on_a_kept_connection_cannot_be_attributed(
+    refusal, relays, authorization, end
+):
+    """A request that did not run would count as one that may have run."""
+    pair = Pair()
+    assert pair.send()[0].end == ('end',)
+    pair.desk.refusal = refusal
+    relayed = make_job(relay=RelayOrigin('entry-9', ()))
+    pair.desk.flows.update(FakeFlow(relayed) for _ in range(relays))
+    assert pair.send(authorization, request_id='r2')[0].end == end
+    assert pair.client.opened == 1
+
+
 def test_instance_serves_endless_relays():
     """Its own requests do not count, and ended ones are not kept."""
     pair = Pair()
