Test a stop of the instances at both ends of a relayed request

Nothing tested what callers are told if the instance that serves a relayed request stops, or the one that relays it. Several whole instances now run on one simulated clock, the first without paths to servers.

The stopping instances of these tests listen for relays on a port of their own, no longer on the fixed range, which parallel runs use up.

--- a/crankchute/platform/standin_paced.py
+++ b/crankchute/platform/standin_paced.py
@@ -40,6 +40,11 @@
         """See Clock."""
         return self.time_ms
 
+    def advance(self, delay_ms):
+        """Advance the clock, and return the new time."""
+        self.time_ms += delay_ms
+        return self.time_ms
+
 
 class PacedServer:
     """A server that works for as long as each request's query says.
@@ -125,6 +130,11 @@
         self.reads = True
         self._received = b''
 
+    @property
+    def head(self):
+        """The head of the response as far as it has arrived, a string."""
+        return self._received.partition(b'\r\n\r\n')[0].decode('latin-1')
+
     @property
     def keeps_connection(self):
         """Whether the connection can be used again, a bool."""
--- a/crankchute/platform/standin_stop.py
+++ b/crankchute/platform/standin_stop.py
@@ -26,7 +26,8 @@
 
 _HOST = 'a.example'
 _POOL = 'pool'
-_STEP_MS = 4
+#: How far the clock advances for each iteration of the loop.
+STEP_MS = 4
 _TICK_S = 0.001
 _FINAL_TICKS = 4
 _DEADLINE_MS = 10_000
@@ -48,9 +49,13 @@
       ended_ms: How long after the signal the process ended, or None.
     """
 
-    def __init__(self):
-        """Start the instance."""
-        self.clock = StepClock()
+    def __init__(self, clock=None):
+        """Start the instance.
+
+        Args:
+          clock: A StepClock that several instances share, or None.
+        """
+        self.clock = clock or StepClock()
         self.loop = Loop(self.clock)
         self.server = PacedServer(self.loop)
         self.requests = []
@@ -65,6 +70,11 @@
         self.node.on_stopped = self._on_stopped
         self._configure()
 
+    @property
+    def relay_address(self):
+        """The address for relayed requests, a pair of IP and port."""
+        return self.platform._relay_sock.getsockname()  # noqa: SLF001, WPS437
+
     def run_for(self, delay_ms):
         """Run the loop for some simulated milliseconds."""
         until_ms = self.clock.time_ms + delay_ms
@@ -73,6 +83,13 @@
             _TICK_S,
         )
 
+    def run_once(self):
+        """Run one iteration of the loop without advancing the clock."""
+        if self.ended_ms is None:
+            turns = iter((False, True))
+            self.loop.run_until(lambda: next(turns), 0)
+            self._observe()
+
     def stop(self):
         """Deliver the signal."""
         if self._stopped_at_ms is None:
@@ -87,11 +104,15 @@
         """
         self.platform.reload(_make_settings(grace_ms))
 
-    def connect(self):
-        """Return a connection to the instance, None if it is refused."""
+    def connect(self, address=None):
+        """Return a connection to the instance, None if it is refused.
+
+        Args:
+          address: A pair of IP and port; the one for callers by default.
+        """
         sock = socket.socket()
         try:
-            sock.connect(self.address)
+            sock.connect(address or self.address)
         except OSError:
             sock.close()
             return None
@@ -141,11 +162,13 @@
         ]
 
     def _advance(self):
+        self._observe()
+        return self.clock.advance(STEP_MS)
+
+    def _observe(self):
         self._poll()
         if self._has_stopped and self.ended_ms is None:
             self._end_process()
-        self.clock.time_ms += _STEP_MS
-        return self.clock.time_ms
 
     def _poll(self):
         for caller in self.requests:
@@ -218,14 +241,14 @@
 
 
 def _make_settings(grace_ms=GRACE_MS):
-    *ports, metrics_port = pick_ports(4)
+    *ports, relay_port, metrics_port = pick_ports(5)
     callers, readiness, control = (f'{LOOPBACK}:{port}' for port in ports)
     settings = read_settings(
         {
             'node-name': 'edge-1',
             'zone': 'one',
             'zones': {'one': 'r'},
-            'internal-port-range': [7340, 7355],
+            'internal-port-range': [relay_port, relay_port],
             'listen': {
                 'frontend': callers,
                 'readiness': readiness,
