--- a/crankchute/platform/relayed_requests_test.py
+++ b/crankchute/platform/relayed_requests_test.py
@@ -141,8 +141,14 @@
 
     def send(self, authorization='Bearer key-1'):
         """Relay a request, and return the listener and the placement."""
+        listener, placement = self.start(authorization=authorization)
+        self.wait_for_end(listener)
+        return listener, placement
+
+    def start(self, body=b'body', authorization='Bearer key-1'):
+        """Begin to relay a request; return the listener and the placement."""
         payload = RequestPayload(
-            'POST', '/p/x', list(_HEADERS), b'body', authorization
+            'POST', '/p/x', list(_HEADERS), body, authorization
         )
         listed = ListedServer(
             {
@@ -156,9 +162,11 @@
         order = AttemptOrder(2, 800.7, 12, ['i-1', 'i-2@9'])
         listener = RecordingListener()
         self.calls.send(make_job(payload=payload), placement, order, listener)
-        self.loop.run_until(lambda: listener.end is not None, _TICK_S)
         return listener, placement
 
+    def wait_for_end(self, listener):
+        self.loop.run_until(lambda: listener.end is not None, _TICK_S)
+
 
 def test_relayed_request_arrives_changed():
     world = Pair()
