Refuse half-read relayed requests with the words of a relay

Cause: a request that is refused before it is complete is answered by the intake, which knows nothing of relays. Its plain 503 (408, 413, 431) names neither the request nor the outcome, so the instance that relays took it for an answer to another request, and for one that may have run.

Change: the server of relayed requests adds the headers of "elsewhere" and the request's id, as far as it was read, so that the request goes to another instance. Without the id, on a connection that was used before, the request still counts as one that may have run.

--- a/crankchute/adapters/forward_server.py
+++ b/crankchute/adapters/forward_server.py
@@ -227,6 +227,9 @@
       is_closing: Whether responses carry `Connection: close`.
       limits: The IntakeLimits of new requests.
       idle_ms: How long a connection may be idle, in milliseconds.
+      list_rejection_headers: A function of the RequestReader and the
+        RequestRefused that returns additional headers of the answer to a
+        request that is refused before it is complete, or None.
       on_rejected: Called with the RequestReader and the RequestRefused of each
         request that is refused before it is complete, or None.
     """
@@ -249,6 +252,7 @@
         self.idle_ms = idle_ms
         self.is_closing = False
         self.limits = DEFAULT_LIMITS
+        self.list_rejection_headers = None
         self.on_rejected = None
         timers.every(_TIMEOUT_CHECK_MS, self._check_timeouts)
 
@@ -394,7 +398,10 @@
     def _reject(self, sock, reader, refusal):
         """Answer a malformed or late request, and close the connection."""
         self._connections.pop(sock, None)
-        reader.reject(refusal)
+        headers = ()
+        if self.list_rejection_headers is not None:
+            headers = self.list_rejection_headers(reader, refusal)
+        reader.reject(refusal, headers)
         self.close(sock)
         if self.on_rejected is not None:
             self.on_rejected(reader, refusal)
--- a/crankchute/adapters/http_intake.py
+++ b/crankchute/adapters/http_intake.py
@@ -173,19 +173,21 @@
                 'the request did not arrive in time',
             )
 
-    def reject(self, refusal):
+    def reject(self, refusal, headers=()):
         """Answer a request that is not read to its end.
 
         Args:
           refusal: A RequestRefused.
+          headers: Pairs of name and text to add to the answer.
         """
         lines = (
             f'HTTP/1.1 {int(refusal.status)} {refusal.status.phrase}',
+            *(f'{name}: {text}' for name, text in headers),
             'Content-Length: 0',
             'Connection: close',
             '\r\n',
         )
-        self._reply('\r\n'.join(lines).encode())
+        self._reply('\r\n'.join(lines).encode('latin-1'))
 
     def on_message_begin(self):
         """Parser callback: the start of a request."""
--- a/crankchute/platform/answers.py
+++ b/crankchute/platform/answers.py
@@ -81,7 +81,7 @@
         log_change(
             'intake_refused',
             failed=True,
-            request=_find_request_id(reader.headers),
+            request=find_request_id(reader.headers),
             status=int(refusal.status),
             code=refusal.code,
             reason=refusal.text,
@@ -121,8 +121,12 @@
     return HTTPStatus.BAD_GATEWAY
 
 
-def _find_request_id(headers):
-    """Return the request id among the headers read so far, or None."""
+def find_request_id(headers):
+    """Return the request id among the headers read so far, or None.
+
+    Args:
+      headers: Pairs of name and text, bytes.
+    """
     for name, text in headers:
         if name.lower() == _REQUEST_ID_NAME:
             return text.decode('latin-1')
--- a/crankchute/platform/relayed_requests.py
+++ b/crankchute/platform/relayed_requests.py
@@ -17,6 +17,7 @@
 from crankchute.platform.answers import (
     ExchangeAnswer,
     attach_flow,
+    find_request_id,
     http_status_of,
 )
 from crankchute.platform.relay_words import (
@@ -65,7 +66,7 @@
         headers = [
             (RELAY_OUTCOME, self._classify(refusal).value),
             (RELAY_CODE, refusal.code),
-            *self._name_request(),
+            *_name_request(self._exchange.header(REQUEST_ID)),
             *self._mark(()),
         ]
         if refusal.retry_after_ms is not None:
@@ -78,18 +79,9 @@
         Args:
           code: A short identifier of the reason.
         """
-        headers = [
-            (RELAY_OUTCOME, RelayOutcome.ELSEWHERE.value),
-            (RELAY_CODE, code),
-            *self._name_request(),
-        ]
+        headers = _list_elsewhere(code, self._exchange.header(REQUEST_ID))
         self._exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE, b'', headers)
 
-    def _name_request(self):
-        """Return the header by which the other instance knows its answer."""
-        request_id = self._exchange.header(REQUEST_ID)
-        return [] if request_id is None else [(REQUEST_ID, request_id)]
-
     def _mark(self, headers):
         """Add the id of the server to the headers of its answer."""
         marked = drop_relay_headers(headers)
@@ -139,6 +131,19 @@
         job.relay = origin
         self._serve(job, exchange, answer)
 
+    def list_rejection_headers(self, reader, refusal):
+        """Return the headers that refuse a request that was not read completely.
+
+        No server has got it, so that another instance may serve it.
+
+        Args:
+          reader: A RequestReader.
+          refusal: A RequestRefused.
+        Returns:
+          A list of pairs of name and text.
+        """
+        return _list_elsewhere(refusal.code, find_request_id(reader.headers))
+
     def _serve(self, job, exchange, answer):
         job.max_attempts = 1
         self._node.metrics.count('relays_taken')
@@ -147,6 +152,19 @@
         attach_flow(exchange, flow)
 
 
+def _list_elsewhere(code, request_id):
+    return [
+        (RELAY_OUTCOME, RelayOutcome.ELSEWHERE.value),
+        (RELAY_CODE, code),
+        *_name_request(request_id),
+    ]
+
+
+def _name_request(request_id):
+    """Return the header by which the other instance knows its answer."""
+    return [] if request_id is None else [(REQUEST_ID, request_id)]
+
+
 def _take_origin(exchange):
     """Return the RelayOrigin of a request, and remove it from the headers."""
     avoided = exchange.header(RELAY_AVOIDED)
--- a/crankchute/platform/relayed_requests_test.py
+++ b/crankchute/platform/relayed_requests_test.py
@@ -138,6 +138,7 @@
             channel='relays',
             idle_ms=_IDLE_MS,
         ).register(self.loop)
+        self.server.list_rejection_headers = self.relayed.list_rejection_headers
 
     def send(self, authorization='Bearer key-1'):
         """Relay a request, and return the listener and the placement."""
