Show that a request that cannot be ended keeps others from their ends

The end of a shutdown ends the requests one after the other. An exception for one of them ends the check: the others get no end, now or at the next check, and as requests remain in progress the process does not end by itself.

--- /dev/null
+++ b/crankchute/entry/shutdown_test.py
@@ -0,0 +1,101 @@
+"""Tests of a shutdown during which the end of a request fails."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from crankchute.core.forward_fakes import FakeSink, ForwardHarness, make_job
+from crankchute.core.forward_job import PrefillHelper, RetryMode
+from crankchute.core.outcomes import Outcome
+from crankchute.entry.shutdown import Shutdown
+
+_REQUESTS = 4
+_GRACE_MS = 8000
+_CHECK_MS = 100
+_ADDRESS_TTL_MS = 1000
+#: Longer than any stage of the shutdown.
+_LONG_MS = 60_000
+
+
+class FailingSink(FakeSink):
+    """Fails to tell its caller that a request ends."""
+
+    def on_refused(self, refusal):
+        raise ValueError('the caller cannot be told')
+
+
+class StoppingDesk:
+    """A shutdown of an instance with fake ports."""
+
+    def __init__(self, *, is_waiting):
+        """Create the instance.
+
+        Args:
+          is_waiting: Whether its requests wait for memory instead of being
+            at their servers.
+        """
+        self.harness = ForwardHarness()
+        self.ended_ms = None
+        self._timers = self.harness.timers
+        if is_waiting:
+            helper = self.harness.backends[1]
+            self.harness.chooser.helpers = (PrefillHelper(helper, 'ticket'),)
+        node = SimpleNamespace(
+            desk=self.harness.forwarder,
+            timers=self._timers,
+            now_ms=self._timers.clock.now_ms,
+            peers=SimpleNamespace(stop=list),
+            on_stopped=self._on_stopped,
+        )
+        self.shutdown = Shutdown(node)
+
+    def submit(self, sink):
+        job = make_job(repeat=RetryMode.ONCE, deadline_ms=_LONG_MS)
+        self.harness.forwarder.shutdown.record_answered(job, _LONG_MS)
+        self.harness.forwarder.submit(job, sink)
+        return sink
+
+    def run(self, delay_ms=_GRACE_MS):
+        """Shut down; what fails ends the callback of a timer."""
+        self.shutdown.start(
+            SimpleNamespace(grace_ms=_GRACE_MS, address_ttl_ms=_ADDRESS_TTL_MS),
+        )
+        for _ in range(delay_ms // _CHECK_MS):
+            self._run_timers()
+
+    def _run_timers(self):
+        try:
+            self._timers.advance(_CHECK_MS)
+        except ValueError:
+            self._timers.advance(0)
+
+    def _on_stopped(self):
+        self.ended_ms = self._timers.clock.now_ms()
+
+
+@pytest.mark.parametrize('failing', range(_REQUESTS))
+@pytest.mark.parametrize('is_waiting', [False, True])
+def test_failing_end_of_a_request_leaves_the_others_without_an_end(
+    is_waiting, failing
+):
+    desk = StoppingDesk(is_waiting=is_waiting)
+    sinks = [
+        desk.submit(FailingSink() if number == failing else FakeSink())
+        for number in range(_REQUESTS)
+    ]
+    # Requests that wait are refused at once.
+    desk.run(_CHECK_MS if is_waiting else _GRACE_MS)
+    outcome = Outcome.NOT_RUN if is_waiting else Outcome.UNKNOWN
+    sinks.pop(failing)
+    for sink in sinks:
+        assert sink.events == [('refused', outcome)]
+
+
+@pytest.mark.parametrize('is_waiting', [False, True])
+def test_process_with_a_request_that_cannot_be_ended_is_killed(is_waiting):
+    """It ends by itself before the grace period is over."""
+    desk = StoppingDesk(is_waiting=is_waiting)
+    desk.submit(FailingSink())
+    desk.run()
+    assert desk.ended_ms is not None
+    assert desk.ended_ms < _GRACE_MS
