End each request of a shutdown by itself

Cause: one loop refused the waiting requests, another ended the rest, and an exception for one request left both. The process then waited for requests in progress without a limit, so the system killed it.

Change: an exception for one request is logged with its id, and the others go on; the process ends by itself at its last stage even if a request is still in progress.

--- a/crankchute/entry/shutdown.py
+++ b/crankchute/entry/shutdown.py
@@ -2,6 +2,7 @@
 
 from crankchute.adapters.log import log_change
 from crankchute.adapters.shutdown_log import (
+    log_end_failed,
     log_ended_by_stop,
     log_stopped,
     log_stopping,
@@ -51,9 +52,10 @@
         else:
             self._refuse_waiting()
         has_unsent = self.host.has_unsent()
-        if desk.in_progress or now_ms < schedule.known_ms:
+        if now_ms < schedule.known_ms:
             return
-        if has_unsent and now_ms < schedule.exit_ms:
+        # Requests that could not be ended do not delay the process either.
+        if (desk.in_progress or has_unsent) and now_ms < schedule.exit_ms:
             return
         if desk.shutdown.is_closed:
             self._stop(now_ms - schedule.started_ms, has_unsent=has_unsent)
@@ -67,21 +69,30 @@
 
     def _refuse_waiting(self):
         """Refuse requests that wait for a server for too long."""
-        desk = self._node.desk
-        for flow in tuple(desk.flows):
-            refusal = desk.shutdown.find_refusal(flow)
-            if refusal is not None:
-                flow.give_up(refusal.code, refusal.text, refusal.retry_after_ms)
+        self._for_each_request(self._refuse_if_late)
+
+    def _refuse_if_late(self, flow):
+        refusal = self._node.desk.shutdown.find_refusal(flow)
+        if refusal is not None:
+            flow.give_up(refusal.code, refusal.text, refusal.retry_after_ms)
 
     def _end_requests(self):
         """End the requests in progress, so that callers learn what is true."""
-        desk = self._node.desk
-        started_ms = desk.shutdown.schedule.started_ms
-        if not desk.shutdown.is_closed:
+        if not self._node.desk.shutdown.is_closed:
             self._close()
-        for flow in tuple(desk.flows):
-            log_ended_by_stop(flow, started_ms)
-            flow.give_up(STOPPING, 'this instance is shutting down')
+        self._for_each_request(self._end_request)
+
+    def _end_request(self, flow):
+        log_ended_by_stop(flow, self._node.desk.shutdown.schedule.started_ms)
+        flow.give_up(STOPPING, 'this instance is shutting down')
+
+    def _for_each_request(self, function):
+        """Call a function for each ForwardFlow, even if it fails for some."""
+        for flow in tuple(self._node.desk.flows):
+            try:
+                function(flow)
+            except Exception as exc:
+                log_end_failed(flow, exc)
 
     def _stop(self, elapsed_ms, *, has_unsent):
         node = self._node
--- a/crankchute/entry/shutdown_test.py
+++ b/crankchute/entry/shutdown_test.py
@@ -56,18 +56,11 @@
         return sink
 
     def run(self, delay_ms=_GRACE_MS):
-        """Shut down; what fails ends the callback of a timer."""
+        """Shut down."""
         self.shutdown.start(
             SimpleNamespace(grace_ms=_GRACE_MS, address_ttl_ms=_ADDRESS_TTL_MS),
         )
-        for _ in range(delay_ms // _CHECK_MS):
-            self._run_timers()
-
-    def _run_timers(self):
-        try:
-            self._timers.advance(_CHECK_MS)
-        except ValueError:
-            self._timers.advance(0)
+        self._timers.advance(delay_ms)
 
     def _on_stopped(self):
         self.ended_ms = self._timers.clock.now_ms()
