Report the end of an attempt to the chooser that placed it

Cause: a configuration replaces all choosers, and attempts in progress were reported to the chooser of the pool that was then in force. One of engines raised an error for a placement that it had not made, after the attempt was closed and before its request was told; so the request waited for its deadline and was called "not run". One of plain servers, or none, left the work of the request at its engines.

Change: a placement holds its chooser, which judges silence and is told of all that follows. A request that was read for a plain pool is not placed at engines: it has no size, which raised an error as well; it ends as if the pool were removed.

--- a/crankchute/core/choosers.py
+++ b/crankchute/core/choosers.py
@@ -83,7 +83,13 @@
 
 
 class Chooser(abc.ABC):
-    """Chooses servers for the requests of one pool; a base class."""
+    """Chooses servers for the requests of one pool; a base class.
+
+    Attributes:
+      needs_size: Whether it only places jobs with a PromptSize, a bool.
+    """
+
+    needs_size = False
 
     def __init__(self, parts):
         """Create the chooser.
@@ -193,8 +199,22 @@
         """
         return attempt.last_event_ms + job.goal_ms
 
+    def accepts(self, job):
+        """Return whether a job was read for servers of this kind.
+
+        Args:
+          job: A ForwardJob.
+        """
+        return job.size is not None or not self.needs_size
+
     def record_sent(self, job, placement):
-        """Record that a job is about to be sent to its placement."""
+        """Record that a job is about to be sent to its placement.
+
+        Args:
+          job: A ForwardJob.
+          placement: The Placement, whose end is reported to this chooser.
+        """
+        placement.chooser = self
 
     def record_first_event(self, job, placement):
         """Record the first event of a job."""
--- a/crankchute/core/engine_chooser.py
+++ b/crankchute/core/engine_chooser.py
@@ -62,6 +62,8 @@
 class EngineChooser(Chooser):
     """Chooses by the predicted first event and the delay of other requests."""
 
+    needs_size = True
+
     def __init__(self, parts):
         """See Chooser."""
         super().__init__(parts)
@@ -139,6 +141,7 @@
 
     def record_sent(self, job, placement):
         """See Chooser."""
+        super().record_sent(job, placement)
         for work in placement.key.works:
             self._work_tracker.add(work)
             self._parts.announce_work(Change.SENT, work)
--- a/crankchute/core/forward_job.py
+++ b/crankchute/core/forward_job.py
@@ -270,6 +270,8 @@
       helpers: A tuple of PrefillHelper.
       first_ms: The predicted milliseconds to the first event, or None.
       key: The chooser's identifier of this placement; opaque to others.
+      chooser: The Chooser that is told what becomes of it, even if another one
+        serves the pool by then; None for a relayed request.
       priority: The priority at the engine, from 0 (highest) to 9.
       estimate: The PlacementEstimate on which the choice was based, or None.
       is_relayed: Whether another instance chooses the server, a bool.
@@ -279,6 +281,7 @@
 
     __slots__ = (
         'backend',
+        'chooser',
         'estimate',
         'first_ms',
         'helpers',
@@ -289,6 +292,7 @@
     def __init__(self, backend, *, first_ms=None, helpers=(), key=None):
         """Create a placement; see the class for the arguments."""
         self.backend = backend
+        self.chooser = None
         self.first_ms = first_ms
         self.helpers = helpers
         self.key = key
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -142,7 +142,7 @@
             return refusal
         job = flow.job
         chooser = self.find_chooser(job.pool)
-        if chooser is None:
+        if chooser is None or not chooser.accepts(job):
             return refuse_not_run('no_pool', f'there is no pool {job.pool!r}')
         refusal = self.crash_detector.find_refusal(job)
         if refusal is not None:
@@ -163,14 +163,14 @@
         """Return the time when a silent attempt counts as stalled, or None."""
         if attempt.placement.is_relayed:
             return relay_stalled_at_ms(flow.job, attempt)
-        chooser = self.find_chooser(flow.job.pool)
+        chooser = attempt.placement.chooser
         if chooser is None:
             return None
         return chooser.stalled_at_ms(flow.job, attempt)
 
     def overdue_at_ms(self, flow, attempt):
         """Return when an attempt without an event counts as overdue."""
-        chooser = find_placement_chooser(self, flow, attempt.placement)
+        chooser = attempt.placement.chooser
         if chooser is None:
             return flow.job.deadline_ms
         return chooser.overdue_at_ms(flow.job, attempt)
@@ -196,7 +196,7 @@
         Returns:
           A Reservation.
         """
-        chooser = self.find_chooser(flow.job.pool)
+        chooser = placement.chooser
 
         def on_refused(helper):
             if chooser is not None:
@@ -223,7 +223,7 @@
 
     def record_freed(self, flow, placement):
         """Record that a placement no longer uses its servers."""
-        chooser = find_placement_chooser(self, flow, placement)
+        chooser = placement.chooser
         if chooser is not None:
             chooser.record_end(flow.job, placement)
 
@@ -236,7 +236,7 @@
     def record_first_event(self, flow, attempt):
         """Record the first event of an attempt and its prediction error."""
         placement = attempt.placement
-        chooser = find_placement_chooser(self, flow, placement)
+        chooser = placement.chooser
         if chooser is not None:
             chooser.record_first_event(flow.job, placement)
         if flow.job.size is None or placement.first_ms is None:
@@ -249,7 +249,7 @@
 
     def record_load(self, flow, attempt, load):
         """Record the load that a server reported with its answer."""
-        chooser = find_placement_chooser(self, flow, attempt.placement)
+        chooser = attempt.placement.chooser
         if chooser is not None:
             chooser.record_load(attempt.backend, load)
 
@@ -291,19 +291,6 @@
         self.journal.log_end(flow, outcome, code)
 
 
-def find_placement_chooser(forwarder, flow, placement):
-    """Return the Chooser of a placement, or None if the request is relayed.
-
-    Args:
-      forwarder: The Forwarder.
-      flow: A ForwardFlow.
-      placement: Its Placement.
-    """
-    if placement.is_relayed:
-        return None
-    return forwarder.find_chooser(flow.job.pool)
-
-
 def record_not_admitted(journal, metrics, job, refusal):
     """Log and count the refusal of a prompt.
 
--- a/crankchute/platform/standin_stop.py
+++ b/crankchute/platform/standin_stop.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+from types import MappingProxyType
 
 import orjson
 
@@ -25,7 +26,16 @@
 from crankchute.standins.ports import LOOPBACK, pick_ports
 
 _HOST = 'a.example'
-_POOL = 'pool'
+#: The name of the pool of all servers.
+POOL = 'pool'
+_SERVICES = ({'name': POOL},)
+_KINDS = MappingProxyType(
+    {
+        '/once/': 'non_idempotent',
+        '/again/': 'idempotent',
+        '/stream/': 'streaming',
+    }
+)
 #: How far the clock advances for each iteration of the loop.
 STEP_MS = 4
 _TICK_S = 0.001
@@ -62,13 +72,15 @@
         self.ended_ms = None
         self._has_stopped = False
         self._stopped_at_ms = None
+        self._version = 0
         settings = _make_settings()
         sockets = listen_on(settings.listeners.addresses())
         self.address = settings.listeners.callers
         self.platform = PlatformNode(self.loop, settings, sockets)
         self.node = self.platform.node
         self.node.on_stopped = self._on_stopped
-        self._configure()
+        self.configure()
+        self._list_server()
 
     @property
     def relay_address(self):
@@ -104,6 +116,27 @@
         """
         self.platform.reload(_make_settings(grace_ms))
 
+    def configure(self, *, services=_SERVICES, kinds=_KINDS, **route_fields):
+        """Let a new configuration take effect.
+
+        Args:
+          services: The documents of the pools.
+          kinds: A map from path prefix to the kind of its route.
+          route_fields: Fields of all routes that differ from the default.
+        """
+        self._version += 1
+        config = {
+            'version': self._version,
+            'services': list(services),
+            'routes': [
+                {**_make_route(prefix, kind), **route_fields}
+                for prefix, kind in kinds.items()
+            ],
+        }
+        self.platform._apply_config(  # noqa: SLF001, WPS437
+            orjson.dumps(config),
+        )
+
     def connect(self, address=None):
         """Return a connection to the instance, None if it is refused.
 
@@ -191,19 +224,7 @@
         _close_all(self.platform.http_client.hub)
         self._poll()
 
-    def _configure(self):
-        config = {
-            'version': 1,
-            'services': [{'name': _POOL}],
-            'routes': [
-                _make_route('/once/', 'non_idempotent'),
-                _make_route('/again/', 'idempotent'),
-                _make_route('/stream/', 'streaming'),
-            ],
-        }
-        self.platform._apply_config(  # noqa: SLF001, WPS437
-            orjson.dumps(config),
-        )
+    def _list_server(self):
         self.node.fleet.put(
             ListedServer(
                 {
@@ -211,7 +232,7 @@
                     'kind': 'backend',
                     'address': self.server.address,
                     'data_centre': 'one',
-                    'labels': {POOL_LABEL: _POOL},
+                    'labels': {POOL_LABEL: POOL},
                     'born': 1,
                     'cold_remaining_ms': 0,
                 }
@@ -232,7 +253,7 @@
         'host': _HOST,
         'path-prefix': prefix,
         'kind': kind,
-        'service': _POOL,
+        'service': POOL,
         'timeout-ms': _DEADLINE_MS,
         'target-latency-ms': _GOAL_MS,
         'gap_aim_ms': 1000,
