--- a/crankchute/platform/relayed_requests_test.py
+++ b/crankchute/platform/relayed_requests_test.py
@@ -134,13 +134,24 @@
             channel='relays',
             idle_ms=_IDLE_MS,
         ).register(self.loop)
+        self.server.list_rejection_headers = self.relayed.list_rejection_headers
 
-    def send(self, authorization='Bearer key-1', request_id='r1'):
-        """Relay a request, and return the listener and the placement."""
+    def send(self, **fields):
+        """Relay a request, and return the listener and the placement.
+
+        Args:
+          fields: Arguments of start.
+        """
+        listener, placement = self.start(**fields)
+        self.wait_for_end(listener)
+        return listener, placement
+
+    def start(
+        self, body=b'body', authorization='Bearer key-1', request_id='r1'
+    ):
+        """Begin to relay a request; return the listener and the placement."""
         headers = [*_HEADERS, ('X-Crankchute-Request-Id', request_id)]
-        payload = RequestPayload(
-            'POST', '/p/x', headers, b'body', authorization
-        )
+        payload = RequestPayload('POST', '/p/x', headers, body, authorization)
         listed = ListedServer(
             {
                 'id': 'entry-1',
@@ -154,9 +165,11 @@
         listener = RecordingListener()
         job = make_job(payload=payload, request_id=request_id)
         self.calls.send(job, placement, order, listener)
-        self.loop.run_until(lambda: listener.end is not None, _TICK_S)
         return listener, placement
 
+    def wait_for_end(self, listener):
+        self.loop.run_until(lambda: listener.end is not None, _TICK_S)
+
 
 def test_relayed_request_arrives_changed():
     world = Pair()
@@ -224,7 +237,7 @@
 )
 def test_revoked_key_is_served_by_another_instance(fields, authorization):
     pair = Pair(**fields)
-    listener, _placement = pair.send(authorization)
+    listener, _placement = pair.send(authorization=authorization)
     name, _code, was_sent = listener.end
     assert (name, was_sent) == ('failed', False)
     assert not pair.desk.jobs
@@ -259,7 +272,7 @@
     pair.desk.refusal = refusal
     relayed = make_job(relay=RelayOrigin('entry-9', ()))
     pair.desk.flows.update(FakeFlow(relayed) for _ in range(relays))
-    assert pair.send(authorization, request_id='r2')[0].end == end
+    assert pair.send(authorization=authorization, request_id='r2')[0].end == end
     assert pair.client.opened == 1
 
 
--- a/crankchute/platform/standin_stop.py
+++ b/crankchute/platform/standin_stop.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+from types import MappingProxyType
 
 import orjson
 
@@ -25,8 +26,18 @@
 from crankchute.standins.ports import LOOPBACK, pick_ports
 
 _HOST = 'a.example'
-_POOL = 'pool'
-_STEP_MS = 4
+#: The name of the pool of all servers.
+POOL = 'pool'
+_SERVICES = ({'name': POOL},)
+_KINDS = MappingProxyType(
+    {
+        '/once/': 'non_idempotent',
+        '/again/': 'idempotent',
+        '/stream/': 'streaming',
+    }
+)
+#: How far the clock advances for each iteration of the loop.
+STEP_MS = 4
 _TICK_S = 0.001
 _FINAL_TICKS = 4
 _DEADLINE_MS = 10_000
@@ -48,22 +59,33 @@
       ended_ms: How long after the signal the process ended, or None.
     """
 
-    def __init__(self):
-        """Start the instance."""
-        self.clock = StepClock()
+    def __init__(self, clock=None):
+        """Start the instance.
+
+        Args:
+          clock: A StepClock that several instances share, or None.
+        """
+        self.clock = clock or StepClock()
         self.loop = Loop(self.clock)
         self.server = PacedServer(self.loop)
         self.requests = []
         self.ended_ms = None
         self._has_stopped = False
         self._stopped_at_ms = None
+        self._version = 0
         settings = _make_settings()
         sockets = listen_on(settings.listeners.addresses())
         self.address = settings.listeners.callers
         self.platform = PlatformNode(self.loop, settings, sockets)
         self.node = self.platform.node
         self.node.on_stopped = self._on_stopped
-        self._configure()
+        self.configure()
+        self._list_server()
+
+    @property
+    def relay_address(self):
+        """The address for relayed requests, a pair of IP and port."""
+        return self.platform._relay_sock.getsockname()  # noqa: SLF001, WPS437
 
     def run_for(self, delay_ms):
         """Run the loop for some simulated milliseconds."""
@@ -73,6 +95,13 @@
             _TICK_S,
         )
 
+    def run_once(self):
+        """Run one iteration of the loop without advancing the clock."""
+        if self.ended_ms is None:
+            turns = iter((False, True))
+            self.loop.run_until(lambda: next(turns), 0)
+            self._observe()
+
     def stop(self):
         """Deliver the signal."""
         if self._stopped_at_ms is None:
@@ -87,11 +116,36 @@
         """
         self.platform.reload(_make_settings(grace_ms))
 
-    def connect(self):
-        """Return a connection to the instance, None if it is refused."""
+    def configure(self, *, services=_SERVICES, kinds=_KINDS, **route_fields):
+        """Let a new configuration take effect.
+
+        Args:
+          services: The documents of the pools.
+          kinds: A map from path prefix to the kind of its route.
+          route_fields: Fields of all routes that differ from the default.
+        """
+        self._version += 1
+        config = {
+            'version': self._version,
+            'services': list(services),
+            'routes': [
+                {**_make_route(prefix, kind), **route_fields}
+                for prefix, kind in kinds.items()
+            ],
+        }
+        self.platform._apply_config(  # noqa: SLF001, WPS437
+            orjson.dumps(config),
+        )
+
+    def connect(self, address=None):
+        """Return a connection to the instance, None if it is refused.
+
+        Args:
+          address: A pair of IP and port; the one for callers by default.
+        """
         sock = socket.socket()
         try:
-            sock.connect(self.address)
+            sock.connect(address or self.address)
         except OSError:
             sock.close()
             return None
@@ -141,11 +195,13 @@
         ]
 
     def _advance(self):
+        self._observe()
+        return self.clock.advance(STEP_MS)
+
+    def _observe(self):
         self._poll()
         if self._has_stopped and self.ended_ms is None:
             self._end_process()
-        self.clock.time_ms += _STEP_MS
-        return self.clock.time_ms
 
     def _poll(self):
         for caller in self.requests:
@@ -168,19 +224,7 @@
         _close_all(self.platform.http_client.hub)
         self._poll()
 
-    def _configure(self):
-        config = {
-            'version': 1,
-            'services': [{'name': _POOL}],
-            'routes': [
-                _make_route('/once/', 'non_idempotent'),
-                _make_route('/again/', 'idempotent'),
-                _make_route('/stream/', 'streaming'),
-            ],
-        }
-        self.platform._apply_config(  # noqa: SLF001, WPS437
-            orjson.dumps(config),
-        )
+    def _list_server(self):
         self.node.fleet.put(
             ListedServer(
                 {
@@ -188,7 +232,7 @@
                     'kind': 'backend',
                     'address': self.server.address,
                     'data_centre': 'one',
-                    'labels': {POOL_LABEL: _POOL},
+                    'labels': {POOL_LABEL: POOL},
                     'born': 1,
                     'cold_remaining_ms': 0,
                 }
@@ -209,7 +253,7 @@
         'host': _HOST,
         'path-prefix': prefix,
         'kind': kind,
-        'service': _POOL,
+        'service': POOL,
         'timeout-ms': _DEADLINE_MS,
         'target-latency-ms': _GOAL_MS,
         'gap_aim_ms': 1000,
@@ -218,14 +262,14 @@
 
 
 def _make_settings(grace_ms=GRACE_MS):
-    *ports, metrics_port = pick_ports(4)
+    *ports, relay_port, metrics_port = pick_ports(5)
     callers, readiness, control = (f'{LOOPBACK}:{port}' for port in ports)
     settings = read_settings(
         {
             'node-name': 'edge-1',
             'zone': 'one',
             'zones': {'one': 'r'},
-            'internal-port-range': [7340, 7355],
+            'internal-port-range': [relay_port, relay_port],
             'listen': {
                 'frontend': callers,
                 'readiness': readiness,
