Show that late answers are believed by a request that is submitted again

A connection is not reused by the id that it answered last. If others were answered since, it is: a caller that was refused and returns with its id gets the connection of its first attempt, and a late copy of that rejection says that the request has not run, while its server runs it.

--- a/crankchute/platform/late_answers_test.py
+++ b/crankchute/platform/late_answers_test.py
@@ -171,6 +171,30 @@
     assert not harness.client.has_idle(harness.backend.listed.address)
 
 
+@pytest.mark.parametrize('between', [0, 1, 3])
+@pytest.mark.parametrize(('repeat', 'is_stream'), _MODES)
+@pytest.mark.parametrize(('status', 'headers'), _LATE_ANSWERS)
+def test_late_answer_is_believed_by_a_request_that_is_submitted_again(
+    status, headers, repeat, is_stream, between
+):
+    """Others were answered on the connection since its first attempt."""
+    harness = BackendHarness()
+    fields = {'repeat': repeat, 'is_stream': is_stream}
+    late = make_late_answer(status, headers, 'r1')
+    others = [f'other-{number}' for number in range(between)]
+    for request_id in ('r1', *others):
+        _call, listener = harness.send(request_id=request_id, **fields)
+        harness.receive()
+        own = make_own_answer(request_id, is_stream=is_stream)
+        harness.answer(listener, late if request_id == 'r1' else own)
+    _call, listener = harness.send(request_id='r1', **fields)
+    harness.receive()
+    send_quietly(harness.connections[0], late)
+    own = make_own_answer('r1', is_stream=is_stream)
+    harness.answer(listener, own)
+    assert listener.events == _OWN_EVENTS[is_stream]
+
+
 @pytest.mark.parametrize(('second_id', 'connections'), [('r1', 2), ('r2', 1)])
 def test_request_avoids_the_connection_that_answered_its_id(
     second_id, connections
