Remember the last eight calls of a kept connection

Cause: only the id of the last call was compared before a connection was reused, but a late answer may belong to any earlier call.

Change: the ids of a connection's last eight calls are compared, so that a request that is submitted again gets another connection, on which a late answer cannot arrive. Beyond eight the fault remains possible. Calls without an id (orders, reports) are compared with the last call as before, since each would otherwise need a connection of its own.

--- a/crankchute/adapters/idle_connections.py
+++ b/crankchute/adapters/idle_connections.py
@@ -3,6 +3,7 @@
 import re
 import socket
 from collections import OrderedDict, defaultdict
+from weakref import WeakKeyDictionary
 
 _MAX_PER_ADDRESS = 32
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
@@ -10,20 +11,24 @@
 #: A connection is not reused within this time, in milliseconds, before the
 #: announced end of its keep-alive, so that no request races with the close.
 _CLOSE_MARGIN_MS = 900
+#: How many of a connection's last calls are remembered.
+_MAX_EARLIER = 8
 
 
 class _IdleEntry:
-    """When a connection became idle, its keep-alive limit and last call."""
+    """When a connection became idle, its keep-alive limit and last calls."""
 
-    __slots__ = ('_attribution', 'allowed_ms', 'since_ms')
+    __slots__ = ('_earlier', 'allowed_ms', 'since_ms')
 
-    def __init__(self, since_ms, allowed_ms, attribution):
+    def __init__(self, since_ms, allowed_ms, earlier):
         self.since_ms = since_ms
         self.allowed_ms = allowed_ms
-        self._attribution = attribution
+        self._earlier = earlier
 
     def is_distinct(self, attribution):
-        return attribution is None or attribution.is_distinct(self._attribution)
+        if attribution is None:
+            return True
+        return all(attribution.is_distinct(one) for one in self._earlier)
 
     def is_usable(self, now_ms, idle_ms):
         age_ms = now_ms - self.since_ms
@@ -46,6 +51,7 @@
         self._now_ms = now_ms
         self._by_address = defaultdict(OrderedDict)
         self._addresses = {}
+        self._earlier = WeakKeyDictionary()
 
     def add(self, address, sock, headers, attribution=None):
         """Add a connection whose response is complete.
@@ -62,7 +68,8 @@
         if len(idle) >= _MAX_PER_ADDRESS:
             return False
         allowed_ms = _read_allowed_ms(headers.get('keep-alive'))
-        idle[sock] = _IdleEntry(self._now_ms(), allowed_ms, attribution)
+        earlier = self._remember(sock, attribution)
+        idle[sock] = _IdleEntry(self._now_ms(), allowed_ms, earlier)
         self._addresses[sock] = address
         return True
 
@@ -91,7 +98,8 @@
     def take(self, address, idle_ms=None, attribution=None):
         """Remove and return a usable connection.
 
-        A late answer to its last call must be distinct from the next answer.
+        A late answer to any of its last calls must be distinct from the next
+        answer.
 
         Args:
           address: A pair of IP number and port.
@@ -112,6 +120,22 @@
                 return sock
         return None
 
+    def _remember(self, sock, attribution):
+        """Return the attributions of the last calls of a connection, a tuple.
+
+        A call without an id is remembered until the next one, since all calls
+        without an id would otherwise need connections of their own.
+        """
+        earlier = [
+            one
+            for one in self._earlier.get(sock, ())
+            if one.request_id is not None
+        ]
+        if attribution is not None:
+            earlier.append(attribution)
+        self._earlier[sock] = tuple(earlier[-_MAX_EARLIER:])
+        return self._earlier[sock]
+
 
 def _has_input(sock):
     """Tell whether a close or other bytes have arrived but are not yet read.
--- a/crankchute/platform/late_answers_test.py
+++ b/crankchute/platform/late_answers_test.py
@@ -187,7 +187,7 @@
         harness.receive()
         own = make_own_answer(request_id, is_stream=is_stream)
         harness.answer(listener, late if request_id == 'r1' else own)
-    _call, listener = harness.send(request_id='r1', **fields)
+    listener = harness.send(request_id='r1', **fields)[1]
     harness.receive()
     send_quietly(harness.connections[0], late)
     own = make_own_answer('r1', is_stream=is_stream)
@@ -195,13 +195,24 @@
     assert listener.events == _OWN_EVENTS[is_stream]
 
 
-@pytest.mark.parametrize(('second_id', 'connections'), [('r1', 2), ('r2', 1)])
+@pytest.mark.parametrize(
+    ('later_ids', 'connections'),
+    [
+        (['r1'], 2),
+        (['r2'], 1),
+        (['r2', 'r1'], 2),
+        (['r2', 'r3', 'r1', 'r2'], 2),
+        # Only the last calls are remembered.
+        ([*'abcdefg', 'r1'], 2),
+        ([*'abcdefgh', 'r1'], 1),
+    ],
+)
 def test_request_avoids_the_connection_that_answered_its_id(
-    second_id, connections
+    later_ids, connections
 ):
     """Its late answer could not be told from the new one."""
     harness = BackendHarness()
-    for request_id in ('r1', second_id):
+    for request_id in ('r1', *later_ids):
         _call, listener = harness.send(request_id=request_id)
         harness.receive()
         own = make_own_answer(request_id, is_stream=False)
