Free the placement of a successor that is not sent, and heed the budget

Cause: a silent attempt's successor is placed before the silent one ends, which records work at its server. The flow then looks at the deadline once more and ended without that placement; and the answer of the retry budget, which is asked once before the choice, was ignored after it.

Change: a placement that meets a passed deadline is freed. A retry that the budget denies after the choice is not made: the placement is freed, the silent attempt goes on, and the verdict is that of an empty budget.

--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -224,7 +224,7 @@
         Args:
           attempt: The Attempt in progress.
           placement: The Placement of the next one, for which a retry was
-            taken from the budget.  There must be time left.
+            taken from the budget; freed if the deadline has passed.
         """
         self._record_failed(attempt, attempt.end_replaced())
         self._try_next('failed', placement)
@@ -249,6 +249,8 @@
 
     def _try_next(self, cause, choice=None):
         if self._expire_if_late():
+            if choice is not None:
+                self._context.record_freed(self, choice)
             return
 
         def start_attempt(choice):
--- a/crankchute/core/silent_attempts.py
+++ b/crankchute/core/silent_attempts.py
@@ -9,6 +9,7 @@
 from functools import partial
 
 from crankchute.core.forward_job import Placement
+from crankchute.core.outcomes import Refusal
 from crankchute.core.relay import choose_relay
 
 #: A server that was heard from this recently is not silent.  It is shorter than
@@ -116,7 +117,6 @@
         choice = self._choose(flow, attempt, alternatives)
         self._record(flow, attempt, alternatives)
         if choice is not None:
-            self._forwarder.take_retry(flow.job)
             flow.replace_attempt(attempt, choice)
 
     def _record(self, flow, attempt, alternatives):
@@ -136,7 +136,8 @@
     def _choose(self, flow, attempt, alternatives):
         """Return the Placement of the next attempt, or None.
 
-        The verdict is corrected if there is none.
+        Its retry is taken from the budget.  The verdict is corrected if there
+        is none.
         """
         if not alternatives.responsive:
             return None
@@ -146,9 +147,14 @@
             *alternatives.silent,
         }
         choice = self._forwarder.choose(flow, excluded)
-        if isinstance(choice, Placement):
+        if isinstance(choice, Refusal):
+            alternatives.verdict = Verdict.NO_SERVER
+            return None
+        if self._forwarder.take_retry(flow.job):
             return choice
-        alternatives.verdict = Verdict.NO_SERVER
+        # The budget has changed since it was asked.
+        self._forwarder.record_freed(flow, choice)
+        alternatives.verdict = Verdict.NO_BUDGET
         return None
 
     def _find_alternatives(self, flow, attempt):
