Test the use of rate limits on a simulated clock

Two tests failed once each beside load: test_no_request_is_refused_below_the_limits[4-5-False] (a refusal) and test_limited_pool_is_used_to_capacity[False] (71 of at least 79.9 requests). They ran 6 to 8 instances with their gRPC threads in one process in real time. Traced beside 14 busy processes on 8 cores, with the turns of the loop, the views of the instances and the loans logged:

- The loop stood still for up to 1.6 s at a time.
The test of capacity sends by a timer of 25 ms that makes up for no lost time, so it could offer less than the limits allow: 41 requests arrived where 84 were required, and none had been refused.
- A refusal needs three lenders that each leave a loan unanswered for 150 ms, or that count as silent.
Pauses of the one process that runs all instances cause both at all of them at once.

Neither can be demanded of a machine that is that late. Both tests now run on a clock that advances by 4 ms for each turn of the loop, and instances call each other on this loop; the servers are still reached by HTTP over loopback connections. The assertions are the same, and the test of capacity also demands that requests are refused, since it proves nothing if too few are sent. Calls over gRPC are covered by the other tests of the file. Request ids of the tests are counted, as two requests may be sent at the same simulated time.

--- a/crankchute/platform/limited_servers_test.py
+++ b/crankchute/platform/limited_servers_test.py
@@ -86,7 +86,9 @@
 @pytest.mark.parametrize('is_plain', [False, True])
 def test_limited_pool_is_used_to_capacity(is_plain):
     """Requests over the limit are refused without being sent."""
-    cluster = StandinWorld(instances=6, engines=4, is_plain=is_plain)
+    cluster = StandinWorld(
+        instances=6, engines=4, is_plain=is_plain, peer_delay_ms=0
+    )
     cluster.wait(_WINDOW_MS + _MS_PER_SECOND)
     announce_limit(cluster.engines, '3')
     announced_ms = cluster.nodes[0].now_ms()
@@ -95,6 +97,7 @@
     before = sum(engine.arrivals for engine in cluster.engines)
     ends = cluster.send_load(cluster.nodes, 40, 2 * _WINDOW_MS)
     load_duration_ms = cluster.nodes[0].now_ms() - load_start_ms
+    assert 'refused' in ends
     assert not find_excess_counts(
         cluster.engines, 3, announced_ms + _PROPAGATION_MS
     )
@@ -108,7 +111,9 @@
 @pytest.mark.parametrize(('limit', 'per_second'), [('1', 1), ('4', 5)])
 def test_no_request_is_refused_below_the_limits(limit, per_second, is_plain):
     """This holds for each instance, whatever its share of the limit is."""
-    cluster = StandinWorld(instances=8, engines=3, is_plain=is_plain)
+    cluster = StandinWorld(
+        instances=8, engines=3, is_plain=is_plain, peer_delay_ms=0
+    )
     cluster.wait(_WINDOW_MS + _MS_PER_SECOND)
     announce_limit(cluster.engines, limit)
     announced_ms = cluster.nodes[0].now_ms()
--- a/crankchute/platform/standin_paced.py
+++ b/crankchute/platform/standin_paced.py
@@ -5,11 +5,13 @@
 from urllib.parse import parse_qs, urlsplit
 
 from crankchute.adapters.forward_server import ForwardServer
+from crankchute.adapters.loop import Loop
 from crankchute.platform.wire import REQUEST_ID, SIGNATURE
 from crankchute.ports.time import Clock
 from crankchute.standins.ports import LOOPBACK
 
 _IDLE_MS = 60_000
+_STEP_MS = 4
 _EVENT_INTERVAL_MS = 100
 _READ_SIZE = 65_536
 _DEFAULT_SIZE = '4'
@@ -41,6 +43,27 @@
         return self.time_ms
 
 
+class SteppedLoop(Loop):
+    """A loop whose clock advances by a fixed step for each iteration.
+
+    What happens on it depends neither on the speed of the machine nor on
+    pauses of the process.
+    """
+
+    def __init__(self):
+        """Create the loop at time zero."""
+        super().__init__(StepClock())
+
+    def tick(self, timeout=-1):
+        """Advance the clock, and run an iteration.
+
+        Args:
+          timeout: The longest wait for sockets, in seconds.
+        """
+        self.clock.time_ms += _STEP_MS
+        super().tick(timeout)
+
+
 class PacedServer:
     """A server that works for as long as each request's query says.
 
--- a/crankchute/platform/standin_world.py
+++ b/crankchute/platform/standin_world.py
@@ -2,6 +2,9 @@
 
 Instances and servers talk over loopback connections.  There is no store; tests
 pass configurations and servers to the instances directly.
+
+On a simulated clock, instances call each other without sockets: the outcome then
+does not depend on how fast the machine is.
 """
 
 from functools import partial
@@ -9,7 +12,6 @@
 
 from crankchute.adapters.forward_server import ForwardServer
 from crankchute.adapters.http_client import HttpClient
-from crankchute.adapters.loop import Loop
 from crankchute.core.evacuations import Evacuations
 from crankchute.core.cold_bounds import ColdBounds
 from crankchute.core.fleet import ListedServer
@@ -38,6 +40,7 @@
 from crankchute.platform.requests import RequestPayload
 from crankchute.platform.server_calls import ServerCalls
 from crankchute.platform.standin_paths import PathFault, PathFaults
+from crankchute.platform.standin_peers import make_calls
 from crankchute.platform.standin_engine import HEALTH_PATH, StandinEngine
 from crankchute.platform.wire import DEADLINE_MS, LAST_EVENT, REQUEST_ID
 from crankchute.standins.ports import LOOPBACK, pick_ports
@@ -87,6 +90,7 @@
         is_plain=False,
         evacuates=False,
         cold_per_second=0,
+        peer_delay_ms=None,
     ):
         """Start all, and wait until the instances know each other.
 
@@ -97,10 +101,13 @@
           evacuates: Whether instances heed evacuations, which a test must pass
             to them before they serve.
           cold_per_second: The rate of cold servers; 0 if none counts as cold.
+          peer_delay_ms: How long a message between instances takes on a
+            simulated clock, or None for the real clock and real messages.
         """
         self._evacuates = evacuates
         self._cold_per_second = cold_per_second
-        self.loop = Loop()
+        self._peer_calls = make_calls(peer_delay_ms)
+        self.loop = self._peer_calls.loop
         self._by_address = {}
         figures = make_figures(memory_tokens=_MEMORY)
         self._figures = None if is_plain else figures
@@ -143,6 +150,7 @@
             limits,
             self._make_wiring(client, calls, reports),
         )
+        self._peer_calls.connect(node)
         self._relayed[client.channel] = RelayedRequests(
             node, self._read_relayed
         )
@@ -200,7 +208,7 @@
           returns its final event.
         """
         now_ms = node.now_ms()
-        request_id = f'r-{now_ms}'
+        request_id = f'r-{len(self._submitted)}'
         headers = [('X-Crankchute-Request-Id', request_id)]
         kind = {'repeat': RetryMode.AGAIN, 'size': None}
         if self._figures is not None:
@@ -266,6 +274,7 @@
           node: Its ForwardNode.
         """
         node.peers.stop()
+        self._peer_calls.disconnect(node)
 
         def drop_call(_address, _method, _request, on_reply, *, timeout_ms):
             self.loop.timers.after(timeout_ms, partial(on_reply, None))
