Show that an instance counts as silent before it can answer

An instance that was sent no message for 750 ms, because the sender was not active and chose no engine, counts as silent from the moment of the next message until its answer: the age of its last message is taken, not that of the unanswered one. Permits are then not borrowed from it, and the sender may divide rate limits among the wrong instances.

--- /dev/null
+++ b/crankchute/core/peer_silence_test.py
@@ -0,0 +1,52 @@
+"""Tests of which instances count as silent, and for how long."""
+
+import pytest
+
+from crankchute.core.peer_exchange_test import SimulatedFleet
+
+_NAMES = tuple(f'a{number}' for number in range(8))
+_SILENT_MS = 750
+
+
+@pytest.fixture
+def fleet():
+    fleet = SimulatedFleet(_NAMES)
+    fleet.timers.advance(5000)
+    return fleet
+
+
+def list_silent(fleet, name):
+    """Return the instances that one of them takes for silent."""
+    instances = fleet.instances[name].instances
+    now_ms = fleet.timers.clock.now_ms()
+    return [
+        other
+        for other in _NAMES
+        if instances.view(other).is_silent(now_ms, _SILENT_MS)
+    ]
+
+
+def list_inactive(fleet):
+    active = fleet.list_active_at(_NAMES[0])
+    return [name for name in _NAMES if name not in active]
+
+
+def test_first_message_for_long_is_not_an_unanswered_one(fleet):
+    name = list_inactive(fleet)[0]
+    asked = set(fleet.list_active_at(name))
+    fleet.send_work(name, 'earlier')
+    fleet.timers.advance(5000)
+    fleet.isolated.update(asked)
+    fleet.send_work(name, 'key')
+    fleet.timers.advance(100)
+    assert not list_silent(fleet, name)
+    fleet.timers.advance(_SILENT_MS)
+    assert set(list_silent(fleet, name)) == asked
+
+
+def test_instances_that_stop_answering_are_silent(fleet):
+    active = fleet.list_active_at(_NAMES[0])
+    fleet.isolated.update(active[1:])
+    fleet.timers.advance(1000)
+    assert not set(active[1:]) & set(fleet.list_active_at(active[0]))
+    assert set(list_silent(fleet, active[0])) == set(active[1:])
