Measure the silence of an instance from the unanswered message

An instance counted as silent if a message to it was unanswered and the last one from it was 750 ms old, however late it had been asked. An inactive instance that chooses an engine after a pause therefore took the active ones for silent until their answers came, and an active one did so with the instances that it polls now and then, or with all after a pause of its own process. Silent instances lend no permits; if they are the majority, limits are divided among all instances known, and a holder used a quarter of its share or less for 4 s.

The time now counts from the first unanswered message, which is up to one exchange interval (250 ms) later for an instance that stops answering. An instance is still replaced as an active one after the same time, since that does not use this measure.

--- a/crankchute/core/peer_view.py
+++ b/crankchute/core/peer_view.py
@@ -29,6 +29,7 @@
     __slots__ = (
         '_crashes_sent_ms',
         '_sent_crash_digest',
+        '_unanswered_since_ms',
         'active_digest',
         'crash_digest',
         'feed',
@@ -50,10 +51,33 @@
         self.crash_digest = 0
         self._sent_crash_digest = None
         self._crashes_sent_ms = None
+        self._unanswered_since_ms = None
         self.last_vouched_ms = None
         self.lost_pools = ()
         self.feed = WorkFeed()
 
+    def record_sent(self, now_ms):
+        """Record that a message was sent to the peer.
+
+        Args:
+          now_ms: The current time.
+        """
+        if self.last_sent_ms is None:
+            # A new peer counts as healthy until its first answer is due.
+            self.last_received_ms = now_ms
+        if self._unanswered_since_ms is None:
+            self._unanswered_since_ms = now_ms
+        self.last_sent_ms = now_ms
+
+    def record_received(self, now_ms):
+        """Record that a message was received from the peer.
+
+        Args:
+          now_ms: The current time.
+        """
+        self.last_received_ms = now_ms
+        self._unanswered_since_ms = None
+
     def is_healthy(self, now_ms, timeout_ms):
         """Tell whether the peer serves and answers, as far as is known.
 
@@ -79,8 +103,8 @@
             return False
         if self.last_received_ms is None:
             return True
-        is_awaiting = self.last_sent_ms > self.last_received_ms
-        return is_awaiting and now_ms - self.last_received_ms >= timeout_ms
+        since_ms = self._unanswered_since_ms
+        return since_ms is not None and now_ms - since_ms >= timeout_ms
 
     def claim_crash_report(self, digest, now_ms):
         """Tell whether the next message must report crashes.
