Do not take a pause of the own process for silence of others

An instance judged the health of others by the age of their last message on its own clock. After a pause of its process (no CPU, a suspended machine) of 350 ms and more, it believed that none had answered for 600 ms: it replaced the active ones, divided rate limits among the wrong instances and asked those for permits that hold none. Requests were refused although holders had permits. A holder may lose its share by a short change of its view, and regains it only after 4 s.

The age now counts on a clock that advances by at most 300 ms between two readings, which follow each other within 250 ms while the process runs. Others have their usual time to answer after a pause. This applies to active instances, homes, reported lists and the judgement that an instance is silent; ages in logs and the state dump still include the pause. After a pause an instance keeps its share until the first messages tell it of a change, which is within one exchange interval.

--- a/crankchute/core/active_instances.py
+++ b/crankchute/core/active_instances.py
@@ -14,6 +14,7 @@
     count_active,
     hash_members,
 )
+from crankchute.core.awake_clock import AwakeClock
 from crankchute.core.peer_view import PeerView
 
 #: How often an active instance sends to each other active one.
@@ -43,6 +44,7 @@
 
     Attributes:
       chosen: The active Members, best first.
+      awake: The AwakeClock on which the health of others is judged.
     """
 
     def __init__(self, parts, own):
@@ -54,6 +56,7 @@
         """
         self._parts = parts
         self._own = own
+        self.awake = AwakeClock(parts.timers.clock)
         self._views = {}
         self._subscribers = {}
         self._ranking = Ranking(())
@@ -166,9 +169,7 @@
         Args:
           member: A Member.
         """
-        view = self.view(member.identity)
-        view.last_received_ms = None
-        view.last_vouched_ms = None
+        self.view(member.identity).record_no_response()
         self._reported = tuple(
             one for one in self._reported if one.identity != member.identity
         )
@@ -176,8 +177,7 @@
     def exchange_interval_ms(self):
         """Return the interval between messages to each active instance."""
         return EXCHANGE_INTERVAL_MS * max(
-            1,
-            len(self.chosen) / _FULL_RATE_INSTANCES,
+            1, len(self.chosen) / _FULL_RATE_INSTANCES
         )
 
     def list_excluded(self):
@@ -219,10 +219,10 @@
         A recent message from an instance itself takes precedence.
         """
         now_ms = self._now_ms()
-        self._reported_ms = now_ms
+        self._reported_ms = self.awake.now_ms()
         for member in self._reported:
             view = self.view(member.identity)
-            view.last_vouched_ms = now_ms
+            view.last_vouched_ms = self._reported_ms
             if (
                 view.last_received_ms is None
                 or now_ms - view.last_received_ms > _REPORTED_TTL_MS
@@ -231,7 +231,7 @@
 
     def _list_reported(self):
         """Return the reported active Members, if the report is still valid."""
-        if self._now_ms() - self._reported_ms > _REPORTED_TTL_MS:
+        if self.awake.now_ms() - self._reported_ms > _REPORTED_TTL_MS:
             return []
         return [one for one in self._reported if self._is_usable(one)]
 
@@ -262,15 +262,15 @@
         if view is None:
             return True
         return self._is_vouched(view) or view.is_healthy(
-            self._now_ms(),
-            self._silence_timeout_ms(),
+            self.awake.now_ms(), self._silence_timeout_ms()
         )
 
     def _is_excluded(self, member):
         view = self._views.get(member.identity)
         if view is None or member.identity == self._own:
             return False
-        if not view.is_healthy(self._now_ms(), self._silence_timeout_ms()):
+        awake_ms = self.awake.now_ms()
+        if not view.is_healthy(awake_ms, self._silence_timeout_ms()):
             return True
         return bool(view.lost_pools) or not self._is_up_to_date(member)
 
@@ -281,7 +281,7 @@
         """
         if self.is_own_active or view.last_vouched_ms is None:
             return False
-        age_ms = self._now_ms() - view.last_vouched_ms
+        age_ms = self.awake.now_ms() - view.last_vouched_ms
         return view.is_serving and age_ms < _REPORTED_TTL_MS
 
     def _is_up_to_date(self, member):
--- a/crankchute/core/peer_exchange.py
+++ b/crankchute/core/peer_exchange.py
@@ -126,7 +126,7 @@
         """
         now_ms = self._now_ms()
         view = self.instances.view(message.instance)
-        view.record_received(now_ms)
+        view.record_received(now_ms, self.instances.awake.now_ms())
         view.is_serving = message.is_serving
         view.proof_age_ms = message.proof_age_ms
         if view.lost_pools != message.lost_pools:
@@ -247,7 +247,7 @@
     def _send(self, member, changes):
         view = self.instances.view(member.identity)
         now_ms = self._now_ms()
-        view.record_sent(now_ms)
+        view.record_sent(now_ms, self.instances.awake.now_ms())
         message = self._make_message(view, changes)
 
         def on_reply(reply):
--- a/crankchute/core/peer_silence_test.py
+++ b/crankchute/core/peer_silence_test.py
@@ -18,11 +18,11 @@
 def list_silent(fleet, name):
     """Return the instances that one of them takes for silent."""
     instances = fleet.instances[name].instances
-    now_ms = fleet.timers.clock.now_ms()
+    awake_ms = instances.awake.now_ms()
     return [
         other
         for other in _NAMES
-        if instances.view(other).is_silent(now_ms, _SILENT_MS)
+        if instances.view(other).is_silent(awake_ms, _SILENT_MS)
     ]
 
 
--- a/crankchute/core/peer_view.py
+++ b/crankchute/core/peer_view.py
@@ -28,6 +28,7 @@
 
     __slots__ = (
         '_crashes_sent_ms',
+        '_heard_awake_ms',
         '_sent_crash_digest',
         '_unanswered_since_ms',
         'active_digest',
@@ -51,52 +52,63 @@
         self.crash_digest = 0
         self._sent_crash_digest = None
         self._crashes_sent_ms = None
+        self._heard_awake_ms = None
         self._unanswered_since_ms = None
         self.last_vouched_ms = None
         self.lost_pools = ()
         self.feed = WorkFeed()
 
-    def record_sent(self, now_ms):
+    def record_sent(self, now_ms, awake_ms):
         """Record that a message was sent to the peer.
 
         Args:
           now_ms: The current time.
+          awake_ms: The current time of the AwakeClock.
         """
         if self.last_sent_ms is None:
             # A new peer counts as healthy until its first answer is due.
             self.last_received_ms = now_ms
+            self._heard_awake_ms = awake_ms
         if self._unanswered_since_ms is None:
-            self._unanswered_since_ms = now_ms
+            self._unanswered_since_ms = awake_ms
         self.last_sent_ms = now_ms
 
-    def record_received(self, now_ms):
+    def record_received(self, now_ms, awake_ms):
         """Record that a message was received from the peer.
 
         Args:
           now_ms: The current time.
+          awake_ms: The current time of the AwakeClock.
         """
         self.last_received_ms = now_ms
+        self._heard_awake_ms = awake_ms
         self._unanswered_since_ms = None
 
-    def is_healthy(self, now_ms, timeout_ms):
+    def record_no_response(self):
+        """Record that the peer did not answer a poll of its state."""
+        self.last_received_ms = None
+        self.last_vouched_ms = None
+
+    def is_healthy(self, awake_ms, timeout_ms):
         """Tell whether the peer serves and answers, as far as is known.
 
         Args:
-          now_ms: The current time.
+          awake_ms: The current time of the AwakeClock.
           timeout_ms: How long the peer may be silent.
         """
         if not self.is_serving:
             return False
         if self.last_sent_ms is None:
             return True
-        last_ms = self.last_received_ms
-        return last_ms is not None and now_ms - last_ms < timeout_ms
+        if self.last_received_ms is None:
+            return False
+        return awake_ms - self._heard_awake_ms < timeout_ms
 
-    def is_silent(self, now_ms, timeout_ms):
+    def is_silent(self, awake_ms, timeout_ms):
         """Tell whether the peer failed to answer a message in time.
 
         Args:
-          now_ms: The current time.
+          awake_ms: The current time of the AwakeClock.
           timeout_ms: How long an answer may take.
         """
         if self.last_sent_ms is None:
@@ -104,7 +116,7 @@
         if self.last_received_ms is None:
             return True
         since_ms = self._unanswered_since_ms
-        return since_ms is not None and now_ms - since_ms >= timeout_ms
+        return since_ms is not None and awake_ms - since_ms >= timeout_ms
 
     def claim_crash_report(self, digest, now_ms):
         """Tell whether the next message must report crashes.
--- a/crankchute/entry/forward_peers.py
+++ b/crankchute/entry/forward_peers.py
@@ -260,7 +260,9 @@
         instances = self.sharing.instances
         silent_ms = instances.exchange_interval_ms() * _LOST_INTERVALS
         view = instances.view(instance)
-        return not member.draining and view.is_silent(self._now_ms(), silent_ms)
+        return not member.draining and view.is_silent(
+            instances.awake.now_ms(), silent_ms
+        )
 
     def announce(self, *, is_serving):
         """Announce whether this instance accepts callers.
--- a/crankchute/platform/limited_servers_test.py
+++ b/crankchute/platform/limited_servers_test.py
@@ -126,6 +126,26 @@
     )
 
 
+def list_shares(cluster):
+    """Return the share of each instance in the limit of a server."""
+    return [
+        node.peers.limits.shares.share_of('i-0', 4) for node in cluster.nodes
+    ]
+
+
+@pytest.mark.parametrize('pause_ms', [900, 60_000])
+def test_pause_of_the_process_changes_no_share_of_a_limit(pause_ms):
+    """A share that is lost and regained cannot be used for a whole window."""
+    cluster = StandinWorld(instances=8, engines=3, peer_delay_ms=10)
+    cluster.wait(_WINDOW_MS + _MS_PER_SECOND)
+    shares = list_shares(cluster)
+    assert sum(shares) == pytest.approx(1)
+    for wait_ms in (130, 170, 210, 250):
+        cluster.loop.clock.time_ms += pause_ms
+        cluster.wait(wait_ms)
+        assert list_shares(cluster) == shares
+
+
 @pytest.mark.parametrize('is_plain', [False, True])
 def test_request_over_the_limit_is_refused_with_retry_after(is_plain):
     cluster = StandinWorld(instances=1, engines=2, is_plain=is_plain)
