Pick ports on which only closing connections are left

Cause: a port counted as in use for a minute after its server had closed a connection, though servers may bind it. Quick tests of whole instances used up the range of a worker: in a whole run 182 tests of one worker found no port.

The check now listens on the port, as a server does. The reservation of a range listens as well, so that no other process can listen on its first port.

--- a/crankchute/standins/ports.py
+++ b/crankchute/standins/ports.py
@@ -7,6 +7,7 @@
 
 import itertools
 import socket
+from errno import EADDRINUSE
 from functools import cache
 
 LOOPBACK = '127.0.0.1'
@@ -23,7 +24,7 @@
 class PortRange:
     """A range of ports that is reserved for this process.
 
-    The first port stays bound until the process ends; other processes see from
+    The first port stays open until the process ends; other processes see from
     it that the range is in use.
     """
 
@@ -36,8 +37,8 @@
           PortsExhaustedError: If there is none.
         """
         first_ports = range(_FIRST_PORT, _END_PORT, _RANGE_SIZE)
-        bound = filter(None, map(_bind, first_ports))
-        self._reservation = next(bound, None)
+        opened = filter(None, map(_listen, first_ports))
+        self._reservation = next(opened, None)
         if self._reservation is None:
             raise PortsExhaustedError(f'all {_RANGES} ranges are in use')
         first_port = self._reservation.getsockname()[1]
@@ -74,18 +75,20 @@
 
 
 def _is_free(port):
-    sock = _bind(port)
+    sock = _listen(port)
     if sock is not None:
         sock.close()
     return sock is not None
 
 
-def _bind(port):
-    """Return a socket bound to a port, or None if the port is in use."""
-    sock = socket.socket()
+def _listen(port):
+    """Return a socket that listens on a port, or None if the port is in use.
+
+    Connections of earlier servers that are still closing do not count.
+    """
     try:
-        sock.bind((LOOPBACK, port))
-    except OSError:
-        sock.close()
+        return socket.create_server((LOOPBACK, port))
+    except OSError as exc:
+        if exc.errno != EADDRINUSE:
+            raise
         return None
-    return sock
