Let frequent sound parts not hide those that crash servers

When two parts of prompts crash servers in the same seconds, requests with them were still sent more than three times later than 3 s after the fifth crash.

The evidence also took the mean size of the crashes, so that a few crashes with many requests in progress, when nearly all servers are down, made earlier ones worthless; and of two simultaneous crashes with different causes neither counted.

Now each part that was at three crashes is weighed on its own, and those that their frequency explains are ignored when crashes are attributed to others. The chance is that of independent crashes, each with its own size; of simultaneous ones that with the fewest requests counts. As sound parts are no longer hidden by others either, parts that were answered before need more evidence, by the rule of succession. Requests are blamed as before: only if no part leads them.

The new test was red before.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -24,6 +24,7 @@
 _RELAY_TEST = 'crankchute/core/relay_test.py'
 _PARTS_TEST = 'crankchute/core/crash_parts_test.py'
 _HISTORY = 'crankchute/core/crash_history.py'
+_CULPRITS = 'crankchute/core/crash_culprits.py'
 _ENDLESS_TEST = 'crankchute/platform/endless_bytes_test.py'
 _LATE_TEST = 'crankchute/platform/late_answers_test.py'
 _RELAYED_TEST = 'crankchute/platform/relayed_requests_test.py'
@@ -507,10 +508,17 @@
     Mutation(
         'parts that are at all crashes need no other evidence',
         _PARTS_TEST,
-        _HISTORY,
-        'return self._is_likely_cause(suspects, unexplained, self._answers)',
+        _CULPRITS,
+        'return is_likely_cause(suspects, relevant, answers)',
         'return True',
     ),
+    Mutation(
+        'sound parts hide those that crash servers',
+        _PARTS_TEST,
+        _CULPRITS,
+        'in attribute(log.crashes, unlikely)',
+        'in attribute(log.crashes)',
+    ),
     Mutation(
         'parts are not cleared by answers',
         _PARTS_TEST,
--- a/crankchute/core/crash_attribution.py
+++ b/crankchute/core/crash_attribution.py
@@ -40,54 +40,58 @@
 
 
 @attributions.register(BY_COMMON_CAUSE)
-def attribute_to_common_cause(crashes):
+def attribute_to_common_cause(crashes, ignored=()):
     """Attribute crashes to suspects that they have in common.
 
     Args:
       crashes: An iterable of Crash.
+      ignored: Fingerprints of suspects that are no cause.
     Returns:
       A map from frozensets of fingerprints to numbers of crashes.
     """
-    groups = _find_plausible_causes(crashes)
-    frequent = _keep_frequent(sum(groups, Counter()))
+    groups = _find_plausible_causes(crashes, ignored)
+    frequent = _keep_frequent(_sum_counts(groups))
     culprits = {_find_inseparable(one, groups) for one in frequent}
     counts = {one: _count_explained(one, groups) for one in culprits}
     return _keep_frequent(counts)
 
 
 @attributions.register('lead')
-def attribute_by_lead(crashes):
+def attribute_by_lead(crashes, ignored=()):
     """Attribute crashes to single suspects only; a baseline.
 
     Args:
       crashes: An iterable of Crash.
+      ignored: Fingerprints of suspects that are no cause.
     Returns:
       A map from frozensets of one fingerprint to numbers of crashes.
     """
     counts = Counter()
-    for group in _find_plausible_causes(crashes):
+    for group in _find_plausible_causes(crashes, ignored):
         if len(group) == 1:
             counts.update({frozenset(group): sum(group.values())})
     return _keep_frequent(counts)
 
 
 @attributions.register('presence')
-def attribute_to_all_present(crashes):
+def attribute_to_all_present(crashes, ignored=()):
     """Attribute crashes to each suspect that was present; a baseline.
 
     Args:
       crashes: An iterable of Crash.
+      ignored: Fingerprints of suspects that are no cause.
     Returns:
       A map from frozensets of one fingerprint to numbers of crashes.
     """
     totals = Counter()
     for crash in crashes:
-        totals.update(frozenset((one,)) for one in crash.suspects)
+        suspects = crash.suspects.difference(ignored)
+        totals.update(frozenset((one,)) for one in suspects)
     return _keep_frequent(totals)
 
 
 @attributions.register('nobody')
-def attribute_to_none(_crashes):
+def attribute_to_none(_crashes, _ignored=()):
     """Return an empty map; a baseline without attribution."""
     return {}
 
@@ -100,21 +104,29 @@
     }
 
 
-def _find_plausible_causes(crashes):
+def _find_plausible_causes(crashes, ignored):
     """Return the plausible causes of each group of simultaneous crashes.
 
     Args:
       crashes: An iterable of Crash.
+      ignored: Fingerprints of suspects that are no cause.
     Returns:
       A list of Counters from fingerprint to the crashes of the group.
     """
-    groups = [_count_common(group) for group in group_simultaneous(crashes)]
-    totals = Counter()
-    for group_counts in groups:
-        totals.update(group_counts)
+    groups = [
+        _count_common(group, ignored) for group in group_simultaneous(crashes)
+    ]
+    totals = _sum_counts(groups)
     return [_keep_plausible(counts, totals) for counts in groups]
 
 
+def _sum_counts(groups):
+    totals = Counter()
+    for counts in groups:
+        totals.update(counts)
+    return totals
+
+
 def _keep_plausible(counts, totals):
     """Return the suspects of a group that others do not lead by the margin.
 
@@ -183,15 +195,17 @@
     return groups
 
 
-def _count_common(group):
+def _count_common(group, ignored):
     """Count the crashes of a group for each suspect present at all of them.
 
     Args:
       group: Simultaneous crashes in order of time.
+      ignored: Fingerprints of suspects that are no cause.
     Returns:
       A Counter of fingerprints.
     """
     common = set.intersection(*(crash.suspects for crash in group))
+    common.difference_update(ignored)
     return Counter({one: _count_crashes(one, group) for one in common})
 
 
--- a/crankchute/core/crash_evidence.py
+++ b/crankchute/core/crash_evidence.py
@@ -2,10 +2,12 @@
 
 A part that many prompts share is present at most crashes, whatever their cause.
 It is suspicious only if it is present at more crashes, and missing in more of
-the answers since, than its frequency in earlier answers explains.
+the answers since, than its frequency in earlier answers explains.  The more
+often it was answered before, the less likely it is to crash servers now.
 """
 
-from math import comb
+from itertools import repeat
+from operator import attrgetter
 
 from crankchute.core.crash_attribution import group_simultaneous
 
@@ -13,6 +15,8 @@
 _MAX_CHANCE = 0.01
 #: With fewer earlier answers it is unknown whether the servers ever worked.
 _MIN_EARLIER_ANSWERS = 8
+#: Shares with less than this part of all weights are left out.
+_NEGLIGIBLE = 1e-9
 #: The number of possible shares over which the chance is averaged.
 _STEPS = 50
 
@@ -20,23 +24,18 @@
 class Observations:
     """What is known of parts that may cause crashes.
 
+    Simultaneous crashes may have one cause and count once.  The one with the
+    fewest requests stands for them, since it tells most about its suspects.
+
     Attributes:
       earlier: The number of answers before the first crash.
       earlier_with: How many of those had the parts.
       later: The number of answers since; none had the parts.
-      crashes: The number of crashes since, simultaneous ones counted once.
-      crashes_with: At how many of those the parts were present.
-      size: The mean number of requests at those.
+      crashes_with: At how many of the crashes since the parts were present.
+      sizes: The number of requests at each of those crashes, a list.
     """
 
-    __slots__ = (
-        'crashes',
-        'crashes_with',
-        'earlier',
-        'earlier_with',
-        'later',
-        'size',
-    )
+    __slots__ = ('crashes_with', 'earlier', 'earlier_with', 'later', 'sizes')
 
     def __init__(self, suspects, crashes, answers):
         """Count.
@@ -52,14 +51,12 @@
         self.earlier = len(earlier)
         self.earlier_with = sum(suspects <= parts for parts in earlier)
         self.later = answers.count_after(pool, first_ms)
-        groups = group_simultaneous(crashes)
-        self.crashes = len(groups)
-        self.crashes_with = sum(
-            all(suspects <= crash.suspects for crash in group)
-            for group in groups
-        )
-        sizes = [one.size for one in crashes if suspects <= one.suspects]
-        self.size = max(sum(sizes) / len(sizes), 1)
+        counted = [
+            min(group, key=attrgetter('size'))
+            for group in group_simultaneous(crashes)
+        ]
+        self.crashes_with = sum(suspects <= one.suspects for one in counted)
+        self.sizes = [max(one.size, 1) for one in counted]
 
 
 def is_likely_cause(suspects, crashes, answers):
@@ -72,10 +69,12 @@
       answers: The RecentAnswers.
     """
     own = [crash for crash in crashes if suspects <= crash.suspects]
-    first = min(own, key=_get_time)
+    if not own:
+        return False
+    first = min(own, key=attrgetter('at_ms'))
     since = [
         crash
-        for crash in sorted(crashes, key=_get_time)
+        for crash in sorted(crashes, key=attrgetter('at_ms'))
         if crash.pool == first.pool and crash.at_ms >= first.at_ms
     ]
     observed = Observations(suspects, since, answers)
@@ -86,25 +85,36 @@
     # Each part that was seen might have looked like a cause.
     earlier = answers.list_before(first.pool, first.at_ms)
     parts = set().union(*earlier, *(crash.parts for crash in own))
-    return estimate_chance(observed) * len(parts) <= _MAX_CHANCE
+    # The odds that the next answer is the first failure (rule of succession).
+    against = observed.earlier_with + 1
+    return estimate_chance(observed) * len(parts) * against <= _MAX_CHANCE
 
 
 def estimate_chance(observed):
     """Return the probability to observe this, or more, of sound parts.
 
     How frequent the parts are is uncertain, so the probability is the mean over
-    all possible shares of prompts, weighted by the earlier answers.
+    all possible shares of prompts, weighted by the earlier answers.  It is 1 if
+    the parts are at no more crashes than is usual.
 
     Args:
       observed: Observations.
     """
+    usual = (observed.earlier_with + 0.5) / (observed.earlier + 1)
+    absent = sum((1 - usual) ** size for size in observed.sizes)
+    if observed.crashes_with <= len(observed.sizes) - absent:
+        return 1
     shares = [(step + 0.5) / _STEPS for step in range(_STEPS)]
-    weights = [_weigh(share, observed) for share in shares]
-    chances = [_chance_at(share, observed) for share in shares]
-    weighted = sum(
-        weight * chance for weight, chance in zip(weights, chances, strict=True)
+    weights = {share: _weigh(share, observed) for share in shares}
+    total = sum(weights.values())
+    return (
+        sum(
+            weight * _chance_at(share, observed)
+            for share, weight in weights.items()
+            if weight > total * _NEGLIGIBLE
+        )
+        / total
     )
-    return weighted / sum(weights)
 
 
 def _weigh(share, observed):
@@ -117,16 +127,22 @@
 
 def _chance_at(share, observed):
     """Return the probability, given the share of prompts with the parts."""
-    absent_chance = (1 - share) ** observed.size
-    present_chance = 1 - absent_chance
-    crash_chance = sum(
-        comb(observed.crashes, count)
-        * present_chance**count
-        * absent_chance ** (observed.crashes - count)
-        for count in range(observed.crashes_with, observed.crashes + 1)
-    )
+    absent = [(1 - share) ** size for size in observed.sizes]
+    most_absent = len(absent) - observed.crashes_with
+    crash_chance = _estimate_at_most(most_absent, absent)
     return crash_chance * (1 - share) ** observed.later
 
 
-def _get_time(crash):
-    return crash.at_ms
+def _estimate_at_most(limit, chances):
+    """Return the probability that few of some independent events happen.
+
+    Args:
+      limit: The largest number of events that happen.
+      chances: The probability of each event, a list.
+    """
+    by_count = [1, *repeat(0, limit)]
+    for chance in chances:
+        for count in range(limit, 0, -1):
+            by_count[count] += chance * (by_count[count - 1] - by_count[count])
+        by_count[0] *= 1 - chance
+    return sum(by_count)
--- a/crankchute/core/crash_history.py
+++ b/crankchute/core/crash_history.py
@@ -13,10 +13,12 @@
 """
 
 import operator
+from functools import partial
 
 import xxhash
 
 from crankchute.core.crash_attribution import attribute_to_common_cause
+from crankchute.core.crash_culprits import find_culprits
 from crankchute.core.crash_evidence import is_likely_cause
 from crankchute.core.crash_log import CrashLog
 from crankchute.core.crash_report import (
@@ -60,8 +62,9 @@
         """
         self._now_ms = now_ms
         self._on_quarantined = on_quarantined
-        self._find_culprits = blame
-        self._is_likely_cause = is_likely_cause
+        self._find_culprits = partial(
+            find_culprits, attribute=blame, is_likely_cause=is_likely_cause
+        )
         self._answers = RecentAnswers()
         self._subscribers = []
         self._log = CrashLog()
@@ -274,31 +277,15 @@
         now_ms = self._now_ms()
         culprits = [
             suspects
-            for suspects in self._find_culprits(self._log.crashes)
+            for suspects in self._find_culprits(
+                self._log, self._quarantines, self._answers
+            )
             if suspects not in self._quarantines
-            and self._is_supported(suspects)
         ]
         for suspects in culprits:
             self._quarantine(Quarantine(suspects, now_ms, now_ms))
         return bool(culprits)
 
-    def _is_supported(self, suspects):
-        """Return whether suspects of enough crashes are quarantined.
-
-        Parts of prompts are in many requests, so they need more evidence than
-        one request.  No request has the fingerprint of another one.
-        """
-        crashes = self._log.list_with(suspects)
-        requests = set().union(*(suspects & one.requests for one in crashes))
-        if requests or not crashes:
-            return len(requests) == 1
-        unexplained = [
-            one
-            for one in self._log.crashes
-            if one in crashes or self._quarantines.find(one.suspects) is None
-        ]
-        return self._is_likely_cause(suspects, unexplained, self._answers)
-
     def _quarantine(self, held):
         if not self._quarantines.add(held):
             return
--- a/crankchute/core/crash_parts_test.py
+++ b/crankchute/core/crash_parts_test.py
@@ -106,6 +106,20 @@
     assert not world.is_held()
 
 
+@pytest.mark.parametrize('is_answered', [False, True])
+def test_frequent_sound_parts_hide_two_that_crash_servers(is_answered):
+    """They are at more of the crashes than either."""
+    world = World()
+    for number in range(6):
+        world.crash(_CULPRIT, _FREQUENT[number % 2])
+        world.crash(_SECOND_CULPRIT, _FREQUENT[number % 2])
+        if is_answered:
+            world.answer(_COMMON)
+    assert world.is_held(_CULPRIT)
+    assert world.is_held(_SECOND_CULPRIT)
+    assert not any(world.is_held(part) for part in _FREQUENT)
+
+
 def test_part_that_was_sound_before_is_quarantined():
     world = World()
     for _ in range(10):
