Count attempts that crash servers within milliseconds in the evidence

Where requests crash servers some milliseconds after they are sent, one after the other, a part of their prompts was quarantined late: after 22, 12 and 7 crashes at intervals of 1, 2 and 4 ms.

Cause: crashes within 20 ms of the first count once. The attribution makes an exception for attempts that were sent after the crash before; the evidence did not.

--- a/crankchute/core/crash_evidence.py
+++ b/crankchute/core/crash_evidence.py
@@ -7,6 +7,7 @@
 """
 
 from itertools import repeat
+from math import inf
 from operator import attrgetter
 
 from crankchute.core.crash_attribution import group_simultaneous
@@ -53,12 +54,34 @@
         self.later = answers.count_after(pool, first_ms)
         counted = [
             min(group, key=attrgetter('size'))
-            for group in group_simultaneous(crashes)
+            for group in _separate_attempts(suspects, crashes)
         ]
         self.crashes_with = sum(suspects <= one.suspects for one in counted)
         self.sizes = [max(one.size, 1) for one in counted]
 
 
+def _separate_attempts(suspects, crashes):
+    """Return lists of simultaneous crashes, in order of time.
+
+    An attempt sent after a crash cannot belong to it, so the crash of its own
+    server counts separately, however soon it follows.
+    """
+    groups = []
+    for group in group_simultaneous(crashes):
+        last_ms = inf
+        for crash in group:
+            if last_ms == inf or _find_begun(suspects, crash) > last_ms:
+                groups.append([])
+            groups[-1].append(crash)
+            last_ms = crash.at_ms
+    return groups
+
+
+def _find_begun(suspects, crash):
+    """Return when the first of some suspects was sent, if all were present."""
+    return min(crash.begun_ms.get(one, -inf) for one in suspects)
+
+
 def is_likely_cause(suspects, crashes, answers):
     """Return whether parts of prompts are likely to cause crashes.
 
--- a/crankchute/core/crash_parts_test.py
+++ b/crankchute/core/crash_parts_test.py
@@ -82,6 +82,28 @@
     assert not world.is_held(_FREQUENT[0])
 
 
+@pytest.mark.parametrize('interval_ms', [1, 4, 8, 25])
+def test_attempts_that_crash_servers_within_milliseconds_count_once(
+    interval_ms,
+):
+    """Each one was sent after the crash before."""
+    world = World()
+    history = world.histories[0]
+    for number in range(5):
+        sent_ms = world.clock.time_ms + 0.1
+        world.clock.time_ms += interval_ms
+        history.record_crash(
+            f's{number}',
+            world.clock.time_ms,
+            [9000 + number],
+            {9000 + number: sent_ms, _COMMON: sent_ms, _CULPRIT: sent_ms},
+            parts={_COMMON, _CULPRIT},
+            pool=_POOL,
+        )
+    assert world.is_held(_CULPRIT)
+    assert not world.is_held()
+
+
 def test_part_is_quarantined_although_a_rare_one_comes_with_it():
     world = World()
     for _ in range(5):
