Clear parts from when the answered request was sent

When a part of prompts that was sound begins to crash servers, requests with it were sent up to 30 times later than 3 s after the fifth crash.

Each such answer cleared the part of all crashes until then.

Such an answer shows only that the part was sound when its request was sent. So answers count from then: they clear a part of the crashes until that moment, and in the frequencies they are earlier ones. A quarantine dates from the first of its crashes, so that an answer to any later request still ends it. A request itself is cleared when it is answered, as before. An answer that clears nothing costs two look-ups per part; nothing new is kept but the first crash of each suspect on record. The records of cleared suspects have a module of their own.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -523,9 +523,16 @@
         'parts are not cleared by answers',
         _PARTS_TEST,
         _HISTORY,
-        '        self._clear_answered(parts)\n',
+        '        self._clear_answered(parts, sent_ms)\n',
         '',
     ),
+    Mutation(
+        'answers to earlier requests clear parts',
+        _PARTS_TEST,
+        _HISTORY,
+        'self._clear_answered(parts, sent_ms)',
+        'self._clear_answered(parts, self._now_ms())',
+    ),
     Mutation(
         'suspects that are blamed together are refused one by one',
         _PARTS_TEST,
--- a/crankchute/core/crash_detector.py
+++ b/crankchute/core/crash_detector.py
@@ -125,7 +125,9 @@
         def record():
             self._history.record_answered(job.fingerprint)
             if head.is_success:
-                self._history.record_parts_answered(parts, job.pool)
+                self._history.record_parts_answered(
+                    parts, job.pool, attempt.sent_ms
+                )
 
         suspects = (job.fingerprint, *parts)
         if head.ends_with_connection and any(
--- a/crankchute/core/crash_detector_test.py
+++ b/crankchute/core/crash_detector_test.py
@@ -238,7 +238,7 @@
     part = 99
     history = harness.crashes
     for number in range(20):
-        history.record_parts_answered((98,), POOL)
+        history.record_parts_answered((98,), POOL, 0)
     for number in range(5):
         harness.timers.advance(100)
         history.record_crash(
--- a/crankchute/core/crash_history.py
+++ b/crankchute/core/crash_history.py
@@ -12,11 +12,11 @@
 message; a received time counts as later only by a clear margin.
 """
 
-import operator
 from functools import partial
 
 import xxhash
 
+from crankchute.core.cleared_suspects import ClearedSuspects
 from crankchute.core.crash_attribution import attribute_to_common_cause
 from crankchute.core.crash_culprits import find_culprits
 from crankchute.core.crash_evidence import is_likely_cause
@@ -32,14 +32,9 @@
     Quarantines,
     is_later,
     is_trial_due,
-    keep_latest,
 )
 from crankchute.core.recent_answers import RecentAnswers
 
-#: How long an answer is kept: until all instances have received it.
-_CLEARED_RETENTION_MS = 60_000
-_MAX_CLEARED = 512
-
 
 class CrashHistory:
     """Recent crashes, quarantined suspects, and suspects that were cleared."""
@@ -69,7 +64,7 @@
         self._subscribers = []
         self._log = CrashLog()
         self._quarantines = Quarantines()
-        self._cleared = {}
+        self._cleared = ClearedSuspects()
         self._digest = None
 
     @property
@@ -160,7 +155,7 @@
           pool: The name of the server's pool.
         """
         crash = Crash(server, at_ms, requests, begun_ms, parts=parts, pool=pool)
-        if self._log.merge(crash, self._cleared):
+        if self._log.merge(crash, self._cleared.by_fingerprint):
             self._update_quarantine()
             self._notify_subscribers()
 
@@ -170,19 +165,24 @@
         Args:
           fingerprint: The request's fingerprint.
         """
-        if self._clear_answered((fingerprint,)):
+        if self._clear_answered((fingerprint,), self._now_ms()):
             self._notify_subscribers()
 
-    def record_parts_answered(self, parts, pool):
+    def record_parts_answered(self, parts, pool, sent_ms):
         """Clear the parts of a prompt whose answer was complete.
 
+        The answer shows that the parts were sound when the request was sent: a
+        part may begin to crash servers while such requests are in progress.
+
         Args:
           parts: Their fingerprints, a tuple; may be empty.
           pool: The name of the pool whose server answered.
+          sent_ms: When the request was sent.
         """
-        self._answers.record(pool, self._now_ms(), parts)
+        self._answers.record(pool, sent_ms, parts)
+        self._answers.record_time(pool, self._now_ms())
         version = self._quarantines.version
-        self._clear_answered(parts)
+        self._clear_answered(parts, sent_ms)
         # Sound parts are answered all the time; others learn of that soon.
         if self._quarantines.version != version:
             self._notify_subscribers()
@@ -192,7 +192,7 @@
         return CrashReport(
             list(self._log.crashes),
             self.quarantined,
-            list(self._cleared.values()),
+            list(self._cleared.by_fingerprint.values()),
             {
                 crash.pool: self._answers.latest_ms[crash.pool]
                 for crash in self._log.crashes
@@ -209,11 +209,12 @@
         for pool, at_ms in report.answered_ms.items():
             self._answers.record_time(pool, at_ms)
         for cleared in report.cleared:
-            own = self._cleared.get(cleared.fingerprint)
-            if own is None or is_later(cleared.at_ms, own.at_ms):
+            if self._cleared.is_news(cleared):
                 self._clear(cleared)
+            elif self._log.is_cleared(cleared.fingerprint, cleared.at_ms):
+                self._log.clear(cleared)
         for crash in report.crashes:
-            self._log.merge(crash, self._cleared)
+            self._log.merge(crash, self._cleared.by_fingerprint)
         for held in report.quarantined:
             self._merge_quarantined(held)
         self._digest = None
@@ -224,40 +225,34 @@
         """Discard expired records, and the oldest ones beyond the bounds."""
         now_ms = self._now_ms()
         self._log.discard_expired(now_ms)
-        cleared = keep_latest(
-            self._cleared.values(),
-            operator.attrgetter('at_ms'),
-            now_ms - _CLEARED_RETENTION_MS,
-            _MAX_CLEARED,
-        )
         self._quarantines.discard_expired(now_ms)
         self._answers.discard_before(now_ms - RETENTION_MS)
-        self._cleared = {one.fingerprint: one for one in cleared}
+        self._cleared.discard_expired(now_ms)
         self._digest = None
 
-    def _clear_answered(self, fingerprints):
-        """Clear suspects that a server answered here; return how many."""
-        now_ms = self._now_ms()
+    def _clear_answered(self, fingerprints, at_ms):
+        """Clear suspects that were sound at a time; return how many."""
         suspects = [
             one
             for one in fingerprints
-            if one in self._log.counts or self._quarantines.has_member(one)
+            if self._log.is_cleared(one, at_ms)
+            or self._quarantines.has_until(one, at_ms)
         ]
         for fingerprint in suspects:
-            self._clear(ClearedSuspect(fingerprint, now_ms))
+            self._clear(ClearedSuspect(fingerprint, at_ms))
         if suspects:
             self._update_quarantine()
         return len(suspects)
 
     def _clear(self, cleared):
         """Remove a suspect from crashes and quarantine before its answer."""
-        self._cleared[cleared.fingerprint] = cleared
+        self._cleared.add(cleared)
         self._quarantines.discard_cleared(cleared)
         self._log.clear(cleared)
 
     def _merge_quarantined(self, received):
         for fingerprint in received.suspects:
-            cleared = self._cleared.get(fingerprint)
+            cleared = self._cleared.by_fingerprint.get(fingerprint)
             if cleared is not None and not is_later(
                 received.held_ms, cleared.at_ms
             ):
@@ -283,7 +278,9 @@
             if suspects not in self._quarantines
         ]
         for suspects in culprits:
-            self._quarantine(Quarantine(suspects, now_ms, now_ms))
+            crashes = self._log.list_with(suspects)
+            first_ms = min((one.at_ms for one in crashes), default=now_ms)
+            self._quarantine(Quarantine(suspects, first_ms, now_ms))
         return bool(culprits)
 
     def _quarantine(self, held):
@@ -296,7 +293,11 @@
             self._on_quarantined(held.suspects, servers)
 
     def _compute_digest(self):
-        if not (self._log.crashes or self.quarantined or self._cleared):
+        if not (
+            self._log.crashes
+            or self.quarantined
+            or self._cleared.by_fingerprint
+        ):
             return 0
         crashes = sorted(
             (crash.server, sorted(crash.suspects))
@@ -305,7 +306,7 @@
         hashed = (
             crashes,
             self._quarantines.keys,
-            sorted(self._cleared),
+            sorted(self._cleared.by_fingerprint),
         )
         return xxhash.xxh64_intdigest(repr(hashed).encode())
 
--- a/crankchute/core/crash_log.py
+++ b/crankchute/core/crash_log.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from crankchute.core.crash_report import Crash
-from crankchute.core.quarantines import RETENTION_MS, is_later, keep_latest
+from crankchute.core.quarantines import RETENTION_MS, keep_latest
 
 _MAX_CRASHES = 64
 #: About the slots and queue places of one server.
@@ -24,12 +24,13 @@
       counts: A Counter of crashes by fingerprint.
     """
 
-    __slots__ = ('counts', 'crashes')
+    __slots__ = ('_first', 'counts', 'crashes')
 
     def __init__(self):
         """Create an empty log."""
         self.crashes = []
         self.counts = Counter()
+        self._first = {}
 
     def merge(self, crash, cleared):
         """Add a crash, or what it adds to the known record of the same crash.
@@ -48,7 +49,7 @@
         known.size = max(known.size, crash.size, len(known.requests))
         known.parts |= crash.parts
         for fingerprint in cleared.keys() & known.suspects:
-            if not is_later(known.at_ms, cleared[fingerprint].at_ms):
+            if known.was_not_caused_by(fingerprint, cleared[fingerprint].at_ms):
                 known.discard(fingerprint)
         known.requests = self._limit(known.requests, _MAX_REQUESTS_PER_CRASH)
         known.parts = self._limit(known.parts, _MAX_PARTS_PER_CRASH)
@@ -66,7 +67,7 @@
           cleared: A ClearedSuspect.
         """
         for crash in self.crashes:
-            if not is_later(crash.at_ms, cleared.at_ms):
+            if crash.was_not_caused_by(cleared.fingerprint, cleared.at_ms):
                 crash.discard(cleared.fingerprint)
         self.crashes = [one for one in self.crashes if one.suspects]
 
@@ -83,8 +84,23 @@
             _MAX_CRASHES,
         )
         self.counts = Counter()
+        self._first = {}
         for crash in self.crashes:
             self.counts.update(crash.suspects)
+            for one in crash.suspects:
+                self._first.setdefault(one, crash)
+
+    def is_cleared(self, fingerprint, sound_ms):
+        """Return whether a suspect is cleared of any crash.
+
+        Args:
+          fingerprint: Its fingerprint.
+          sound_ms: When it was sound; see ClearedSuspect.
+        """
+        first = self._first.get(fingerprint)
+        return first is not None and first.was_not_caused_by(
+            fingerprint, sound_ms
+        )
 
     def list_with(self, suspects):
         """Return the Crashes at which all of some suspects were present.
--- a/crankchute/core/crash_parts_test.py
+++ b/crankchute/core/crash_parts_test.py
@@ -50,7 +50,9 @@
         self._requests += 1
         usual_parts = (_COMMON, _FREQUENT[self._requests % len(_FREQUENT)])
         self.histories[at].record_answered(self._requests)
-        self.histories[at].record_parts_answered(parts or usual_parts, pool)
+        self.histories[at].record_parts_answered(
+            parts or usual_parts, pool, self.clock.time_ms
+        )
 
     def exchange(self):
         """Send all histories to all others, twice."""
@@ -104,16 +106,17 @@
     assert not world.is_held()
 
 
-def test_part_is_quarantined_although_a_rare_one_comes_with_it():
+@pytest.mark.parametrize('rare', [_RARE, _CULPRIT - 1])
+def test_part_is_quarantined_although_a_rare_one_comes_with_it(rare):
     world = World()
     for _ in range(5):
-        world.crash(_CULPRIT, _RARE)
+        world.crash(_CULPRIT, rare)
         world.answer()
-    assert world.is_held(_CULPRIT, _RARE)
-    assert not world.is_held(_RARE)
-    world.answer(_COMMON, _RARE)
+    assert world.is_held(_CULPRIT, rare)
+    assert not world.is_held(rare)
+    world.answer(_COMMON, rare)
     assert world.is_held(_CULPRIT)
-    assert not world.is_held(_RARE)
+    assert not world.is_held(rare)
 
 
 def test_two_parts_that_crash_servers_at_once_are_quarantined():
@@ -154,6 +157,23 @@
     assert world.is_held(_CULPRIT)
 
 
+def test_answers_to_requests_sent_before_the_crashes_clear_a_part():
+    """It begins to crash servers while they are in progress."""
+    world = World()
+    for _ in range(5):
+        world.answer(_COMMON, _CULPRIT)
+    sent_ms = world.clock.time_ms
+    for _ in range(12):
+        world.crash(_CULPRIT, bystanders=0)
+        world.answer()
+        world.histories[0].record_parts_answered(
+            (_COMMON, _CULPRIT), _POOL, sent_ms
+        )
+    assert world.is_held(_CULPRIT)
+    world.answer(_COMMON, _CULPRIT)
+    assert not world.is_held(_CULPRIT)
+
+
 def test_part_of_another_pool_does_not_clear_it():
     """The answers of another pool say nothing of the servers of this one."""
     world = World(earlier=0)
@@ -241,7 +261,9 @@
     world.exchange()
     assert not second.claim_trial(suspects, 'r4')
     if is_answered:
-        first.record_parts_answered((_COMMON, _CULPRIT), _POOL)
+        first.record_parts_answered(
+            (_COMMON, _CULPRIT), _POOL, world.clock.time_ms
+        )
         world.exchange()
     else:
         first.end_trial('r2')
--- a/crankchute/core/crash_report.py
+++ b/crankchute/core/crash_report.py
@@ -5,6 +5,8 @@
 fingerprints.
 """
 
+from crankchute.core.quarantines import is_later
+
 
 class Crash:
     """The crash of a backend server that had requests in progress.
@@ -60,6 +62,20 @@
         """The fingerprints of all requests and parts, a set."""
         return self.requests | self.parts
 
+    def was_not_caused_by(self, fingerprint, sound_ms):
+        """Return whether a suspect is cleared of this crash.
+
+        A request that the crash interrupted is answered some time later, but a
+        part of its prompt may be in a request that was sent just before.
+
+        Args:
+          fingerprint: The fingerprint of the suspect.
+          sound_ms: When it was sound; see ClearedSuspect.
+        """
+        if fingerprint in self.requests:
+            return not is_later(self.at_ms, sound_ms)
+        return self.at_ms <= sound_ms
+
     def discard(self, fingerprint):
         """Remove a suspect.
 
@@ -78,8 +94,8 @@
 
     Attributes:
       suspects: Their fingerprints, a frozenset.
-      held_ms: When they were quarantined or last tried, on this process's
-        clock.
+      held_ms: When the first of the crashes was noticed or they were last
+        tried, on this process's clock.
       asked_ms: When a request with them was last submitted, on the same clock.
       trial: The id of the request that is sent as a trial, or None; known to
         the instance that sends it.
@@ -98,11 +114,12 @@
 
 
 class ClearedSuspect:
-    """A request, or a part of prompts, that was answered after a crash.
+    """A request, or a part of prompts, that was sound after a crash.
 
     Attributes:
       fingerprint: Its fingerprint, an int.
-      at_ms: When it was answered, on this process's clock.
+      at_ms: When it was sound, on this process's clock: when a request was
+        answered, or when the answered request with a part was sent.
     """
 
     __slots__ = ('at_ms', 'fingerprint')
--- a/crankchute/core/quarantines.py
+++ b/crankchute/core/quarantines.py
@@ -6,6 +6,7 @@
 """
 
 import operator
+from math import inf
 
 #: How long crashes, and quarantined suspects that are not submitted, are kept.
 #: A quarantined request that expires may crash three more servers.
@@ -24,13 +25,13 @@
       version: A number that changes when suspects are added or discarded.
     """
 
-    __slots__ = ('_by_member', '_by_suspects', '_members', 'version')
+    __slots__ = ('_by_member', '_by_suspects', '_first_ms', 'version')
 
     def __init__(self):
         """Create an empty record."""
         self._by_suspects = {}
         self._by_member = {}
-        self._members = frozenset()
+        self._first_ms = {}
         self.version = 0
 
     @property
@@ -54,13 +55,14 @@
         """
         return suspects in self._by_suspects
 
-    def has_member(self, fingerprint):
-        """Return whether a suspect is quarantined, alone or with others.
+    def has_until(self, fingerprint, at_ms):
+        """Return whether a suspect is quarantined for crashes until a time.
 
         Args:
           fingerprint: Its fingerprint.
+          at_ms: The time.
         """
-        return fingerprint in self._members
+        return self._first_ms.get(fingerprint, inf) <= at_ms
 
     def find(self, fingerprints):
         """Return the Quarantine that applies to a request, or None.
@@ -141,9 +143,12 @@
 
     def _index(self):
         self.version += 1
-        self._members = frozenset().union(*self._by_suspects)
+        self._first_ms = {}
         self._by_member = {}
         for held in self._by_suspects.values():
+            for one in held.suspects:
+                first_ms = self._first_ms.get(one, held.held_ms)
+                self._first_ms[one] = min(first_ms, held.held_ms)
             member = min(held.suspects)
             self._by_member.setdefault(member, []).append(held)
 
--- a/crankchute/core/recent_answers.py
+++ b/crankchute/core/recent_answers.py
@@ -20,20 +20,19 @@
         self._by_pool = {}
         self.latest_ms = {}
 
-    def record(self, pool, at_ms, parts):
+    def record(self, pool, sent_ms, parts):
         """Record the complete answer to a request.
 
         Args:
           pool: The name of the pool.
-          at_ms: The time.
+          sent_ms: When the request was sent.
           parts: The fingerprints of the parts of its prompt, an iterable.
         """
         answers = self._by_pool.get(pool)
         if answers is None:
             answers = deque(maxlen=_MAX_ANSWERS)
             self._by_pool[pool] = answers
-        answers.append((at_ms, frozenset(parts)))
-        self.record_time(pool, at_ms)
+        answers.append((sent_ms, frozenset(parts)))
 
     def record_time(self, pool, at_ms):
         """Record that a request was answered, perhaps one of another instance.
@@ -52,7 +51,7 @@
                 self._by_pool.pop(pool, None)
 
     def list_before(self, pool, at_ms):
-        """Return the answers of a pool until a time.
+        """Return the answers of a pool to requests sent until a time.
 
         Args:
           pool: The name of the pool.
@@ -61,14 +60,14 @@
           A list of frozensets of fingerprints of parts.
         """
         answers = self._by_pool.get(pool, ())
-        return [parts for answered_ms, parts in answers if answered_ms <= at_ms]
+        return [parts for sent_ms, parts in answers if sent_ms <= at_ms]
 
     def count_after(self, pool, at_ms):
-        """Return the number of answers of a pool after a time.
+        """Return the number of answers of a pool to requests sent later.
 
         Args:
           pool: The name of the pool.
           at_ms: The time.
         """
         answers = self._by_pool.get(pool, ())
-        return sum(answered_ms > at_ms for answered_ms, _parts in answers)
+        return sum(sent_ms > at_ms for sent_ms, _parts in answers)
