--- a/tests/crash_parts_test.py
+++ b/tests/crash_parts_test.py
@@ -37,13 +37,19 @@
     assert play(scenario, seed).held == 0
 
 
-def test_two_crashing_parts_arrive_late():
+@pytest.mark.parametrize('seed', [6, 13, 27, 35])
+def test_two_crashing_parts_arrive_late(seed):
     """Both crash servers in the same seconds."""
-    world = play('two parts', 6)
+    world = play('two parts', seed)
     assert max(world.late.values()) <= _MAX_LATE_ARRIVALS
 
 
-def test_part_that_was_sound_before_arrives_late():
+@pytest.mark.parametrize('seed', [3, 15, 39])
+def test_part_that_was_sound_before_arrives_late(seed):
     """It begins to crash servers while requests with it are in progress."""
-    world = play('sound before', 3)
+    world = play('sound before', seed)
     assert max(world.late.values()) <= _MAX_LATE_ARRIVALS
+
+
+def test_sound_requests_are_held_while_all_servers_fail():
+    assert play('no part, all servers', 2).held == 0
