Mutate the guards of shutdowns, late answers and changed pools

The copy now holds the tests directory.

Ruled out: removing the check of an earlier answer that ends the connection, since the test then waits for an answer until the time limit of the run.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -30,6 +30,11 @@
 _CONFIG_CHANGES_TEST = 'crankchute/platform/config_changes_test.py'
 _SILENT = 'crankchute/core/silent_attempts.py'
 _SILENT_TEST = 'crankchute/core/silent_attempts_test.py'
+_REPLACED_TEST = 'crankchute/core/replaced_attempts_test.py'
+_FORWARD_TEST = 'crankchute/core/forward_machine_test.py'
+_POOL_CHANGES_TEST = 'crankchute/core/pool_changes_test.py'
+_SHUTDOWN_TEST = 'crankchute/entry/shutdown_test.py'
+_HTTP_CALL = 'crankchute/adapters/http_call.py'
 
 
 class Mutation:
@@ -556,7 +561,7 @@
     Mutation(
         'the framing of answers is unbounded',
         _ENDLESS_TEST,
-        'crankchute/adapters/http_call.py',
+        _HTTP_CALL,
         'if self._framing_bytes > _MAX_FRAMING_BYTES:',
         'if self._framing_bytes < 0:',
     ),
@@ -574,6 +579,110 @@
         'return earlier is None or earlier.request_id != self.request_id',
         'return True',
     ),
+    Mutation(
+        'a connection is reused by a request that it answered before others',
+        _LATE_TEST,
+        'crankchute/adapters/idle_connections.py',
+        'earlier[-_MAX_EARLIER:]',
+        'earlier[-1:]',
+    ),
+    Mutation(
+        'answers to earlier requests are skipped without a bound',
+        _LATE_TEST,
+        _HTTP_CALL,
+        'elif self._skipped > _MAX_SKIPPED:',
+        'elif self._skipped < 0:',
+    ),
+    Mutation(
+        'the bodies of skipped answers are unbounded',
+        _LATE_TEST,
+        _HTTP_CALL,
+        'if self._skipped_bytes > MAX_BUFFERED_BODY:',
+        'if self._skipped_bytes < 0:',
+    ),
+    Mutation(
+        'a connection is reused after a skipped answer',
+        _LATE_TEST,
+        _HTTP_CALL,
+        'is_sound = not self._skipped',
+        'is_sound = True',
+    ),
+    Mutation(
+        'a request whose server answered too late has not run',
+        _FORWARD_TEST,
+        _FORWARD_FLOW,
+        '        self.may_have_run = True\n'
+        '        self._context.record_attempt_end(self, attempt, str',
+        '        self._context.record_attempt_end(self, attempt, str',
+    ),
+    Mutation(
+        'shutdown: half-read requests get no answer',
+        'crankchute/platform/stops_test.py',
+        'crankchute/entry/shutdown.py',
+        '        self.host.refuse_unread()\n',
+        '',
+    ),
+    Mutation(
+        'shutdown: half-read requests of other instances may have run',
+        'crankchute/platform/half_read_relays_test.py',
+        'crankchute/platform/node.py',
+        'server.list_rejection_headers = relayed.list_rejection_headers',
+        'server.list_rejection_headers = None',
+    ),
+    Mutation(
+        'shutdown: a request that cannot be ended keeps others waiting',
+        _SHUTDOWN_TEST,
+        'crankchute/entry/shutdown.py',
+        'except Exception as exc:',
+        'except KeyError as exc:',
+    ),
+    Mutation(
+        'shutdown: a request that cannot be ended keeps the process running',
+        _SHUTDOWN_TEST,
+        'crankchute/entry/shutdown.py',
+        'if (desk.in_progress or has_unsent) and now_ms < schedule.exit_ms:',
+        'if desk.in_progress or has_unsent and now_ms < schedule.exit_ms:',
+    ),
+    Mutation(
+        'a reload signal during the start ends the process',
+        'tests/soak_test.py',
+        'crankchute/platform/__main__.py',
+        'signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})',
+        'signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})',
+    ),
+    Mutation(
+        'configuration: plain requests in progress are placed at engines',
+        _POOL_CHANGES_TEST,
+        'crankchute/core/forwarder.py',
+        'if chooser is None or not chooser.accepts(job):',
+        'if chooser is None:',
+    ),
+    Mutation(
+        'configuration: the work of removed engines counts until its deadline',
+        _POOL_CHANGES_TEST,
+        'crankchute/core/forwarder.py',
+        '        chooser = placement.chooser\n'
+        '        if chooser is not None:\n'
+        '            chooser.record_end(',
+        '        chooser = self.find_chooser(flow.job.pool)\n'
+        '        if chooser is not None:\n'
+        '            chooser.record_end(',
+    ),
+    Mutation(
+        'silence: a placement that meets a passed deadline is kept',
+        _REPLACED_TEST,
+        _FORWARD_FLOW,
+        '            if choice is not None:\n'
+        '                self._context.record_freed(self, choice)\n',
+        '',
+    ),
+    Mutation(
+        'silence: a retry is made that the budget denies',
+        _REPLACED_TEST,
+        _SILENT,
+        'if self._forwarder.take_retry(flow.job):',
+        'if self._forwarder.take_retry(flow.job) or choice:',
+    ),
 )
 
 
@@ -590,7 +699,7 @@
     is_test = mutation.scenario.endswith('.py')
     module = _TEST_MODULE if is_test else _SCENARIO_MODULE
     with tempfile.TemporaryDirectory() as copy_root:
-        for name in ('crankchute', 'bench', 'examples'):
+        for name in ('crankchute', 'bench', 'examples', 'tests'):
             shutil.copytree(ROOT / name, Path(copy_root) / name)
         _rewrite(Path(copy_root) / mutation.path, mutation)
         completed = subprocess.run(  # noqa: S603
