Show that an error in recording the end of an attempt denies that it ran

An attempt is closed before its request is told of the end. If an error keeps the request from being told, its deadline, or a shutdown, finds the attempt closed, takes that for one that never reached a server, and says "not run".

--- a/crankchute/core/forward_machine_test.py
+++ b/crankchute/core/forward_machine_test.py
@@ -185,3 +185,28 @@
     listener.on_head(AnswerHead(_STATUSES[0]))
     listener.on_end()
     assert sink.events == [('refused', outcome)]
+
+
+@pytest.mark.parametrize('end', ['answer', 'loss'])
+@pytest.mark.parametrize(
+    ('repeat', 'outcome'),
+    [(RetryMode.ONCE, Outcome.UNKNOWN), (RetryMode.AGAIN, Outcome.FAILED)],
+)
+def test_request_whose_end_was_not_recorded_has_not_run(repeat, outcome, end):
+    """An error keeps the end of its attempt from the request."""
+    harness = ForwardHarness()
+    harness.chooser.record_end = fail_to_record
+    _flow, sink = harness.submit(repeat=repeat, deadline_ms=_DEADLINE_MS)
+    listener = harness.port.calls[-1].listener
+    with pytest.raises(ValueError):
+        if end == 'answer':
+            listener.on_head(AnswerHead(_STATUSES[0]))
+            listener.on_end()
+        else:
+            listener.on_failed(BackendError('lost', sent=True))
+    harness.timers.advance(_DEADLINE_MS + 1)
+    assert sink.events == [('refused', outcome)]
+
+
+def fail_to_record(_job, _placement):
+    raise ValueError('the end cannot be recorded')
