Take a closed attempt whose end was not told for one that may have run

Cause: Attempt.cancel returned that the request had not reached its server when the attempt was closed. A closed attempt that the flow still holds is one whose end an error kept from it; its request may have run.

Change: what cancel returns depends on whether the request was sent, not on whether the attempt is open.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -683,6 +683,17 @@
         'if self._forwarder.take_retry(flow.job):',
         'if self._forwarder.take_retry(flow.job) or choice:',
     ),
+    Mutation(
+        'a request whose end was not recorded has not run',
+        _FORWARD_TEST,
+        'crankchute/core/forward_attempt.py',
+        '        if self._call is None:\n'
+        '            return False\n'
+        '        if is_open:',
+        '        if not is_open or self._call is None:\n'
+        '            return False\n'
+        '        if is_open:',
+    ),
 )
 
 
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -102,12 +102,16 @@
         """Cancel the attempt; the flow receives no more callbacks.
 
         Returns:
-          True if the attempt was open and may have reached its server.
+          True if the request may have reached its server.  That holds for an
+          attempt that is closed as well, if an error kept its end from the
+          flow.
         """
-        if not self._close() or self._call is None:
+        is_open = self._close()
+        if self._call is None:
             return False
-        self.backend.breaker.record_abandoned()
-        self._call.cancel()
+        if is_open:
+            self.backend.breaker.record_abandoned()
+            self._call.cancel()
         return self._call.sent
 
     def pause_reading(self):
