--- a/crankchute/standins/ports.py
+++ b/crankchute/standins/ports.py
@@ -12,8 +12,8 @@
 
 LOOPBACK = '127.0.0.1'
 _FIRST_PORT = 12_000
-_RANGES = 32
-_RANGE_SIZE = 600
+_RANGES = 16
+_RANGE_SIZE = 1_200
 _END_PORT = _FIRST_PORT + _RANGES * _RANGE_SIZE
 
 
