Keep the system's time limit out of the tests of stops

Two tests of stops_test simulate the clock and leave an answer unread, but the limit after which the system closes such a connection (TCP_USER_TIMEOUT, 6 s) runs on the real clock. With delays of 5 to 300 ms in a twentieth of the turns it passed before the simulated stop did: the unsent bytes of the answer vanished after 2.5 s of the stop, and the instance ended at 3.1 s. Without the limit they stay, so the cause is shown. The harness now disables it; what the tests demand is the same, and the limits of the instance itself run on the simulated clock.

--- a/crankchute/platform/standin_stop.py
+++ b/crankchute/platform/standin_stop.py
@@ -142,6 +142,7 @@
 
     def _advance(self):
         self._poll()
+        self._disable_timeouts()
         if self._has_stopped and self.ended_ms is None:
             self._end_process()
         self.clock.time_ms += _STEP_MS
@@ -151,6 +152,22 @@
         for caller in self.requests:
             caller.poll()
 
+    def _disable_timeouts(self):
+        """Disable the limit of the system on callers that do not read.
+
+        It is a time on the real clock, on which a step may take any time.
+        """
+        for server in self._list_servers():
+            for sock in server._clients:  # noqa: SLF001, WPS437
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+
+    def _list_servers(self):
+        return [
+            component
+            for component in self.loop.components
+            if isinstance(component, ForwardServer)
+        ]
+
     def _on_stopped(self):
         self._has_stopped = True
 
@@ -162,9 +179,8 @@
         for _ in range(_FINAL_TICKS):
             self.loop.tick(0)
         self.loop._running = True  # noqa: SLF001, WPS437
-        for component in tuple(self.loop.components):
-            if isinstance(component, ForwardServer):
-                _close_all(component)
+        for server in self._list_servers():
+            _close_all(server)
         _close_all(self.platform.http_client.hub)
         self._poll()
 
