Let exactly one server fail in the tests of relayed requests

Cause: a timer cleared the other servers' behaviour after the first one had failed. A turn of the loop that is late lets the next attempt reach a second server before, so that the request fails as often as it may be sent.

The servers now share what the next request meets, so that one of them takes it.

--- a/crankchute/platform/lost_paths_test.py
+++ b/crankchute/platform/lost_paths_test.py
@@ -1,5 +1,7 @@
 """Tests of instances that lose the paths to backend servers."""
 
+from collections import deque
+
 import pytest
 
 from crankchute.core.forward_fakes import POOL
@@ -185,18 +187,9 @@
 
 def fail_next(world, behaviour):
     """Let the first server that gets a request fail, and no other one."""
+    behaviours = deque((behaviour,))
     for engine in world.engines:
-        engine.next_behaviours.append(behaviour)
-
-    def clear():
-        reached = [one for one in world.engines if not one.next_behaviours]
-        if reached:
-            for engine in world.engines:
-                engine.next_behaviours.clear()
-        else:
-            world.loop.timers.after(1, clear)
-
-    clear()
+        engine.next_behaviours = behaviours
 
 
 def test_relayed_stream_is_not_resumed_after_its_last_event():
