--- a/crankchute/platform/cold_servers_test.py
+++ b/crankchute/platform/cold_servers_test.py
@@ -69,7 +69,9 @@
 @pytest.mark.parametrize('is_plain', [False, True])
 def test_rate_applies_to_all_instances_together(is_plain):
     """The rate is used, and requests above it are refused without a call."""
-    world = make_world(instances=5, engines=3, is_plain=is_plain)
+    world = make_world(
+        instances=5, engines=3, is_plain=is_plain, peer_delay_ms=10
+    )
     since_ms = world.nodes[0].now_ms()
     put_entries(world, world.engines, _COLD_MS)
     ends = world.send_load(world.nodes, 50, _LOAD_MS)
--- a/crankchute/platform/limited_servers_test.py
+++ b/crankchute/platform/limited_servers_test.py
@@ -87,7 +87,7 @@
 def test_limited_pool_is_used_to_capacity(is_plain):
     """Requests over the limit are refused without being sent."""
     cluster = StandinWorld(
-        instances=6, engines=4, is_plain=is_plain, peer_delay_ms=0
+        instances=6, engines=4, is_plain=is_plain, peer_delay_ms=10
     )
     cluster.wait(_WINDOW_MS + _MS_PER_SECOND)
     announce_limit(cluster.engines, '3')
@@ -112,7 +112,7 @@
 def test_no_request_is_refused_below_the_limits(limit, per_second, is_plain):
     """This holds for each instance, whatever its share of the limit is."""
     cluster = StandinWorld(
-        instances=8, engines=3, is_plain=is_plain, peer_delay_ms=0
+        instances=8, engines=3, is_plain=is_plain, peer_delay_ms=10
     )
     cluster.wait(_WINDOW_MS + _MS_PER_SECOND)
     announce_limit(cluster.engines, limit)
