End each request of a loop by itself

Cause: five loops in core end or resume several requests, and an exception for one left the others without an end until their deadlines. It also kept the caller of the loop from its own next steps, such as telling the peers of lost paths.

Change: call_for_each calls a function for each of several arguments and logs an exception as `internal_error` with its stack and the request, pool or server; the others go on. The five loops and the shutdown use it. The log line of the shutdown is unchanged. This is the first module of core that imports an adapter, for that log line.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -647,7 +647,7 @@
     Mutation(
         'shutdown: a request that cannot be ended keeps others waiting',
         _SHUTDOWN_TEST,
-        'crankchute/entry/shutdown.py',
+        'crankchute/core/call_for_each.py',
         'except Exception as exc:',
         'except KeyError as exc:',
     ),
--- a/crankchute/adapters/shutdown_log.py
+++ b/crankchute/adapters/shutdown_log.py
@@ -1,7 +1,5 @@
 """Log lines about the shutdown of an instance that forwards requests."""
 
-from traceback import format_tb
-
 from crankchute.adapters.log import log_change
 
 
@@ -47,22 +45,6 @@
     )
 
 
-def log_end_failed(flow, exc):
-    """Log that a request could not be ended.
-
-    Args:
-      flow: A ForwardFlow.
-      exc: The exception.
-    """
-    log_change(
-        'internal_error',
-        failed=True,
-        request=flow.job.request_id,
-        error=repr(exc),
-        stack=format_tb(exc.__traceback__),
-    )
-
-
 def log_stopped(after_ms, in_progress, *, has_unsent):
     """Log that the process ends.
 
--- a/crankchute/core/crash_detector.py
+++ b/crankchute/core/crash_detector.py
@@ -9,6 +9,7 @@
 
 from functools import partial
 
+from crankchute.core.call_for_each import call_for_each
 from crankchute.core.crash_attribution import CRASHES_TO_QUARANTINE
 from crankchute.core.outcomes import refuse_not_run
 from crankchute.core.quarantines import RETENTION_MS
@@ -225,8 +226,11 @@
 
     def _end_probe(self, backend, is_listening):
         probe = self._probes.pop(backend.identity)
-        for on_known in probe.waiting:
-            on_known(is_listening)
+        call_for_each(
+            lambda on_known: on_known(is_listening),
+            probe.waiting,
+            server=backend.identity,
+        )
 
     def _record_crash(self, backend, probe):
         # The server stays listed until it has missed three heartbeats.
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -1,6 +1,7 @@
 """One attempt to send a forwarded request to a backend server."""
 
 from crankchute.core.attempt_watchdog import AttemptWatchdog
+from crankchute.core.call_for_each import call_for_each_flow
 from crankchute.core.forward_job import AttemptOrder
 from crankchute.errors import BackendError
 from crankchute.ports.forwarding import AttemptListener
@@ -299,6 +300,9 @@
       is_excluded: A function of a Backend that returns whether it gets no new
         requests.
     """
-    for flow in tuple(flows):
+
+    def end(flow):
         if flow.attempt is not None:
             flow.attempt.end_waiting(is_excluded)
+
+    call_for_each_flow(end, flows)
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -9,6 +9,7 @@
     DEFAULT_RETRY_AFTER_MS,
     AttemptContext,
 )
+from crankchute.core.call_for_each import call_for_each_flow
 from crankchute.core.crash_detector import CrashDetector
 from crankchute.core.forward_flow import ForwardFlow
 from crankchute.core.forward_job import Placement, PrefillHelper
@@ -109,12 +110,15 @@
         Args:
           backend: The Backend of the previous incarnation.
         """
-        for flow in tuple(self.flows):
+
+        def end(flow):
             attempt = flow.attempt
             if attempt is not None and attempt.placement.uses(backend):
                 text = f'{backend.identity} started again'
                 attempt.end_lost(backend, text)
 
+        call_for_each_flow(end, self.flows)
+
     def now_ms(self):
         """Return the current time on this process's clock."""
         return self._timers.clock.now_ms()
--- a/crankchute/core/one_failure_test.py
+++ b/crankchute/core/one_failure_test.py
@@ -115,3 +115,29 @@
 def test_failing_end_of_a_request_leaves_the_others_without_one(place, failing):
     ended = run_with_failure(place, failing)
     assert ended == [one for one in range(_REQUESTS) if one != failing]
+
+
+@pytest.mark.parametrize(
+    ('place', 'named'),
+    [
+        (restart_server, {'request': 'r1'}),
+        (lose_paths, {'request': 'r1'}),
+        (evacuate, {'request': 'r1'}),
+        (check_paths, {'pool': POOL}),
+        (probe_server, {'server': 'server-00'}),
+    ],
+)
+def test_failing_end_of_a_request_is_not_logged(monkeypatch, place, named):
+    lines = []
+    monkeypatch.setattr(
+        'crankchute.core.call_for_each.log_change',
+        lambda kind, **fields: lines.append((kind, fields)),
+    )
+    run_with_failure(place, failing=1)
+    assert len(lines) == 1
+    kind, fields = lines[0]
+    assert kind == 'internal_error'
+    assert fields['failed']
+    assert 'the caller cannot be told' in fields['error']
+    assert 'end_or_fail' in fields['stack'][-1]
+    assert fields.items() >= named.items()
--- a/crankchute/core/pool_paths.py
+++ b/crankchute/core/pool_paths.py
@@ -12,7 +12,9 @@
 """
 
 import enum
+from operator import call
 
+from crankchute.core.call_for_each import call_for_each
 from crankchute.core.path_ports import Proxy, probe_any
 
 #: How many servers are tried in each check.
@@ -272,8 +274,7 @@
         self._checked_ms = self._now_ms()
         waiting = self._waiting
         self._waiting = []
-        for callback in waiting:
-            callback()
+        call_for_each(call, waiting, pool=self.pool)
 
     def _retry(self):
         for identity, proxy in tuple(self._proxies.items()):
--- a/crankchute/core/relay.py
+++ b/crankchute/core/relay.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from crankchute.core.call_for_each import call_for_each_flow
 from crankchute.core.forward_job import RelayPlacement, RetryMode
 from crankchute.core.outcomes import Outcome, refuse_not_run
 from crankchute.core.shutdown_admission import STOPPING
@@ -88,12 +89,15 @@
       flows: An iterable of ForwardFlow.
       pool: The pool's name.
     """
-    for flow in tuple(flows):
+
+    def end(flow):
         attempt = flow.attempt
         if flow.job.pool == pool and _is_unanswered(flow, attempt):
             text = 'the path to the backend server is lost'
             attempt.end_lost(attempt.backend, text)
 
+    call_for_each_flow(end, flows)
+
 
 def _is_unanswered(flow, attempt):
     if attempt is None or attempt.started or attempt.placement.is_relayed:
--- a/crankchute/entry/shutdown.py
+++ b/crankchute/entry/shutdown.py
@@ -2,11 +2,11 @@
 
 from crankchute.adapters.log import log_change
 from crankchute.adapters.shutdown_log import (
-    log_end_failed,
     log_ended_by_stop,
     log_stopped,
     log_stopping,
 )
+from crankchute.core.call_for_each import call_for_each_flow
 from crankchute.core.shutdown_admission import STOPPING, ShutdownSchedule
 
 _CHECK_INTERVAL_MS = 100
@@ -88,11 +88,7 @@
 
     def _for_each_request(self, function):
         """Call a function for each ForwardFlow, even if it fails for some."""
-        for flow in tuple(self._node.desk.flows):
-            try:
-                function(flow)
-            except Exception as exc:
-                log_end_failed(flow, exc)
+        call_for_each_flow(function, self._node.desk.flows)
 
     def _stop(self, elapsed_ms, *, has_unsent):
         node = self._node
