--- a/crankchute/adapters/loop.py
+++ b/crankchute/adapters/loop.py
@@ -6,6 +6,7 @@
 
 from circuits import BaseComponent, Event, handler
 
+from crankchute.adapters import error_log  # noqa: F401  (registers it)
 from crankchute.adapters.log import log_change
 from crankchute.adapters.clock import ProcessClock
 from crankchute.adapters.poller import IndexedPoller
--- a/crankchute/core/call_for_each.py
+++ b/crankchute/core/call_for_each.py
@@ -1,8 +1,6 @@
 """Calls for several requests, of which one may fail without the others."""
 
-from traceback import format_tb
-
-from crankchute.adapters.log import log_change
+from crankchute.ports.errors import report_error
 
 
 def call_for_each(function, arguments, **fields):
@@ -11,19 +9,13 @@
     Args:
       function: A function of an argument.
       arguments: An iterable, which the calls may change.
-      fields: What the log line about a failure tells beside the error.
+      fields: What a failure concerns, for its report.
     """
     for one in tuple(arguments):
         try:
             function(one)
         except Exception as exc:
-            log_change(
-                'internal_error',
-                failed=True,
-                error=repr(exc),
-                stack=format_tb(exc.__traceback__),
-                **fields,
-            )
+            report_error(exc, **fields)
 
 
 def call_for_each_flow(function, flows):
--- a/crankchute/core/one_failure_test.py
+++ b/crankchute/core/one_failure_test.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from crankchute.adapters import error_log  # noqa: F401  (registers it)
 from crankchute.core.crash_detector import CrashDetector
 from crankchute.core.fakes import ManualTimers
 from crankchute.core.forward_attempt import end_waiting
@@ -130,7 +131,7 @@
 def test_failing_end_of_a_request_is_not_logged(monkeypatch, place, named):
     lines = []
     monkeypatch.setattr(
-        'crankchute.core.call_for_each.log_change',
+        'crankchute.adapters.error_log.log_change',
         lambda kind, **fields: lines.append((kind, fields)),
     )
     run_with_failure(place, failing=1)
