Derive whether a request may have run before records that may fail

Cause: ending an attempt dropped it, closed it and recorded its end before the flow noted that the request had been sent, and cancelled the call to the server last. An error in a record left neither the note nor the cancellation, and the next attempt to end the request reported that it had not run.

Change: the flow notes whether the request was sent before it cancels an attempt or records its failure; an attempt cancels its call before it records its end.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -32,6 +32,7 @@
 _SILENT = 'crankchute/core/silent_attempts.py'
 _SILENT_TEST = 'crankchute/core/silent_attempts_test.py'
 _REPLACED_TEST = 'crankchute/core/replaced_attempts_test.py'
+_FAILING_RECORDS_TEST = 'crankchute/core/failing_records_test.py'
 _FORWARD_TEST = 'crankchute/core/forward_machine_test.py'
 _POOL_CHANGES_TEST = 'crankchute/core/pool_changes_test.py'
 _SHUTDOWN_TEST = 'crankchute/entry/shutdown_test.py'
@@ -702,12 +703,41 @@
         'a request whose end was not recorded has not run',
         _FORWARD_TEST,
         'crankchute/core/forward_attempt.py',
-        '        if self._call is None:\n'
+        '        return self._call is not None and self._call.sent',
+        '        if self.is_closed:\n'
         '            return False\n'
-        '        if is_open:',
-        '        if not is_open or self._call is None:\n'
-        '            return False\n'
-        '        if is_open:',
+        '        return self._call is not None and self._call.sent',
+    ),
+    Mutation(
+        'a request whose attempt could not be freed has not run',
+        _FAILING_RECORDS_TEST,
+        _FORWARD_FLOW,
+        '        self.may_have_run = self.may_have_run or attempt.is_sent\n'
+        '        self.attempt = None\n'
+        '        attempt.cancel()\n',
+        '        self.attempt = None\n'
+        '        attempt.cancel()\n'
+        '        self.may_have_run = self.may_have_run or attempt.is_sent\n',
+    ),
+    Mutation(
+        'a failure that could not be recorded has not run',
+        _FAILING_RECORDS_TEST,
+        _FORWARD_FLOW,
+        '        self.may_have_run = self.may_have_run or exc.sent\n'
+        '        self.attempt = None\n'
+        '        self.avoided.add(attempt.placement.answering)\n'
+        '        self._context.record_failed(self, attempt, exc)\n',
+        '        self.attempt = None\n'
+        '        self.avoided.add(attempt.placement.answering)\n'
+        '        self._context.record_failed(self, attempt, exc)\n'
+        '        self.may_have_run = self.may_have_run or exc.sent\n',
+    ),
+    Mutation(
+        'an attempt that could not be freed leaves its call open',
+        _FAILING_RECORDS_TEST,
+        'crankchute/core/forward_attempt.py',
+        '        if is_cancelled and self._call is not None:\n',
+        '        if is_cancelled and self._call is None:\n',
     ),
 )
 
--- a/crankchute/core/failing_records_test.py
+++ b/crankchute/core/failing_records_test.py
@@ -93,3 +93,4 @@
     harness, sink = fail_to_end(fail, give_up, is_sent=False)
     harness.timers.advance(_DEADLINE_MS + 1)
     assert sink.events == [('refused', Outcome.NOT_RUN)]
+    assert harness.port.calls[0].cancelled
--- a/crankchute/core/forward_attempt.py
+++ b/crankchute/core/forward_attempt.py
@@ -77,6 +77,15 @@
         """Whether the server has sent an event."""
         return self.first_ms is not None
 
+    @property
+    def is_sent(self):
+        """Whether the request may have reached its server.
+
+        That holds for a closed attempt as well, if an error kept its end from
+        the flow.
+        """
+        return self._call is not None and self._call.sent
+
     @property
     def is_paused(self):
         """Whether reading from the server is paused, a bool."""
@@ -89,30 +98,27 @@
 
     def start(self):
         """Reserve the memory that the placement needs, then send."""
-        if self.placement.tickets:
-            self.reservation = self._context.reserve(
-                self._flow,
-                self.placement,
-                self._on_reserved,
-            )
-        else:
+        if not self.placement.tickets:
             self._send()
+            return
 
-    def cancel(self):
-        """Cancel the attempt; the flow receives no more callbacks.
+        def on_reserved(refused):
+            if self.is_closed:
+                return
+            if refused:
+                self._close()
+                self._flow.on_reservation_refused(self, refused)
+            else:
+                self._send()
+
+        self.reservation = self._context.reserve(
+            self._flow, self.placement, on_reserved
+        )
 
-        Returns:
-          True if the request may have reached its server.  That holds for an
-          attempt that is closed as well, if an error kept its end from the
-          flow.
-        """
-        is_open = self._close()
-        if self._call is None:
-            return False
-        if is_open:
+    def cancel(self):
+        """Cancel the attempt; the flow receives no more callbacks."""
+        if self._close(is_cancelled=True) and self._call is not None:
             self.backend.breaker.record_abandoned()
-            self._call.cancel()
-        return self._call.sent
 
     def pause_reading(self):
         """Stop reading from the server."""
@@ -143,7 +149,7 @@
           backend: The Backend.
           text: The error message.
         """
-        if not self._close():
+        if not self._close(is_cancelled=True):
             return
         if self._call is None:
             participants = (self.placement, *self.placement.helpers)
@@ -151,10 +157,8 @@
             self._flow.on_reservation_refused(self, lost)
             return
         self.backend.breaker.record_abandoned()
-        self._call.cancel()
         self._flow.on_attempt_failed(
-            self,
-            BackendError(text, sent=self._call.sent),
+            self, BackendError(text, sent=self.is_sent)
         )
 
     def end_waiting(self, is_excluded):
@@ -179,8 +183,7 @@
 
     def end_replaced(self):
         """End the attempt, whose successor is placed; return the BackendError."""
-        self._close()
-        self._call.cancel()
+        self._close(is_cancelled=True)
         self.backend.record_failed(self._context.now_ms(), sent_ms=self.sent_ms)
         return BackendError(_SILENT, sent=True)
 
@@ -252,15 +255,6 @@
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self.last_event_ms = now_ms
 
-    def _on_reserved(self, refused):
-        if self.is_closed:
-            return
-        if refused:
-            self._close()
-            self._flow.on_reservation_refused(self, refused)
-        else:
-            self._send()
-
     def _send(self):
         self.sent_ms = self._context.now_ms()
         self.backend.in_flight += 1
@@ -277,10 +271,13 @@
         )
         self._call = self._context.port.send(job, self.placement, order, self)
 
-    def _close(self):
+    def _close(self, *, is_cancelled=False):
         if self.is_closed:
             return False
         self.is_closed = True
+        if is_cancelled and self._call is not None:
+            # An error in the records below must not leave the call open.
+            self._call.cancel()
         self.watchdog.cancel()
         if self.sent_ms is not None:
             self.backend.in_flight -= 1
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -98,8 +98,7 @@
         """
         if self.ended:
             return
-        if self._cancel_attempt():
-            self.may_have_run = True
+        self._cancel_attempt()
         self._last_answer = None
         self._fail(code, text, retry_after_ms)
 
@@ -242,10 +241,10 @@
             callback()
 
     def _record_failed(self, attempt, exc):
+        self.may_have_run = self.may_have_run or exc.sent
         self.attempt = None
-        self._context.record_failed(self, attempt, exc)
         self.avoided.add(attempt.placement.answering)
-        self.may_have_run = self.may_have_run or exc.sent
+        self._context.record_failed(self, attempt, exc)
 
     def _try_next(self, cause, choice=None):
         if self._expire_if_late():
@@ -294,13 +293,15 @@
         self.give_up('deadline_exceeded', 'the deadline has passed')
 
     def _cancel_attempt(self):
-        """Cancel the attempt; return whether it may have reached its server."""
         attempt = self.attempt
+        if attempt is None:
+            return
+        # The records below may raise an error.
+        self.may_have_run = self.may_have_run or attempt.is_sent
         self.attempt = None
-        if attempt is None or not attempt.cancel():
-            return False
-        self._context.record_attempt_end(self, attempt, 'cancelled')
-        return True
+        attempt.cancel()
+        if attempt.is_sent:
+            self._context.record_attempt_end(self, attempt, 'cancelled')
 
     def _fail(self, code, text, retry_after_ms=None):
         if self._last_answer is not None and not self._streaming:
--- a/crankchute/entry/shutdown_test.py
+++ b/crankchute/entry/shutdown_test.py
@@ -92,3 +92,33 @@
     desk.run()
     assert desk.ended_ms is not None
     assert desk.ended_ms < _GRACE_MS
+
+
+def fail_once(owner, name):
+    """Replace a method of an object by one that raises an error first."""
+    method = getattr(owner, name)
+
+    def fail(*_args):
+        setattr(owner, name, method)
+        raise ValueError('this cannot be recorded')
+
+    setattr(owner, name, fail)
+
+
+@pytest.mark.parametrize(
+    ('owner', 'record'),
+    [
+        ('chooser', 'record_end'),
+        ('forwarder', 'record_left'),
+        ('journal', 'log_attempt_end'),
+        ('journal', 'log_end'),
+    ],
+)
+def test_request_whose_end_was_not_recorded_has_not_run(owner, record):
+    desk = StoppingDesk(is_waiting=False)
+    sink = desk.submit(FakeSink())
+    fail_once(getattr(desk.harness, owner), record)
+    desk.run()
+    assert sink.events == [('refused', Outcome.UNKNOWN)]
+    assert desk.harness.port.calls[0].cancelled
+    assert desk.ended_ms is not None
