End the process and its requests even if a record of the stop fails

Cause: the timer of the shutdown is cancelled before peers are stopped, so an error there kept the process running. A request was logged as ended by the stop before it was ended: an error in the log left it without an end, and one that could not be ended was logged at each check.

Change: the process ends after the stop of peers in any case; a request is ended first, then logged, once.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -719,6 +719,21 @@
         '        attempt.cancel()\n'
         '        self.may_have_run = self.may_have_run or attempt.is_sent\n',
     ),
+    Mutation(
+        'shutdown: an error in the stop of peers keeps the process running',
+        _SHUTDOWN_TEST,
+        'crankchute/entry/shutdown.py',
+        '                stack.callback(node.on_stopped)\n'
+        '            node.peers.stop()\n',
+        '                node.peers.stop()\n            node.on_stopped()\n',
+    ),
+    Mutation(
+        'shutdown: a request that cannot be ended is logged at each check',
+        _SHUTDOWN_TEST,
+        'crankchute/entry/shutdown.py',
+        '        if flow not in self._logged:\n',
+        '        if flow:\n',
+    ),
     Mutation(
         'a failure that could not be recorded has not run',
         _FAILING_RECORDS_TEST,
--- a/crankchute/adapters/shutdown_log.py
+++ b/crankchute/adapters/shutdown_log.py
@@ -21,15 +21,15 @@
     )
 
 
-def log_ended_by_stop(flow, started_ms):
+def log_ended_by_stop(flow, attempt, started_ms):
     """Log that the end of the process ends a request.
 
     Args:
-      flow: A ForwardFlow in progress.
+      flow: A ForwardFlow.
+      attempt: The Attempt that was in progress, or None.
       started_ms: When the shutdown began, on this process's clock.
     """
     job = flow.job
-    attempt = flow.attempt
     now_ms = flow.now_ms()
     log_change(
         'ended_by_stop',
--- a/crankchute/entry/shutdown.py
+++ b/crankchute/entry/shutdown.py
@@ -1,5 +1,7 @@
 """The graceful shutdown of an instance that forwards requests."""
 
+from contextlib import ExitStack
+
 from crankchute.adapters.log import log_change
 from crankchute.adapters.shutdown_log import (
     log_end_failed,
@@ -27,6 +29,7 @@
         """
         self._node = node
         self._timer = None
+        self._logged = set()
         self.host = ShutdownHost()
 
     def start(self, limits):
@@ -83,8 +86,15 @@
         self._for_each_request(self._end_request)
 
     def _end_request(self, flow):
-        log_ended_by_stop(flow, self._node.desk.shutdown.schedule.started_ms)
-        flow.give_up(STOPPING, 'this instance is shutting down')
+        with ExitStack() as stack:
+            stack.callback(self._log_ended, flow, flow.attempt)
+            flow.give_up(STOPPING, 'this instance is shutting down')
+
+    def _log_ended(self, flow, attempt):
+        if flow not in self._logged:
+            self._logged.add(flow)
+            started_ms = self._node.desk.shutdown.schedule.started_ms
+            log_ended_by_stop(flow, attempt, started_ms)
 
     def _for_each_request(self, function):
         """Call a function for each ForwardFlow, even if it fails for some."""
@@ -99,9 +109,10 @@
         self.host.refuse_unread()
         log_stopped(elapsed_ms, node.desk.in_progress, has_unsent=has_unsent)
         self._timer.cancel()
-        node.peers.stop()
-        if node.on_stopped is not None:
-            node.on_stopped()
+        with ExitStack() as stack:
+            if node.on_stopped is not None:
+                stack.callback(node.on_stopped)
+            node.peers.stop()
 
 
 class ShutdownHost:
--- a/crankchute/entry/shutdown_test.py
+++ b/crankchute/entry/shutdown_test.py
@@ -40,11 +40,12 @@
         if is_waiting:
             helper = self.harness.backends[1]
             self.harness.chooser.helpers = (PrefillHelper(helper, 'ticket'),)
+        self.peers = SimpleNamespace(stop=list)
         node = SimpleNamespace(
             desk=self.harness.forwarder,
             timers=self._timers,
             now_ms=self._timers.clock.now_ms,
-            peers=SimpleNamespace(stop=list),
+            peers=self.peers,
             on_stopped=self._on_stopped,
         )
         self.shutdown = Shutdown(node)
@@ -122,3 +123,50 @@
     assert sink.events == [('refused', Outcome.UNKNOWN)]
     assert desk.harness.port.calls[0].cancelled
     assert desk.ended_ms is not None
+
+
+def test_failing_stop_of_peers_keeps_the_process_running():
+    desk = StoppingDesk(is_waiting=False)
+    fail_once(desk.peers, 'stop')
+    with pytest.raises(ValueError):
+        desk.run()
+    assert desk.ended_ms is not None
+
+
+def test_request_that_cannot_be_ended_is_logged_at_each_check(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        'crankchute.entry.shutdown.log_ended_by_stop',
+        lambda flow, *_args: logged.append(flow.job.request_id),
+    )
+    desk = StoppingDesk(is_waiting=False)
+    desk.submit(FailingSink())
+    desk.run()
+    assert len(logged) == 1
+
+
+def test_failing_log_of_a_stop_leaves_a_request_without_an_end(monkeypatch):
+    desk = StoppingDesk(is_waiting=False)
+    sink = desk.submit(FakeSink())
+
+    def fail(*_args):
+        raise ValueError('the log is full')
+
+    monkeypatch.setattr('crankchute.entry.shutdown.log_ended_by_stop', fail)
+    desk.run()
+    assert sink.events == [('refused', Outcome.UNKNOWN)]
+
+
+@pytest.mark.parametrize('record', ['log_attempt_end', 'log_end'])
+def test_request_whose_end_was_not_recorded_is_not_logged(record, monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        'crankchute.adapters.shutdown_log.log_change',
+        lambda name, **fields: logged.append((name, fields.get('server'))),
+    )
+    desk = StoppingDesk(is_waiting=False)
+    desk.submit(FakeSink())
+    fail_once(desk.harness.journal, record)
+    desk.run()
+    ended = [entry for entry in logged if entry[0] == 'ended_by_stop']
+    assert ended == [('ended_by_stop', desk.harness.backends[0].identity)]
