Show that a relayed request refused for its content drops all proxies

Cause: the intake of relayed requests answers 400, 408, 413 and 431 with "elsewhere", which the instance that relays reads as a proxy that failed before the request was sent. It tries the next one and drops each. Its own headers count towards the same limit as those of the caller.

The paths of the stand-in record dropped proxies, and take the pools that control messages name.

--- a/crankchute/platform/standin_paced.py
+++ b/crankchute/platform/standin_paced.py
@@ -5,6 +5,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from crankchute.adapters.forward_server import ForwardServer
+from crankchute.adapters.http_intake import DEFAULT_LIMITS, IntakeLimits
 from crankchute.adapters.loop import Loop
 from crankchute.platform.wire import REQUEST_ID, SIGNATURE
 from crankchute.ports.time import Clock
@@ -15,6 +16,13 @@
 _EVENT_INTERVAL_MS = 100
 _READ_SIZE = 65_536
 _DEFAULT_SIZE = '4'
+#: Limits of servers, which accept larger heads than instances.
+_LIMITS = IntakeLimits(
+    max_header_bytes=2 * DEFAULT_LIMITS.max_header_bytes,
+    max_body_bytes=DEFAULT_LIMITS.max_body_bytes,
+    header_timeout_ms=DEFAULT_LIMITS.header_timeout_ms,
+    body_rate=DEFAULT_LIMITS.body_rate,
+)
 
 
 class Ending(enum.Enum):
@@ -90,6 +98,7 @@
             channel='paced',
             idle_ms=_IDLE_MS,
         ).register(loop)
+        self._server.limits = _LIMITS
         self.runs = set()
 
     @property
--- a/crankchute/platform/standin_relays.py
+++ b/crankchute/platform/standin_relays.py
@@ -16,6 +16,8 @@
 
     Attributes:
       lost_pools: The names of the pools that only other instances reach.
+      dropped: The ids of the instances that were to get no more requests, a
+        list.
     """
 
     lost_pools = ()
@@ -28,6 +30,7 @@
             the first that is not excluded is chosen.
         """
         self._proxies = proxies
+        self.dropped = []
 
     def is_lost(self, _pool):
         """See ServerPaths."""
@@ -41,8 +44,9 @@
     def verify(self, _pools):
         """See ServerPaths."""
 
-    def drop_proxy(self, _instance):
+    def drop_proxy(self, instance, _pools=None):
         """Keep the instance, as if its state were not yet known."""
+        self.dropped.append(instance)
 
 
 class RelayingInstances:
