Refuse relayed requests for their content without dropping proxies

Cause: 400, 408, 413 and 431 of the intake of relayed requests, and 400 of its reader, said "elsewhere": the instance that relays asked every proxy in turn and dropped each for all pools. A head that the first instance accepts exceeded the limit at the next one, because the relay adds headers. On a connection that was used before, a refused head did not name the request if its id came after the header over the limit, so the request counted as one that may have run.

Change: refusals with these statuses are final and say that the request did not run; others, such as 503 of an instance that stops, still say "elsewhere". The server of relayed requests allows 8,192 bytes more for heads, also after a change of the limits. A relayed request has its id first.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -28,6 +28,7 @@
 _ENDLESS_TEST = 'crankchute/platform/endless_bytes_test.py'
 _LATE_TEST = 'crankchute/platform/late_answers_test.py'
 _RELAYED_TEST = 'crankchute/platform/relayed_requests_test.py'
+_REFUSED_RELAYS_TEST = 'crankchute/platform/refused_relays_test.py'
 _CONFIG_CHANGES_TEST = 'crankchute/platform/config_changes_test.py'
 _SILENT = 'crankchute/core/silent_attempts.py'
 _SILENT_TEST = 'crankchute/core/silent_attempts_test.py'
@@ -640,10 +641,31 @@
     Mutation(
         'shutdown: half-read requests of other instances may have run',
         'crankchute/platform/half_read_relays_test.py',
-        'crankchute/platform/node.py',
-        'server.list_rejection_headers = relayed.list_rejection_headers',
+        'crankchute/platform/relayed_requests.py',
+        'server.list_rejection_headers = self.list_rejection_headers',
         'server.list_rejection_headers = None',
     ),
+    Mutation(
+        'relays: requests refused for their content drop proxies',
+        _REFUSED_RELAYS_TEST,
+        'crankchute/core/relay.py',
+        'if refusal.status in _CONTENT_STATUSES:',
+        'if refusal.status is None:',
+    ),
+    Mutation(
+        'relays: new limits leave no room for headers of relays',
+        _REFUSED_RELAYS_TEST,
+        'crankchute/platform/instance_limits.py',
+        'limits.add_header_room(room)',
+        'limits',
+    ),
+    Mutation(
+        'relays: the id of a request comes last',
+        _REFUSED_RELAYS_TEST,
+        'crankchute/platform/relay_calls.py',
+        '*_put_id_first(payload.headers)',
+        '*payload.headers',
+    ),
     Mutation(
         'shutdown: a request that cannot be ended keeps others waiting',
         _SHUTDOWN_TEST,
--- a/crankchute/adapters/http_intake.py
+++ b/crankchute/adapters/http_intake.py
@@ -19,10 +19,15 @@
 
 
 class IntakeLimits:
-    """The limits on an incoming request."""
+    """The limits on an incoming request.
+
+    Attributes:
+      header_room: The part of max_header_bytes that add_header_room added.
+    """
 
     __slots__ = (
         'body_rate',
+        'header_room',
         'header_timeout_ms',
         'max_body_bytes',
         'max_header_bytes',
@@ -43,6 +48,22 @@
         self.max_body_bytes = max_body_bytes
         self.header_timeout_ms = header_timeout_ms
         self.body_rate = body_rate
+        self.header_room = 0
+
+    def add_header_room(self, extra):
+        """Return IntakeLimits that allow larger heads.
+
+        Args:
+          extra: Additional bytes.
+        """
+        limits = IntakeLimits(
+            max_header_bytes=self.max_header_bytes + extra,
+            max_body_bytes=self.max_body_bytes,
+            header_timeout_ms=self.header_timeout_ms,
+            body_rate=self.body_rate,
+        )
+        limits.header_room = self.header_room + extra
+        return limits
 
 
 DEFAULT_LIMITS = IntakeLimits(
--- a/crankchute/core/relay.py
+++ b/crankchute/core/relay.py
@@ -1,6 +1,7 @@
 """Relaying of requests to instances that reach the backend servers."""
 
 import enum
+from http import HTTPStatus
 
 from crankchute.core.forward_job import RelayPlacement, RetryMode
 from crankchute.core.outcomes import Outcome, refuse_not_run
@@ -18,6 +19,15 @@
 _RELAY_TIMEOUT_FACTOR = 4
 _MIN_RELAY_FIRST_MS = 3000
 _MIN_RELAY_GAP_MS = 2000
+#: The statuses of refusals that depend on the request alone.
+_CONTENT_STATUSES = frozenset(
+    (
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    )
+)
 
 
 class RelayOutcome(enum.Enum):
@@ -58,6 +68,17 @@
     return RelayOutcome.REJECTED if was_sent else RelayOutcome.REFUSED
 
 
+def classify_rejection(refusal):
+    """Return the RelayOutcome of a request that did not become a job.
+
+    Args:
+      refusal: A RequestRefused.
+    """
+    if refusal.status in _CONTENT_STATUSES:
+        return RelayOutcome.REFUSED
+    return RelayOutcome.ELSEWHERE
+
+
 def choose_relay(paths, job, avoided):
     """Choose another instance that reaches the servers of a request's pool.
 
--- a/crankchute/platform/half_read_relays_test.py
+++ b/crankchute/platform/half_read_relays_test.py
@@ -41,6 +41,29 @@
     assert placement.answering == 'entry-1'
 
 
+@pytest.mark.parametrize('is_reused', [False, True])
+@pytest.mark.parametrize(
+    ('status', 'code'),
+    [
+        (HTTPStatus.BAD_REQUEST, 'bad_request'),
+        (HTTPStatus.REQUEST_TIMEOUT, 'slow_sender'),
+        (HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'body_too_large'),
+        (HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, 'headers_too_large'),
+    ],
+)
+def test_refused_content_is_sent_to_every_proxy(status, code, is_reused):
+    pair = Pair()
+    if is_reused:
+        assert pair.send()[0].end == ('end',)
+    served = len(pair.desk.jobs)
+    listener, _placement = pair.start(body=bytes(_LARGE), request_id='r2')
+    pair.loop.run_until(lambda: is_half_read(pair), 0)
+    pair.server.refuse_unread(RequestRefused(status, code, 'text'))
+    pair.wait_for_end(listener)
+    assert len(pair.desk.jobs) == served
+    assert listener.end == ('not run', code, True, None)
+
+
 @pytest.mark.parametrize('missing', [1, 100])
 def test_relays_are_refused_like_callers_when_the_process_ends(missing):
     world = RelayingInstances(proxies=1)
--- a/crankchute/platform/instance_limits.py
+++ b/crankchute/platform/instance_limits.py
@@ -107,7 +107,9 @@
         if request_limits is None:
             return
         for server in self._servers:
-            server.limits = make_intake_limits(request_limits)
+            limits = make_intake_limits(request_limits)
+            room = server.limits.header_room
+            server.limits = limits.add_header_room(room)
         self._idle.change(
             request_limits.idle_timeout_ms, self._timers.clock.now_ms()
         )
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -203,7 +203,7 @@
             channel='server-relays',
             idle_ms=_IDLE_TIMEOUT_MS,
         )
-        server.list_rejection_headers = relayed.list_rejection_headers
+        relayed.attach(server)
         return [server.register(loop)]
 
     def _watch_store(self):
--- a/crankchute/platform/relay_calls.py
+++ b/crankchute/platform/relay_calls.py
@@ -25,7 +25,12 @@
     RELAYED_BY,
     drop_relay_headers,
 )
-from crankchute.platform.wire import AUTHORIZATION, DEADLINE_MS, LAST_EVENT
+from crankchute.platform.wire import (
+    AUTHORIZATION,
+    DEADLINE_MS,
+    LAST_EVENT,
+    REQUEST_ID,
+)
 from crankchute.ports.forwarding import Rejection
 
 
@@ -60,7 +65,10 @@
             address,
             payload.target,
             payload.body,
-            [*payload.headers, *self._build_headers(payload, attempt)],
+            [
+                *_put_id_first(payload.headers),
+                *self._build_headers(payload, attempt),
+            ],
         )
         sink = RelayResponseSink(job, listener, placement)
         options = CallOptions(
@@ -155,6 +163,11 @@
             self._listener.on_failed(BackendError(code, sent=was_sent))
 
 
+def _put_id_first(headers):
+    """Let a refusal of an incomplete head name the request."""
+    return sorted(headers, key=lambda pair: pair[0].lower() != REQUEST_ID)
+
+
 def _parse_retry_ms(headers):
     text = headers.get(RELAY_RETRY_MS, '')
     return int(text) if text.isdecimal() else None
--- a/crankchute/platform/relayed_requests.py
+++ b/crankchute/platform/relayed_requests.py
@@ -12,6 +12,7 @@
     RelayOutcome,
     accepts_relay,
     classify_refusal,
+    classify_rejection,
 )
 from crankchute.errors import RequestRefused
 from crankchute.platform.answers import (
@@ -31,6 +32,9 @@
 )
 from crankchute.platform.wire import REQUEST_ID
 
+#: Room in a head for the headers that an instance adds when it relays.
+_HEADER_ROOM_BYTES = 8192
+
 
 class RelayAnswer(ExchangeAnswer):
     """Writes the answer to a relayed request.
@@ -73,13 +77,15 @@
             headers.append((RELAY_RETRY_MS, str(int(refusal.retry_after_ms))))
         self._exchange.reply(http_status_of(refusal), b'', headers)
 
-    def pass_on(self, code):
-        """Say that another instance may serve the request.
+    def pass_on(self, code, outcome=RelayOutcome.ELSEWHERE):
+        """Say that no server got the request.
 
         Args:
           code: A short identifier of the reason.
+          outcome: The RelayOutcome.
         """
-        headers = _list_elsewhere(code, self._exchange.header(REQUEST_ID))
+        request_id = self._exchange.header(REQUEST_ID)
+        headers = _list_outcome(outcome, code, request_id)
         self._exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE, b'', headers)
 
     def _mark(self, headers):
@@ -126,15 +132,24 @@
             # was accepted by the instance that relays it.
             request_id = exchange.header(REQUEST_ID)
             self._node.record_refused(request_id, refusal, origin.instance)
-            answer.pass_on(refusal.code)
+            answer.pass_on(refusal.code, classify_rejection(refusal))
             return
         job.relay = origin
         self._serve(job, exchange, answer)
 
+    def attach(self, server):
+        """Prepare the server on which other instances relay requests.
+
+        Args:
+          server: A ForwardServer.
+        """
+        server.list_rejection_headers = self.list_rejection_headers
+        server.limits = server.limits.add_header_room(_HEADER_ROOM_BYTES)
+
     def list_rejection_headers(self, reader, refusal):
         """Return the headers that refuse a request that was not read completely.
 
-        No server has got it, so that another instance may serve it.
+        No server has got it.
 
         Args:
           reader: A RequestReader.
@@ -142,7 +157,11 @@
         Returns:
           A list of pairs of name and text.
         """
-        return _list_elsewhere(refusal.code, find_request_id(reader.headers))
+        return _list_outcome(
+            classify_rejection(refusal),
+            refusal.code,
+            find_request_id(reader.headers),
+        )
 
     def _serve(self, job, exchange, answer):
         job.max_attempts = 1
@@ -152,9 +171,9 @@
         attach_flow(exchange, flow)
 
 
-def _list_elsewhere(code, request_id):
+def _list_outcome(outcome, code, request_id):
     return [
-        (RELAY_OUTCOME, RelayOutcome.ELSEWHERE.value),
+        (RELAY_OUTCOME, outcome.value),
         (RELAY_CODE, code),
         *_name_request(request_id),
     ]
--- a/crankchute/platform/relayed_requests_test.py
+++ b/crankchute/platform/relayed_requests_test.py
@@ -134,7 +134,7 @@
             channel='relays',
             idle_ms=_IDLE_MS,
         ).register(self.loop)
-        self.server.list_rejection_headers = self.relayed.list_rejection_headers
+        self.relayed.attach(self.server)
 
     def send(self, **fields):
         """Relay a request, and return the listener and the placement.
@@ -147,10 +147,14 @@
         return listener, placement
 
     def start(
-        self, body=b'body', authorization='Bearer key-1', request_id='r1'
+        self,
+        body=b'body',
+        authorization='Bearer key-1',
+        request_id='r1',
+        headers=_HEADERS,
     ):
         """Begin to relay a request; return the listener and the placement."""
-        headers = [*_HEADERS, ('X-Crankchute-Request-Id', request_id)]
+        headers = [*headers, ('X-Crankchute-Request-Id', request_id)]
         payload = RequestPayload('POST', '/p/x', headers, body, authorization)
         listed = ListedServer(
             {
