Judge the parts of prompts in less time

Cause: every part at three or more crashes was judged on each crash, merge and answer. For each, the crashes and earlier answers were counted again and a distribution of absences was computed for 50 shares, so the loop was blocked for hundreds of milliseconds.

Change: the crashes and answers are indexed once per call, as bits of ints. The quote of a mutation follows the new signature; its replacement is the same.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -514,7 +514,7 @@
         'parts that are at all crashes need no other evidence',
         _PARTS_TEST,
         _CULPRITS,
-        'return is_likely_cause(suspects, relevant, answers)',
+        'return is_likely_cause(suspects, evidence)',
         'return True',
     ),
     Mutation(
--- a/crankchute/core/crash_attribution.py
+++ b/crankchute/core/crash_attribution.py
@@ -134,7 +134,7 @@
       counts: A Counter of the group's crashes by suspect.
       totals: A Counter of all crashes by suspect.
     """
-    most = max((totals[one] for one in counts), default=0)
+    most = max(map(totals.__getitem__, counts), default=0)
     return Counter(
         {
             one: count
@@ -206,6 +206,8 @@
     """
     common = set.intersection(*(crash.suspects for crash in group))
     common.difference_update(ignored)
+    if len(group) == 1:
+        return Counter(common)
     return Counter({one: _count_crashes(one, group) for one in common})
 
 
--- a/crankchute/core/crash_culprits.py
+++ b/crankchute/core/crash_culprits.py
@@ -7,6 +7,7 @@
 """
 
 from crankchute.core.crash_attribution import CRASHES_TO_QUARANTINE
+from crankchute.core.crash_evidence import Evidence
 
 
 def find_culprits(log, quarantines, answers, attribute, is_likely_cause):
@@ -26,13 +27,10 @@
         crash for crash in log.crashes if quarantines.find(crash.suspects)
     }
 
+    evidence = Evidence(log.crashes, explained, answers)
+
     def is_likely(suspects):
-        relevant = [
-            crash
-            for crash in log.crashes
-            if crash not in explained or suspects <= crash.suspects
-        ]
-        return is_likely_cause(suspects, relevant, answers)
+        return is_likely_cause(suspects, evidence)
 
     requests = set().union(*(crash.requests for crash in log.crashes))
     unlikely = frozenset(
--- a/crankchute/core/recent_answers.py
+++ b/crankchute/core/recent_answers.py
@@ -50,24 +50,12 @@
                 self.latest_ms.pop(pool)
                 self._by_pool.pop(pool, None)
 
-    def list_before(self, pool, at_ms):
-        """Return the answers of a pool to requests sent until a time.
+    def list_all(self, pool):
+        """Return the answers of a pool.
 
         Args:
           pool: The name of the pool.
-          at_ms: The time.
         Returns:
-          A list of frozensets of fingerprints of parts.
-        """
-        answers = self._by_pool.get(pool, ())
-        return [parts for sent_ms, parts in answers if sent_ms <= at_ms]
-
-    def count_after(self, pool, at_ms):
-        """Return the number of answers of a pool to requests sent later.
-
-        Args:
-          pool: The name of the pool.
-          at_ms: The time.
+          Pairs of when the request was sent and a frozenset of its parts.
         """
-        answers = self._by_pool.get(pool, ())
-        return sum(sent_ms > at_ms for sent_ms, _parts in answers)
+        return list(self._by_pool.get(pool, ()))
