Show that lost paths count as crashes if no instance can be asked

An instance whose servers refuse connections asks others whether they crashed. If all others have announced lost paths or stop, none is asked, and that counts as if there were none: each server is reported as crashed, and sound requests as ones that may crash servers.

--- a/crankchute/platform/crash_checks_test.py
+++ b/crankchute/platform/crash_checks_test.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from crankchute.core.forward_fakes import POOL
 from crankchute.core.forward_job import RetryMode
+from crankchute.platform.lost_paths_test import lose_all_paths
 from crankchute.platform.standin_engine import Behaviour
 from crankchute.platform.standin_paths import PathFault
 from crankchute.platform.standin_world import (
@@ -100,3 +102,21 @@
     world.lose_paths(node, PathFault.RESET)
     world.wait(_SETTLED_MS)
     assert [len(one.crashes) for one in world.nodes] == [0, 0, 0]
+
+
+def test_lost_paths_are_crashes_because_no_instance_can_be_asked():
+    """The others have announced that they lost their own paths."""
+    world = StandinWorld(engines=4, is_plain=True)
+    world.wait(_CONNECTED_MS)
+    node, *others = world.nodes
+    leave_unanswered(world, node)
+    for other in others:
+        lose_all_paths(world, other, PathFault.RESET)
+    views = [
+        node.peers.sharing.instances.view(one.identity.instance)
+        for one in others
+    ]
+    world.loop.run_until(lambda: all(POOL in view.lost_pools for view in views))
+    world.lose_paths(node, PathFault.RESET)
+    world.wait(_SETTLED_MS)
+    assert [len(one.crashes) for one in world.nodes] == [0, 0, 0]
