Confirm a crash without others only if there are none

Cause: the number of instances asked was taken for the number of instances.

An instance with others of which none can be asked now leaves it open whether a server crashed, and asks again, as if they had not answered.

The new test was red before; all of crash_checks_test pass.

--- a/crankchute/entry/path_checks.py
+++ b/crankchute/entry/path_checks.py
@@ -152,7 +152,12 @@
         An earlier connection may be from before the crash.
         """
         members = self._choose_asked(self._node.fleet.pool_of(backend))
-        answers = _CrashAnswers(backend.identity, len(members), on_known)
+        answers = _CrashAnswers(
+            backend.identity,
+            len(members),
+            on_known,
+            is_alone=len(self._node.peers.membership.live_members()) == 1,
+        )
         request = peer_pb2.ReachRequest(servers=[backend.identity])
         self._ask_members(members, request, answers.add, answers.conclude)
 
@@ -237,17 +242,20 @@
 class _CrashAnswers:
     """What other instances know of a server that refuses connections."""
 
-    def __init__(self, server, asked, on_known):
+    def __init__(self, server, asked, on_known, *, is_alone):
         """Create the record without answers.
 
         Args:
           server: The server's id.
           asked: How many instances are asked.
           on_known: See PathPorts.ask_crashed.
+          is_alone: Whether there is no other instance.  Others that cannot be
+            asked, as they lost their paths or stop, know nothing.
         """
         self._server = server
         self._asked = asked
         self._on_known = on_known
+        self._is_alone = is_alone
         self._reached_by = []
         self._refused_by = []
 
@@ -265,7 +273,7 @@
         if on_known is None:
             return
         self._on_known = None
-        has_crashed = True if self._refused_by or not self._asked else None
+        has_crashed = True if self._refused_by or self._is_alone else None
         if self._reached_by:
             has_crashed = False
         log_change(
