--- a/crankchute/core/active_instances.py
+++ b/crankchute/core/active_instances.py
@@ -63,7 +63,7 @@
         self._ranked_version = None
         self._own_choice = frozenset()
         self._reported = ()
-        self._reported_ms = float('-inf')
+        self._reported_awake_ms = float('-inf')
         self.chosen = []
 
     @property
@@ -219,10 +219,10 @@
         A recent message from an instance itself takes precedence.
         """
         now_ms = self._now_ms()
-        self._reported_ms = self.awake.now_ms()
+        self._reported_awake_ms = self.awake.now_ms()
         for member in self._reported:
             view = self.view(member.identity)
-            view.last_vouched_ms = self._reported_ms
+            view.last_vouched_awake_ms = self._reported_awake_ms
             if (
                 view.last_received_ms is None
                 or now_ms - view.last_received_ms > _REPORTED_TTL_MS
@@ -231,7 +231,7 @@
 
     def _list_reported(self):
         """Return the reported active Members, if the report is still valid."""
-        if self.awake.now_ms() - self._reported_ms > _REPORTED_TTL_MS:
+        if self.awake.now_ms() - self._reported_awake_ms > _REPORTED_TTL_MS:
             return []
         return [one for one in self._reported if self._is_usable(one)]
 
@@ -279,9 +279,9 @@
 
         An active instance relies only on its own messages.
         """
-        if self.is_own_active or view.last_vouched_ms is None:
+        if self.is_own_active or view.last_vouched_awake_ms is None:
             return False
-        age_ms = self.awake.now_ms() - view.last_vouched_ms
+        age_ms = self.awake.now_ms() - view.last_vouched_awake_ms
         return view.is_serving and age_ms < _REPORTED_TTL_MS
 
     def _is_up_to_date(self, member):
--- a/crankchute/core/peer_view.py
+++ b/crankchute/core/peer_view.py
@@ -9,6 +9,8 @@
 class PeerView:
     """The state of a peer, from the messages exchanged with it.
 
+    Times whose names end with awake_ms are those of the AwakeClock.
+
     Attributes:
       last_sent_ms: When a message was last sent to it, or None.
       last_received_ms: When a message was last received from it, or None.
@@ -17,8 +19,8 @@
         confirmed to be the newest, or None.
       active_digest: The digest of the active instances that it last reported,
         or None.
-      last_vouched_ms: When an active instance last listed it as active, or
-        None; used only while this instance is not active itself.
+      last_vouched_awake_ms: When an active instance last listed it as active,
+        or None; used only while this instance is not active itself.
       crash_digest: The digest of the crashes that it last reported, 0 for
         none.
       lost_pools: The names of the pools whose servers it does not reach, but
@@ -30,14 +32,14 @@
         '_crashes_sent_ms',
         '_heard_awake_ms',
         '_sent_crash_digest',
-        '_unanswered_since_ms',
+        '_unanswered_since_awake_ms',
         'active_digest',
         'crash_digest',
         'feed',
         'is_serving',
         'last_received_ms',
         'last_sent_ms',
-        'last_vouched_ms',
+        'last_vouched_awake_ms',
         'lost_pools',
         'proof_age_ms',
     )
@@ -53,8 +55,8 @@
         self._sent_crash_digest = None
         self._crashes_sent_ms = None
         self._heard_awake_ms = None
-        self._unanswered_since_ms = None
-        self.last_vouched_ms = None
+        self._unanswered_since_awake_ms = None
+        self.last_vouched_awake_ms = None
         self.lost_pools = ()
         self.feed = WorkFeed()
 
@@ -69,8 +71,8 @@
             # A new peer counts as healthy until its first answer is due.
             self.last_received_ms = now_ms
             self._heard_awake_ms = awake_ms
-        if self._unanswered_since_ms is None:
-            self._unanswered_since_ms = awake_ms
+        if self._unanswered_since_awake_ms is None:
+            self._unanswered_since_awake_ms = awake_ms
         self.last_sent_ms = now_ms
 
     def record_received(self, now_ms, awake_ms):
@@ -82,12 +84,12 @@
         """
         self.last_received_ms = now_ms
         self._heard_awake_ms = awake_ms
-        self._unanswered_since_ms = None
+        self._unanswered_since_awake_ms = None
 
     def record_no_response(self):
         """Record that the peer did not answer a poll of its state."""
         self.last_received_ms = None
-        self.last_vouched_ms = None
+        self.last_vouched_awake_ms = None
 
     def is_healthy(self, awake_ms, timeout_ms):
         """Tell whether the peer serves and answers, as far as is known.
@@ -115,7 +117,7 @@
             return False
         if self.last_received_ms is None:
             return True
-        since_ms = self._unanswered_since_ms
+        since_ms = self._unanswered_since_awake_ms
         return since_ms is not None and awake_ms - since_ms >= timeout_ms
 
     def claim_crash_report(self, digest, now_ms):
