Mutate the check of crashes that nobody can be asked about

With the new one, the condition as it was before, test_lost_paths_are_crashes_because_no_instance_can_be_asked is red; that was measured when the test was written.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -390,9 +390,16 @@
         'paths: a missing answer confirms a crash',
         'crankchute/platform/crash_checks_test.py',
         'crankchute/entry/path_checks.py',
-        'True if self._refused_by or not self._asked else None',
+        'True if self._refused_by or self._is_alone else None',
         'True',
     ),
+    Mutation(
+        'paths: nobody to ask confirms a crash',
+        'crankchute/platform/crash_checks_test.py',
+        'crankchute/entry/path_checks.py',
+        'True if self._refused_by or self._is_alone else None',
+        'True if self._refused_by or not self._asked else None',
+    ),
     Mutation(
         'paths: a crash is denied at the first missing answer',
         _PATHS_TEST,
