--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -27,7 +27,8 @@
 #: Exit codes of a script.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 _READY_S = 20
-_KILL_S = 10
+#: A script may run for 120 seconds.
+_LONGEST_S = 110
 
 _SETTINGS = """
 node-name = "{name}"
@@ -545,20 +546,35 @@
     answer.complete = True
 
 
-def read_memory(pid):
-    """Return the highest memory of a process in kB."""
-    for line in Path(f'/proc/{pid}/status').read_text().splitlines():
-        if line.startswith('VmHWM:'):
+def read_memory(pid, field='VmHWM'):
+    """Return a figure of a process's memory in kB, or None if it has ended.
+
+    Args:
+      pid: The id of a process that this stage started.
+      field: The name of the figure: VmHWM (the highest), VmRSS or RssAnon.
+    """
+    try:
+        lines = Path(f'/proc/{pid}/status').read_text().splitlines()
+    except OSError:
+        return None
+    for line in lines:
+        if line.startswith(f'{field}:'):
             return int(line.split()[1])
     return None
 
 
+def _end_late(_signo, _frame):
+    raise RuntimeError('the case takes too long')
+
+
 def exit_with(main):
     """End the program with the exit code of a case.
 
     Args:
       main: A function that returns the exit code.
     """
+    signal.signal(signal.SIGALRM, _end_late)
+    signal.alarm(_LONGEST_S)
     try:
         code = main()
     except (OSError, RuntimeError) as exc:
