--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 _KEY = 'key-of-the-tenant'
 _REPLICAS = 5
 #: Bookings are in progress all the time, and take so long.
-_BOOKINGS = 8
+_BOOKINGS = 12
 _WORK_S = 1.0
 _LONG_USUAL = 10
 #: The traffic of a kind of request in a `burst`, which allows up to 2.9.
