Move the outgoing connections to a module of their own

Change: ConnectionHub and the options that only it uses are moved to adapters/connection_hub.py, unchanged.

--- a/bench/ablations.py
+++ b/bench/ablations.py
@@ -162,7 +162,7 @@
 )
 _register(
     'probing of silent hosts',
-    'crankchute/adapters/sockets.py',
+    'crankchute/adapters/connection_hub.py',
     'sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)',
     'sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)',
 )
--- a/crankchute/adapters/sockets_test.py
+++ b/crankchute/adapters/connection_hub_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from crankchute.adapters.loop import Loop
-from crankchute.adapters.sockets import ConnectionHub
+from crankchute.adapters.connection_hub import ConnectionHub
 from crankchute.core.lease import HOLD_MS
 
 _LOOPBACK = '127.0.0.1'
--- a/crankchute/adapters/http_client.py
+++ b/crankchute/adapters/http_client.py
@@ -7,7 +7,7 @@
 
 from crankchute.adapters.http_call import CallOptions, HttpCall
 from crankchute.adapters.idle_connections import IdleConnections
-from crankchute.adapters.sockets import ConnectionHub
+from crankchute.adapters.connection_hub import ConnectionHub
 
 #: Time limit of a connection probe, in milliseconds.  A lost SYN is sent again
 #: after one second.
--- a/crankchute/adapters/sockets.py
+++ b/crankchute/adapters/sockets.py
@@ -1,9 +1,8 @@
-"""Socket components with direct writes and shared outgoing connections.
+"""A TCP server with direct writes.
 
 circuits passes every write through three events and two system calls on the
 poller.  Here a write goes to the socket directly, and to the poller only when
-the socket's buffer is full.  One component holds all outgoing connections, since
-registering a component for each would clear the handler cache of circuits.
+the socket's buffer is full.
 """
 
 import errno
@@ -13,24 +12,15 @@
 import termios
 
 from circuits import handler
-from circuits.core.utils import findcmp
 from circuits.net.sockets import TCPServer
 
-from crankchute.adapters.poller import FdSet, IndexedPoller
+from crankchute.adapters.poller import FdSet
 
-_IN_PROGRESS = frozenset((errno.EINPROGRESS, errno.EWOULDBLOCK))
-_READ_SIZE = 65536
+IN_PROGRESS = frozenset((errno.EINPROGRESS, errno.EWOULDBLOCK))
+READ_SIZE = 65536
 #: TCP_USER_TIMEOUT in milliseconds: how long sent bytes may stay unacknowledged
 #: before the connection is closed, as after a network partition.
 _DEFAULT_TIMEOUT_MS = 4000
-#: The same for connections to servers.  Memory that other servers reserve for a
-#: request must be free four seconds after the server that uses it fails, so the
-#: failure must be detected earlier.
-_SERVER_TIMEOUT_MS = 2500
-#: TCP keep-alive: idle time before the first probe and interval between probes,
-#: in seconds.  They detect a failed host from which only an answer is due: with
-#: no unacknowledged bytes, TCP_USER_TIMEOUT alone would not.
-_KEEPALIVE_S = 1
 #: Size of the buffers of sockets whose unsent or unread bytes are bounded; the
 #: system doubles it.  Its default bound is several megabytes for a socket.
 _BOUNDED_BUFFER_BYTES = 131_072
@@ -41,8 +31,6 @@
 #: would otherwise be copied after every send.
 _VIEW_BYTES = 65_536
 _INT_BYTES = 4
-#: Number of unanswered keep-alive probes that close the connection.
-_KEEPALIVE_PROBES = 2
 
 
 class DirectServer(TCPServer):
@@ -60,7 +48,7 @@
           bind: A pair of IP number and port.
           options: Options of TCPServer.
         """
-        options['bufsize'] = _READ_SIZE
+        options['bufsize'] = READ_SIZE
         super().__init__(bind, **options)
         self._clients = FdSet()
         self.unsent = None
@@ -128,7 +116,7 @@
         Args:
           sock: A connected socket of this server.
         """
-        return _query_size(sock, termios.TIOCOUTQ)
+        return query_size(sock, termios.TIOCOUTQ)
 
     def _accept(self):
         """Accept the waiting connections; the base class accepts only one.
@@ -167,184 +155,13 @@
         try:
             sent = sock.send(payload)
         except OSError as exc:
-            if exc.errno in _IN_PROGRESS:
+            if exc.errno in IN_PROGRESS:
                 return payload
             self._close(sock)
             return b''
         return payload[sent:]
 
 
-class ConnectionHub(DirectServer):
-    """All outgoing connections of a process, in one component.
-
-    A connecting socket becomes writable when the attempt ends; SO_ERROR then
-    tells whether it failed.
-    """
-
-    channel = 'hub'
-
-    def __init__(self, channel, receive):
-        """Create the hub without connections.
-
-        Args:
-          channel: A name that is unique in the process.
-          receive: Called with a socket and the bytes received on it.
-        """
-        super().__init__(None, channel=channel)
-        self._connecting = {}
-        self._paused = set()
-        self._receive = receive
-        self._broken = set()
-
-    def parse_bind_parameter(self, bind):
-        """Return the address unchanged, since nothing is listened on."""
-        return bind
-
-    def connect_to(self, host, port, on_done):
-        """Open a connection.
-
-        Args:
-          host: An IP number.
-          port: A port number.
-          on_done: Called once with the socket and None, or with None and an
-            OSError.
-        Returns:
-          The socket, or None if the connection failed at once.
-        """
-        self._find_poller()
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        set_tcp_options(sock, _SERVER_TIMEOUT_MS)
-        enable_keepalive(sock)
-        if self.unsent is not None:
-            bound_buffer(sock, socket.SO_RCVBUF)
-            bound_buffer(sock, socket.SO_SNDBUF)
-        code = sock.connect_ex((host, port))
-        if code and code not in _IN_PROGRESS:
-            sock.close()
-            on_done(None, OSError(code, 'connect failed'))
-            return None
-        self._connecting[sock] = on_done
-        self._poller.addWriter(self, sock)
-        return sock
-
-    def cancel_connect(self, sock):
-        """Cancel a connection attempt; its callback is not called.
-
-        Args:
-          sock: A socket that connect_to returned.
-        Returns:
-          True if it was still connecting.
-        """
-        if self._connecting.pop(sock, None) is None:
-            return False
-        self._poller.discard(sock)
-        sock.close()
-        return True
-
-    def pop_broken(self, sock):
-        """Return and clear whether a closed connection ended with an error.
-
-        Args:
-          sock: A socket whose disconnect event was fired.
-        Returns:
-          False if the server closed the connection in the regular way.
-        """
-        is_broken = sock in self._broken
-        self._broken.discard(sock)
-        return is_broken
-
-    def abort(self, sock):
-        """Close a connection and discard buffered bytes.
-
-        Args:
-          sock: A socket that connect_to provided.
-        """
-        self._close(sock)
-
-    def pause_reading(self, sock):
-        """Stop reading from a connection, so that its sender must wait.
-
-        Args:
-          sock: A socket that connect_to provided.
-        """
-        if sock in self._clients and sock not in self._paused:
-            self._paused.add(sock)
-            self._poller.removeReader(sock)
-
-    def resume_reading(self, sock):
-        """Read from a connection again after pause_reading.
-
-        Args:
-          sock: A socket that connect_to provided.
-        """
-        if sock in self._paused:
-            self._paused.remove(sock)
-            self._poller.addReader(self, sock)
-
-    def count_unread(self):
-        """Return the bytes that have arrived on paused connections, an int."""
-        return sum(_query_size(sock, termios.FIONREAD) for sock in self._paused)
-
-    @handler('registered', 'started', channel='*')
-    def _on_registered_or_started(self, component, manager=None):
-        self._find_poller()
-
-    @handler('_write', priority=1)
-    def _on_write(self, sock):
-        on_done = self._connecting.pop(sock, None)
-        if on_done is None:
-            super()._on_write(sock)
-            return
-        self._finish_connect(sock, on_done)
-
-    @handler('_disconnect', priority=1)
-    def _on_disconnect(self, sock):
-        on_done = self._connecting.pop(sock, None)
-        if on_done is None:
-            super()._on_disconnect(sock)
-            return
-        self._finish_connect(sock, on_done)
-
-    def _read(self, sock):
-        """Read without the event that the base class fires."""
-        if sock not in self._clients or sock in self._paused:
-            return
-        try:
-            chunk = sock.recv(_READ_SIZE)
-        except BlockingIOError:
-            return
-        except OSError:
-            chunk = b''
-            self._broken.add(sock)
-        if chunk:
-            self._receive(sock, chunk)
-        else:
-            self._close(sock)
-
-    def _close(self, sock):
-        self._paused.discard(sock)
-        super()._close(sock)
-
-    def _find_poller(self):
-        if self._poller is None:
-            self._poller = findcmp(self.root, IndexedPoller)
-
-    def _finish_connect(self, sock, on_done):
-        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        self._poller.discard(sock)
-        if code:
-            sock.close()
-            on_done(None, OSError(code, 'connect failed'))
-            return
-        self._poller.addReader(self, sock)
-        self._clients.add(sock)
-        on_done(sock, None)
-
-    def _create_socket(self):
-        """Create no socket, since nothing is listened on."""
-
-
 def bound_buffer(sock, option):
     """Bound the memory of the system for a socket.
 
@@ -375,7 +192,7 @@
     return b''.join(parts)
 
 
-def _query_size(sock, request):
+def query_size(sock, request):
     """Return the size of a queue of a socket, or 0 if it is closed."""
     try:
         answer = fcntl.ioctl(sock, request, bytes(_INT_BYTES))
@@ -393,15 +210,3 @@
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
-
-
-def enable_keepalive(sock):
-    """Enable TCP keep-alive, which detects a failed host.
-
-    Args:
-      sock: A TCP socket.
-    """
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
--- a/crankchute/adapters/timers_test.py
+++ b/crankchute/adapters/timers_test.py
@@ -11,7 +11,7 @@
 
 from crankchute.adapters import timers
 from crankchute.adapters.loop import Loop
-from crankchute.adapters.sockets import ConnectionHub
+from crankchute.adapters.connection_hub import ConnectionHub
 from crankchute.core.fakes import ManualClock
 
 
