Treat an answer as complete only if its connection ended in order

Cause: a server that crashes with unread bytes resets the connection. The first call that meets the reset gets the error; while the rest of the request waits to be written, that is the write. ConnectionHub recorded errors of reads only, so the end counted as a regular one, and an answer without a length as whole. The same holds for a hang-up that the poller reports, and for any close without another reason. Unread bytes were discarded with it, so that answers whose length had arrived failed.

Ruled out: the parser (heads and bodies that are cut fail before and after, 60 rows), the collection of answers, and the writer to the caller.

Evidence: connection_ends_test.py before the change, 26 of 134 rows failed: test_reset_answer_without_length_is_incomplete, 6 rows, each with a request that is unread or half written: (200, part) instead of an error test_answer_received_before_a_reset_is_complete, 4 rows test_reset_in_a_pause_of_reading_is_seen_after_it, 16 rows

Change: an end is regular only if a read reached it and nothing failed before; the default is that it is not. After a failed write or a hang-up, the rest of the request is discarded and what has arrived is read to its end. This does not depend on which call meets the error first.

--- a/crankchute/adapters/connection_hub.py
+++ b/crankchute/adapters/connection_hub.py
@@ -4,6 +4,7 @@
 clear the handler cache of circuits.
 """
 
+import os
 import socket
 import termios
 
@@ -16,6 +17,7 @@
     READ_SIZE,
     DirectServer,
     bound_buffer,
+    has_input,
     query_size,
     set_tcp_options,
 )
@@ -37,6 +39,10 @@
 
     A connecting socket becomes writable when the attempt ends; SO_ERROR then
     tells whether it failed.
+
+    A connection ends in order only if reading reaches its end and nothing failed
+    before.  The system reports an error once, to whichever call comes first, and
+    an end of the stream to later ones; so the first error is recorded.
     """
 
     channel = 'hub'
@@ -52,7 +58,8 @@
         self._connecting = {}
         self._paused = set()
         self._receive = receive
-        self._broken = set()
+        self._errors = {}
+        self._ended = set()
 
     def parse_bind_parameter(self, bind):
         """Return the address unchanged, since nothing is listened on."""
@@ -100,17 +107,28 @@
         sock.close()
         return True
 
-    def pop_broken(self, sock):
-        """Return and clear whether a closed connection ended with an error.
+    def is_open(self, sock):
+        """Tell whether a socket is connected and nothing failed on it.
+
+        Args:
+          sock: A socket.
+        """
+        return sock in self._clients and sock not in self._errors
+
+    def pop_error(self, sock):
+        """Return and clear why a closed connection did not end in order.
 
         Args:
           sock: A socket whose disconnect event was fired.
         Returns:
-          False if the server closed the connection in the regular way.
+          A string, or None if the server closed the connection in order.
         """
-        is_broken = sock in self._broken
-        self._broken.discard(sock)
-        return is_broken
+        has_ended = sock in self._ended
+        self._ended.discard(sock)
+        error = self._errors.pop(sock, None)
+        if error is None and not has_ended:
+            return 'its end was not read'
+        return error
 
     def abort(self, sock):
         """Close a connection and discard buffered bytes.
@@ -160,10 +178,34 @@
     def _on_disconnect(self, sock):
         on_done = self._connecting.pop(sock, None)
         if on_done is None:
-            super()._on_disconnect(sock)
+            self._handle_hang_up(sock)
             return
         self._finish_connect(sock, on_done)
 
+    def _handle_hang_up(self, sock):
+        """Handle an error or hang-up that the poller reports.
+
+        The poller has removed the socket.
+        """
+        if sock not in self._clients:
+            return
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        text = os.strerror(code) if code else 'hang-up'
+        self._end_sending(sock, OSError(code, text))
+        self._read(sock)
+        if sock in self._clients and sock not in self._paused:
+            self._poller.addReader(self, sock)
+
+    def _end_sending(self, sock, exc):
+        """Discard unsent bytes, but read what arrived before the failure."""
+        self._errors.setdefault(sock, f'send: {exc.strerror}')
+        self._buffers[sock].clear()
+        self._poller.removeWriter(sock)
+        if self.unsent is not None:
+            self.unsent.forget(sock)
+        if not has_input(sock):
+            self._close(sock)
+
     def _read(self, sock):
         """Read without the event that the base class fires."""
         if sock not in self._clients or sock in self._paused:
@@ -172,12 +214,13 @@
             chunk = sock.recv(READ_SIZE)
         except BlockingIOError:
             return
-        except OSError:
+        except OSError as exc:
             chunk = b''
-            self._broken.add(sock)
+            self._errors.setdefault(sock, f'receive: {exc.strerror}')
         if chunk:
             self._receive(sock, chunk)
         else:
+            self._ended.add(sock)
             self._close(sock)
 
     def _close(self, sock):
--- a/crankchute/adapters/http_call.py
+++ b/crankchute/adapters/http_call.py
@@ -11,7 +11,6 @@
 _MAX_FRAMING_BYTES = 262_144
 #: The most answers to earlier requests before the one that is due.
 _MAX_SKIPPED = 4
-_CONNECTION_CLOSED = 'the connection was closed'
 
 
 class CallOptions:
@@ -161,19 +160,21 @@
         if self._framing_bytes > _MAX_FRAMING_BYTES:
             self.fail('malformed response: its framing does not end')
 
-    def receive_end(self, *, broken):
+    def receive_end(self, error):
         """Handle the end of the connection.
 
         A body without a length is complete only if the server closed the
-        connection without an error.
+        connection in order.
 
         Args:
-          broken: Whether the connection ended with an error.
+          error: Why the connection did not end in order, or None.
         """
-        if self._until_close and not broken:
+        if error:
+            self.fail(f'the connection failed: {error}', connection_lost=True)
+        elif self._until_close:
             self._complete(keep=False)
         else:
-            self.fail(_CONNECTION_CLOSED, connection_lost=True)
+            self.fail('the connection was closed', connection_lost=True)
 
     def cancel(self):
         """Cancel the call and close its connection without calling the sink."""
--- a/crankchute/adapters/http_client.py
+++ b/crankchute/adapters/http_client.py
@@ -141,7 +141,8 @@
             return
         # A response can end in the bytes that caused a pause.
         self.hub.resume_reading(sock)
-        kept = keep and self._idle.add(
+        is_reusable = keep and self.hub.is_open(sock)
+        kept = is_reusable and self._idle.add(
             call.address, sock, call.headers, call.attribution
         )
         if not kept:
@@ -192,12 +193,12 @@
 
     @handler('disconnect')
     def _on_disconnect(self, sock):
-        broken = self.hub.pop_broken(sock)
+        error = self.hub.pop_error(sock)
         call = self._calls.pop(sock, None)
         if call is None:
             self._idle.remove(sock)
         else:
-            call.receive_end(broken=broken)
+            call.receive_end(error)
 
     @handler('error')
     def _on_error(self, *_args):
--- a/crankchute/adapters/idle_connections.py
+++ b/crankchute/adapters/idle_connections.py
@@ -1,10 +1,11 @@
 """A pool of idle connections for reuse."""
 
 import re
-import socket
 from collections import OrderedDict, defaultdict
 from weakref import WeakKeyDictionary
 
+from crankchute.adapters.sockets import has_input
+
 _MAX_PER_ADDRESS = 32
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 _MS_PER_SECOND = 1000
@@ -116,7 +117,8 @@
             if not (is_usable and entry.is_distinct(attribution)):
                 continue
             self.remove(sock)
-            if self._is_open(sock) and not _has_input(sock):
+            # A request sent after a close or other bytes would be lost.
+            if self._is_open(sock) and not has_input(sock):
                 return sock
         return None
 
@@ -137,20 +139,6 @@
         return self._earlier[sock]
 
 
-def _has_input(sock):
-    """Tell whether a close or other bytes have arrived but are not yet read.
-
-    A request must not be sent on such a connection: it would be lost.
-    """
-    try:
-        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return True
-
-
 def _read_allowed_ms(text):
     """Return the idle limit of a Keep-Alive header, or None."""
     found = _KEEP_ALIVE_TIMEOUT.search(text or '')
--- a/crankchute/adapters/sockets.py
+++ b/crankchute/adapters/sockets.py
@@ -61,11 +61,11 @@
           sock: A connected socket of this server.
           data: Bytes.
         """
-        if sock not in self._clients:
+        if not self.is_open(sock):
             return
         if not self._buffers[sock]:
             data = self._send_now(sock, data)  # noqa: WPS110
-        if data and sock in self._clients:
+        if data and self.is_open(sock):
             if self.unsent is not None and len(data) > _VIEW_BYTES:
                 data = memoryview(data)  # noqa: WPS110
             self._buffers[sock].append(data)
@@ -131,18 +131,17 @@
 
     def _write(self, sock, data):  # noqa: WPS110  (as in the base class)
         """Send buffered bytes and report the progress."""
-        if self.unsent is None:
-            super()._write(sock, data)
-            return
         if sock not in self._clients:
             return
-        data = _join_small(data, self._buffers[sock])  # noqa: WPS110
+        if self.unsent is not None:
+            data = _join_small(data, self._buffers[sock])  # noqa: WPS110
         rest = self._send_now(sock, data)
-        if sock not in self._clients:
+        if not self.is_open(sock):
             return
         if rest:
             self._buffers[sock].appendleft(rest)
-        self.unsent.record_sent(sock, len(data) - len(rest))
+        if self.unsent is not None:
+            self.unsent.record_sent(sock, len(data) - len(rest))
 
     def _close(self, sock):
         super()._close(sock)
@@ -157,10 +156,19 @@
         except OSError as exc:
             if exc.errno in IN_PROGRESS:
                 return payload
-            self._close(sock)
+            self._end_sending(sock, exc)
             return b''
         return payload[sent:]
 
+    def _end_sending(self, sock, exc):
+        """Handle that bytes can no longer be sent.
+
+        Args:
+          sock: A connected socket of this server.
+          exc: The OSError of the attempt.
+        """
+        self._close(sock)
+
 
 def bound_buffer(sock, option):
     """Bound the memory of the system for a socket.
@@ -201,6 +209,21 @@
     return int.from_bytes(answer, sys.byteorder)
 
 
+def has_input(sock):
+    """Tell whether bytes, a close or an error can be read.
+
+    Args:
+      sock: A connected socket.
+    """
+    try:
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 def set_tcp_options(sock, timeout_ms=_DEFAULT_TIMEOUT_MS):
     """Disable Nagle's algorithm and set TCP_USER_TIMEOUT.
 
