--- a/crankchute/platform/standin_paths.py
+++ b/crankchute/platform/standin_paths.py
@@ -52,7 +52,7 @@
             if fault == PathFault.HANG:
                 self._silent.add(sock)
             elif fault == PathFault.RESET:
-                self._hub._broken.add(sock)  # noqa: SLF001, WPS437
+                self._hub._errors[sock] = 'reset'  # noqa: SLF001, WPS437
                 self._hub.abort(sock)
 
     def restore(self):
