--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -38,6 +38,8 @@
 _POOL_CHANGES_TEST = 'crankchute/core/pool_changes_test.py'
 _SHUTDOWN_TEST = 'crankchute/entry/shutdown_test.py'
 _HTTP_CALL = 'crankchute/adapters/http_call.py'
+_REQUEST_MEMORY = 'crankchute/core/request_memory.py'
+_REQUEST_MEMORY_TEST = 'crankchute/core/request_memory_test.py'
 
 
 class Mutation:
@@ -484,6 +486,62 @@
         'self.breaker.record_failure(now_ms)\n\n    def record_overdue',
         'self.breaker.record_abandoned()\n\n    def record_overdue',
     ),
+    Mutation(
+        'ends: a failed write counts as an end in order',
+        'crankchute/adapters/connection_ends_test.py',
+        'crankchute/adapters/connection_hub.py',
+        "self._errors.setdefault(sock, f'send: {exc.strerror}')",
+        'self._errors.pop(sock, None)',
+    ),
+    Mutation(
+        'ends: a failed read counts as an end in order',
+        'crankchute/adapters/connection_ends_test.py',
+        'crankchute/adapters/connection_hub.py',
+        "self._errors.setdefault(sock, f'receive: {exc.strerror}')",
+        'self._errors.pop(sock, None)',
+    ),
+    Mutation(
+        'ends: bytes that arrived before a failed write are discarded',
+        'crankchute/adapters/connection_ends_test.py',
+        'crankchute/adapters/connection_hub.py',
+        'if not has_input(sock):',
+        'if sock in self._errors:',
+    ),
+    Mutation(
+        'memory: long requests are not bounded',
+        _REQUEST_MEMORY_TEST,
+        _REQUEST_MEMORY,
+        'and self.large_used + claim.size <= self._large_limit',
+        'and self.large_used + claim.size >= 0',
+    ),
+    Mutation(
+        'memory: one caller takes all',
+        _REQUEST_MEMORY_TEST,
+        _REQUEST_MEMORY,
+        'self._owner_limit = self._large_limit - others',
+        'self._owner_limit = self._large_limit',
+    ),
+    Mutation(
+        'memory: requests wait in vain',
+        _REQUEST_MEMORY_TEST,
+        _REQUEST_MEMORY,
+        'return now_ms + needed_ms > claim.deadline_ms',
+        'return now_ms > claim.deadline_ms',
+    ),
+    Mutation(
+        'memory: the rest of a refused request resets its connection',
+        'crankchute/platform/long_requests_test.py',
+        'crankchute/adapters/forward_server.py',
+        'self._discard_rest(sock)\n        if',
+        'self.close(sock)\n        if',
+    ),
+    Mutation(
+        'memory: ended requests are kept until they are collected',
+        'crankchute/core/forward_flow_test.py',
+        'crankchute/core/forwarder.py',
+        '        flow.job.payload = None\n',
+        '',
+    ),
     Mutation(
         'configuration: a shorter idle time applies at once',
         _CONFIG_CHANGES_TEST,
--- a/crankchute/core/forward_flow.py
+++ b/crankchute/core/forward_flow.py
@@ -327,9 +327,6 @@
 
     def _end(self, outcome, code):
         self.ended = True
-        # Parts of a flow refer to each other, so that the request and its answer
-        # would stay in memory until they are collected.
-        self.job.payload = None
         self._last_answer = None
         if self._timer is not None:
             self._timer.cancel()
--- a/crankchute/core/forward_flow_test.py
+++ b/crankchute/core/forward_flow_test.py
@@ -81,6 +81,19 @@
     assert harness.forwarder.in_progress == 0
 
 
+@pytest.mark.parametrize('response', ['ok', 'fault', 'full', 'lost', None])
+def test_ended_request_is_not_kept(response):
+    """Bodies of ended requests stayed in memory until they were collected."""
+    harness = ForwardHarness()
+    flow, _sink = harness.submit(repeat=ONCE, payload=b'body')
+    while not flow.ended:
+        if response is None:
+            flow.cancel()
+        else:
+            RESPONSES[response](harness.port.calls[-1])
+    assert flow.job.payload is None
+
+
 @pytest.mark.parametrize(
     ('first', 'second', 'expected'),
     [
--- a/crankchute/core/forwarder.py
+++ b/crankchute/core/forwarder.py
@@ -283,7 +283,12 @@
         self.metrics.count('frames_dropped')
 
     def record_end(self, flow, outcome, code):
-        """Record the end of a request."""
+        """Record the end of a request, and drop it.
+
+        Parts of a flow refer to each other, so that the request would stay in
+        memory until they are collected.
+        """
+        flow.job.payload = None
         self.flows.discard(flow)
         self.metrics.count(self._ended_counter, outcome.value)
         waited_ms = self.now_ms() - flow.job.arrived_ms
--- a/crankchute/platform/requests_test.py
+++ b/crankchute/platform/requests_test.py
@@ -43,6 +43,9 @@
         self.body = b'body'
         self.arrived_ms = 100
 
+    def take_body(self):
+        return self.body
+
     def header(self, name):
         return dict(self.headers).get(name)
 
