Soak long requests: bursts, and answers that are reset while they are written

Its servers read whole requests before they answered, its requests had 60 bytes, and nothing looked at the memory of instances. Change: some requests have up to 1 MB; simulated servers answer a part of these before they have read them, without a length, and reset half of these answers at a random place. A disturbance sends 120 long requests to an instance at once. The highest memory of each instance is a check (300 MB, as configured).

--- a/bench/soak/attempts.py
+++ b/bench/soak/attempts.py
@@ -5,6 +5,7 @@
 from bench.soak.config import STREAM_PATHS
 from bench.soak.fleet import now_s
 from crankchute.platform.standin_http import format_message
+from crankchute.platform.standin_early import EARLY_ANSWER
 from crankchute.platform.standin_exchange import make_body, make_event
 from crankchute.platform.wire import (
     DEADLINE_MS,
@@ -22,6 +23,13 @@
 _SIZES = (*(300,) * 20, 100_000, 6_000_000)
 #: Pauses within the request and before its answer is read; most are zero.
 _PAUSES_S = (*(0,) * 10, 0.1, 0.5, 1)
+#: Bytes added to the body of a request; most are none.
+_PADDING = (*(0,) * 20, 200_000, 1_000_000)
+#: The largest padding, with which servers may answer before they have read all.
+_MOST_PADDING = max(_PADDING)
+_EARLY_BYTES = 2_000_000
+_EARLY_SHARE = 0.5
+_BURST_WORK_MS = 700
 _WORK_MS = (2, 10, 50, 200, 700, 2500, 5100)
 _PROMPT_TOKENS = 800
 _READ_MS = 100
@@ -42,6 +50,8 @@
       ended: When the client knew what became of it, or None before.
       deadline_s: The deadline, from `sent`.
       work: What the server is asked to do, a map.
+      padding: The bytes added to the body of the request.
+      is_early: Whether the server is asked to answer before it has read it.
       write_pause_s: A pause within the request, in seconds.
       read_pause_s: A pause before its answer is read, in seconds.
       outcome: `answered`, `cut` (an answer without its end), `closed` (no
@@ -57,7 +67,9 @@
         'ended',
         'faults',
         'instance',
+        'is_early',
         'outcome',
+        'padding',
         'path',
         'read_pause_s',
         'request_id',
@@ -95,6 +107,14 @@
                 'events': random.choice(_EVENTS),
                 'gap_ms': _GAP_MS,
             }
+        self.padding = random.choice(_PADDING)
+        self.is_early = (
+            path not in STREAM_PATHS
+            and self.padding == _MOST_PADDING
+            and random.random() < _EARLY_SHARE
+        )
+        if self.is_early:
+            self.work['size'] = _EARLY_BYTES
         self.write_pause_s = random.choice(_PAUSES_S)
         self.read_pause_s = random.choice(_PAUSES_S)
         self.outcome = 'silent'
@@ -102,6 +122,12 @@
         self.closes = True
         self.faults = []
 
+    def lengthen(self):
+        """Make this one of the long requests of a burst."""
+        self.padding = _MOST_PADDING
+        self.work = {'ms': _BURST_WORK_MS, 'events': 0, 'size': 0}
+        self.is_early = False
+
     def format(self):
         """Return the bytes of the request."""
         headers = [
@@ -116,8 +142,12 @@
                 (TOKEN_USAGE, f'{_PROMPT_TOKENS},{self.work["events"]}')
             )
             headers.append((PROMPT_PARTS, parts))
+        if self.is_early:
+            headers.append((EARLY_ANSWER, str(self.work['size'])))
         line = f'POST {self.path}x HTTP/1.1'
-        return format_message(line, headers, orjson.dumps(self.work))
+        # Blanks are no part of the document.
+        body = orjson.dumps(self.work) + b' ' * self.padding
+        return format_message(line, headers, body)
 
     def take(self, message):
         """Record an answer.
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -54,6 +54,24 @@
         self._requests = 0
         self._rests_from = 0
 
+    async def send_long(self, instance, path):
+        """Send one long request on a connection of its own.
+
+        Args:
+          instance: The Instance.
+          path: The path prefix of its route.
+        """
+        self._addresses = [instance.ip]
+        await self._open()
+        if self._writer is None:
+            return
+        attempt = Attempt(self._random, path, instance.name, 0)
+        attempt.lengthen()
+        self.attempts.append(attempt)
+        await self._exchange(attempt)
+        attempt.ended = now_s()
+        self._close()
+
     async def run(self, seconds):
         """Send requests for some seconds.
 
--- a/bench/soak/disturbances.py
+++ b/bench/soak/disturbances.py
@@ -15,6 +15,9 @@
 #: Later than on the platform, so that a busy machine alone cuts no request.
 _KILL_S = GRACE_S + 4
 _POLL_S = 0.02
+#: More than the memory of an instance holds of long requests.
+_BURST = 120
+_BURST_PATHS = ('/again/', '/once/')
 
 
 @disturbance(4)
@@ -54,6 +57,20 @@
         plan.fleet.tell_server(identity, 'fill', seconds=seconds)
 
 
+@disturbance(1)
+async def send_burst(plan):
+    """Let many clients send long requests to an instance at once."""
+    instance = plan.choose_instance()
+    if instance is None:
+        return
+    plan.note('burst', target=instance.name, requests=_BURST)
+    clients = [plan.make_client() for _ in range(_BURST)]
+    path = plan.random.choice(_BURST_PATHS)
+    await asyncio.gather(
+        *(client.send_long(instance, path) for client in clients)
+    )
+
+
 @disturbance(5)
 async def stop_instance(plan):
     """Stop an instance and start it again."""
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -1,5 +1,6 @@
 """Runs instances of the platform and their simulated peers on loopback."""
 
+import asyncio
 import os
 import signal
 import time
@@ -22,6 +23,9 @@
 _ENGINE_SLOTS = (12,)
 _PLAIN_SLOTS = (4, 6, 8)
 _QUEUE = 3
+_MEMORY_MB = 300
+_KB_PER_MB = 1024
+_MEMORY_POLL_S = 0.05
 _IDLE_S = (2, 4, 8)
 _LATE_SHARES = (0, 0.05, 0.3)
 _SETTINGS = """
@@ -35,7 +39,7 @@
 [limits]
 cpu-share = 0.5
 cpu-cores = 2
-memory-mb = 300
+memory-mb = {memory_mb}
 [bounds]
 grace-s = {grace_s}
 config-apply-ms = 2000
@@ -115,6 +119,21 @@
             self.write_settings(instance)
             instance.start()
 
+    async def watch_memory(self):
+        """Record the highest memory of each instance until cancelled."""
+        while True:
+            for instance in self.instances:
+                instance.record_memory()
+            await asyncio.sleep(_MEMORY_POLL_S)
+
+    def list_over_memory(self):
+        """Return a text for each instance that exceeded its memory."""
+        return [
+            f'MEMORY: {one.name} took {one.highest_kb} kB'
+            for one in self.instances
+            if one.highest_kb > _MEMORY_MB * _KB_PER_MB
+        ]
+
     def list_pool(self, pool):
         """Return the ids of the servers of a pool."""
         return [
@@ -140,6 +159,7 @@
             seeds=seeds,
             listen='\n'.join(listen),
             grace_s=GRACE_S,
+            memory_mb=_MEMORY_MB,
             store=f'{self._ip(_STORE_HOST)}:{_STORE_PORT}',
         )
         instance.settings_path.write_text(text)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -1,13 +1,19 @@
 """A seeded plan of disturbances, in series and overlapping."""
 
 import asyncio
+from random import Random
 
+from bench.soak.clients import Client
 from bench.soak.config import POOLS
 from bench.soak.fleet import now_s
 
 #: Disturbances by name, pairs of weight and function.
 DISTURBANCES = {}  # noqa: WPS407  (filled by the decorator)
 _SOME_SHARES = (0, 0.6, 1)
+#: For how many times their time to live clients use addresses; None is until
+#: the process is gone.
+_TTL_FACTORS = (1, 1, 3, None, None, None)
+_SEED_BITS = 32
 
 
 def disturbance(weight):
@@ -33,6 +39,7 @@
       fleet: The Fleet.
       config: The Config.
       random: The random.Random of the run.
+      clients: The Clients that it made.
       log: What was done, a list of maps with `t`, `event` and details.
     """
 
@@ -48,11 +55,20 @@
         self.fleet = fleet
         self.config = config
         self.random = random
+        self.clients = []
         self.log = []
         self._kinds = [
             kind for name, kind in DISTURBANCES.items() if name not in without
         ]
 
+    def make_client(self):
+        """Return a new Client."""
+        own_random = Random(self.random.getrandbits(_SEED_BITS))
+        ttl_factor = self.random.choice(_TTL_FACTORS)
+        client = Client(self.fleet, self.config, own_random, ttl_factor)
+        self.clients.append(client)
+        return client
+
     def note(self, event, **details):
         """Add an event to the log.
 
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -4,8 +4,9 @@
 import os
 import subprocess  # noqa: S404
 import sys
-from contextlib import closing
+from contextlib import closing, suppress
 from http import HTTPStatus
+from mmap import PAGESIZE
 from pathlib import Path
 
 import orjson
@@ -22,6 +23,7 @@
 }
 _METRICS_PORT = 21_005
 _READY_TIMEOUT_S = 1
+_BYTES_PER_KB = 1024
 
 
 class PeerHost:
@@ -77,6 +79,7 @@
       ip: Its IP address.
       settings_path: The Path of its settings file.
       popen: The Popen, or None before the first start.
+      highest_kb: The highest memory that was seen, in kB.
       stopped_at: When it was last told to stop, or None after a start.
     """
 
@@ -90,6 +93,7 @@
           code: The directory of the code to run.
         """
         self.name = name
+        self.highest_kb = 0
         self.ip = ip
         self.stopped_at = None
         self.settings_path = out_dir / f'{name}.toml'
@@ -125,6 +129,13 @@
             )
         self.stopped_at = None
 
+    def record_memory(self):
+        """Record the memory that its process has in use."""
+        with suppress(OSError):
+            pages = Path(f'/proc/{self.popen.pid}/statm').read_text().split()
+            used_kb = int(pages[1]) * PAGESIZE // _BYTES_PER_KB
+            self.highest_kb = max(self.highest_kb, used_kb)
+
     def send(self, signo):
         """Send a signal if its process runs."""
         if self.is_running:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -10,17 +10,12 @@
 import orjson
 
 from bench.soak import disturbances  # noqa: F401  (registers them)
-from bench.soak.clients import Client
 from bench.soak.config import Config
 from bench.soak.fleet import Fleet
 from bench.soak.plan import Plan
 from bench.soak.processes import ROOT
 from bench.soak.verdict import find_violations, make_cases
 
-#: For how many times their time to live clients use addresses; None is until
-#: the process is gone.
-_TTL_FACTORS = (1, 1, 3, None, None, None)
-_SEED_BITS = 32
 _READY_POLL_S = 0.1
 
 
@@ -79,7 +74,7 @@
     with fleet:
         attempts = asyncio.run(_soak(plan, options))
     cases = make_cases(attempts, fleet.read_records(), plan)
-    violations = find_violations(cases)
+    violations = find_violations(cases) + fleet.list_over_memory()
     if violations or options.keep:
         _write_lines(out_dir / 'violations.txt', violations)
         _write_lines(out_dir / 'cases.txt', map(str, cases))
@@ -94,13 +89,15 @@
     """Return the Attempts of all clients."""
     plan.fleet.start(plan.config)
     await asyncio.gather(*map(_wait_until_ready, plan.fleet.instances))
-    clients = [_make_client(plan) for _ in range(options.clients)]
+    clients = [plan.make_client() for _ in range(options.clients)]
     plan.note('begin')
+    watching = asyncio.create_task(plan.fleet.watch_memory())
     await asyncio.gather(
         plan.run(options.seconds, options.pause_s),
         *(client.run(options.seconds) for client in clients),
     )
-    return [attempt for client in clients for attempt in client.attempts]
+    watching.cancel()
+    return [attempt for client in plan.clients for attempt in client.attempts]
 
 
 async def _wait_until_ready(instance):
@@ -108,11 +105,5 @@
         await asyncio.sleep(_READY_POLL_S)
 
 
-def _make_client(plan):
-    own_random = random.Random(plan.random.getrandbits(_SEED_BITS))
-    ttl_factor = plan.random.choice(_TTL_FACTORS)
-    return Client(plan.fleet, plan.config, own_random, ttl_factor)
-
-
 def _write_lines(path, lines):
     path.write_text(''.join(f'{line}\n' for line in lines))
--- a/crankchute/platform/standin_http.py
+++ b/crankchute/platform/standin_http.py
@@ -57,22 +57,44 @@
       ConnectionError: If the connection ended within the head.
       ValueError: If the bytes are no message.
     """
+    message = await read_head(reader)
+    if message is not None:
+        await read_body(reader, message)
+    return message
+
+
+async def read_head(reader):
+    """Read the head of a message; see read_message.
+
+    Args:
+      reader: A StreamReader.
+    Returns:
+      A Message without its body, or None.
+    """
     try:
-        message = Message(await reader.readuntil(_HEAD_END))
+        return Message(await reader.readuntil(_HEAD_END))
     except asyncio.IncompleteReadError as exc:
         if exc.partial:
             raise ConnectionError('closed within a head') from exc
         return None
     except asyncio.LimitOverrunError as exc:
         raise ValueError('head too long') from exc
+
+
+async def read_body(reader, message):
+    """Read the body of a message; see read_message.
+
+    Args:
+      reader: A StreamReader.
+      message: The Message.
+    """
     try:
-        await _read_body(reader, message)
+        await _read_framed(reader, message)
     except (asyncio.IncompleteReadError, ConnectionError):
         message.is_whole = False
-    return message
 
 
-async def _read_body(reader, message):
+async def _read_framed(reader, message):
     if message.headers.get('transfer-encoding') == 'chunked':
         await _read_chunks(reader, message)
     else:
--- a/crankchute/platform/standin_server.py
+++ b/crankchute/platform/standin_server.py
@@ -1,16 +1,17 @@
 """A simulated backend server that fails in the ways the platform states.
 
 It rejects requests when it is full, sends an answer once more when the next
-one is due, falls silent, closes idle connections, leaves and crashes.  It
-records which requests it ran.
+one is due, answers before it has read a request, falls silent, closes idle
+connections, leaves and crashes.  It records which requests it ran.
 """
 
 import asyncio
 import random
 import time
 
+from crankchute.platform.standin_early import EARLY_ANSWER, answer_early
 from crankchute.platform.standin_exchange import Exchange
-from crankchute.platform.standin_http import read_message
+from crankchute.platform.standin_http import read_body, read_head
 
 _STEP_S = 0.02
 _IDLE_COPY_S = 0.05
@@ -111,13 +112,24 @@
         is_kept, copy = True, None
         while is_kept and not self.has_crashed:
             await self.wait_awake()
-            reading = read_message(reader)
+            reading = _read_request(reader)
             request = await asyncio.wait_for(reading, self.fields['idle_s'])
             if request is None:
                 return
+            if EARLY_ANSWER in request.headers:
+                await answer_early(self, (reader, writer), request)
+                return
             exchange = Exchange(self, (reader, writer), request)
             copy = await exchange.process(copy)
             is_kept = exchange.is_kept
             if copy is not None and not self.random.randrange(_COPIES_PER_IDLE):
                 await asyncio.sleep(_IDLE_COPY_S)
                 copy = exchange.write_copy(copy)
+
+
+async def _read_request(reader):
+    """Read a request; only the head of one that is answered early."""
+    request = await read_head(reader)
+    if request is not None and EARLY_ANSWER not in request.headers:
+        await read_body(reader, request)
+    return request
