End a request that is being read only after a second without progress

What callers saw (trial, 61 requests of 4.19 MB at once): 3 were told 408 in the middle of sending, since others waited for memory.

Cause: a request counted as stalled after 200 ms without bytes. A lost packet takes longer than that to be sent again, and so does a busy sender. Bytes that had arrived while this process was busy, but were not read yet, did not count.

Change: the time is a second, and a request with unread bytes is not stalled.

--- a/crankchute/adapters/request_gate.py
+++ b/crankchute/adapters/request_gate.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 
 from crankchute.adapters.log import log_change
+from crankchute.adapters.sockets import has_input
 from crankchute.core.request_memory import (
     SMALL_BYTES,
     Decision,
@@ -174,9 +175,11 @@
         now_ms = self._timers.clock.now_ms()
         hopeless = set(self.memory.list_hopeless(now_ms))
         late = set(self.memory.list_late(now_ms))
-        late.add(self.memory.find_stalled(now_ms))
+        stalled = self.memory.find_stalled(now_ms)
         for entry in tuple(self._entries.values()):
-            if entry.claim in late:
+            # Bytes that this process has not read yet are progress of the caller.
+            is_stalled = entry.claim is stalled and not has_input(entry.sock)
+            if is_stalled or entry.claim in late:
                 self._log('request_ended_as_slow', entry)
                 self._refuse_as_slow(entry)
             elif entry.claim in hopeless and entry.claim.waits:
--- a/crankchute/core/request_memory.py
+++ b/crankchute/core/request_memory.py
@@ -22,8 +22,9 @@
 #: The part of the memory for large requests that one caller leaves to others.
 _OTHERS_FRACTION = 8
 #: Time without progress after which a request that is being read may be ended
-#: for others that wait, in milliseconds.
-_STALLED_MS = 200
+#: for others that wait, in milliseconds.  A lost packet is usually sent again
+#: within a second.
+_STALLED_MS = 1000
 #: The weight of the last request in the mean time that requests take.
 _MEAN_WEIGHT = 0.2
 #: While it is not known how long requests take, one waits no longer than this
