Spread the return of callers that were refused for memory

Cause: requests that are refused together got the same Retry-After, down to 0. Change: it has the usual random part and is 100 ms at least. The gate finds a request by its claim instead of looking at all of them each 100 ms.

--- a/crankchute/adapters/request_gate.py
+++ b/crankchute/adapters/request_gate.py
@@ -57,6 +57,8 @@
     """Lets requests into the memory of the process.
 
     Attributes:
+      choose_retry_ms: A function of the time until memory is free, in
+        milliseconds, that returns when a refused caller should return.
       memory: The RequestMemory.
     """
 
@@ -68,10 +70,12 @@
           timers: A TimerService.
           metrics: A Metrics port.
         """
+        self.choose_retry_ms = round
         self.memory = memory
         self._timers = timers
         self._metrics = metrics
         self._entries = {}
+        self._by_claim = {}
         timers.every(_CHECK_MS, self._check)
 
     def admit(self, server, sock, reader):
@@ -90,6 +94,7 @@
             claim = MemoryClaim(None, now_ms, now_ms + _DEFAULT_WAIT_MS)
             entry = _Entry(server, sock, reader, claim)
             self._entries[sock] = entry
+            self._by_claim[claim] = entry
         claim = entry.claim
         claim.record_progress(now_ms, is_complete=reader.done)
         decision = Decision.GRANTED
@@ -107,6 +112,7 @@
         """
         entry = self._entries.pop(sock, None)
         if entry is not None:
+            self._by_claim.pop(entry.claim)
             self.memory.release(entry.claim, self._timers.clock.now_ms())
             self._grant_waiting()
 
@@ -161,29 +167,25 @@
 
     def _grant_waiting(self):
         now_ms = self._timers.clock.now_ms()
-        granted = set(self.memory.grant_waiting(now_ms))
-        if not granted:
-            return
-        for entry in tuple(self._entries.values()):
-            if entry.claim in granted:
-                self._log('request_read_on', entry)
-                entry.reader.resume(now_ms)
-                entry.reader.allow_body()
-                entry.server.resume_reading(entry.sock)
+        for claim in self.memory.grant_waiting(now_ms):
+            entry = self._by_claim[claim]
+            self._log('request_read_on', entry)
+            entry.reader.resume(now_ms)
+            entry.reader.allow_body()
+            entry.server.resume_reading(entry.sock)
 
     def _check(self):
         now_ms = self._timers.clock.now_ms()
-        hopeless = set(self.memory.list_hopeless(now_ms))
-        late = set(self.memory.list_late(now_ms))
-        stalled = self.memory.find_stalled(now_ms)
-        for entry in tuple(self._entries.values()):
-            # Bytes that this process has not read yet are progress of the caller.
-            is_stalled = entry.claim is stalled and not has_input(entry.sock)
-            if is_stalled or entry.claim in late:
-                self._log('request_ended_as_slow', entry)
-                self._refuse_as_slow(entry)
-            elif entry.claim in hopeless and entry.claim.waits:
-                self._refuse_for_memory(entry)
+        for late in self.memory.list_late(now_ms):
+            self._refuse_as_slow(self._by_claim[late])
+        stalled = self._by_claim.get(self.memory.find_stalled(now_ms))
+        # Bytes that this process has not read yet are progress of the caller.
+        if stalled is not None and not has_input(stalled.sock):
+            self._refuse_as_slow(stalled)
+        for claim in self.memory.list_hopeless(now_ms):
+            # A refusal before may have granted its memory.
+            if claim.waits:
+                self._refuse_for_memory(self._by_claim[claim])
 
     def _refuse_for_memory(self, entry):
         now_ms = self._timers.clock.now_ms()
@@ -198,11 +200,12 @@
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 NO_MEMORY,
                 'there is no memory for this request',
-                retry_after_ms=max(retry_ms, 0),
+                retry_after_ms=self.choose_retry_ms(max(retry_ms, _CHECK_MS)),
             ),
         )
 
     def _refuse_as_slow(self, entry):
+        self._log('request_ended_as_slow', entry)
         self._refuse(
             entry,
             RequestRefused(
--- a/crankchute/platform/node.py
+++ b/crankchute/platform/node.py
@@ -152,6 +152,9 @@
             self.settings.memory_bytes, self.timers, metrics
         )
         backpressure.watch_servers(self.http_client)
+        # Callers that are refused together should not return together.
+        hints = RetryHints(self.node.random)
+        backpressure.gate.choose_retry_ms = hints.choose_at_least_ms
         metrics.add_gauge(
             'unsent_bytes',
             'Bytes of answers in memory.',
