Compute the share of an answer for answers only

A request whose bytes wait for its socket still asked for the equal share of an answer, and if unread bytes alone were over the total, this divided by zero: ZeroDivisionError in the write to the server. Found by reading. Change: only answers ask for their share, since only they pause. Result: the new test of send_buffers_test.py failed with ZeroDivisionError before the change and passes after it.

--- a/crankchute/core/send_buffers.py
+++ b/crankchute/core/send_buffers.py
@@ -192,9 +192,9 @@
             transfer.progress_ms = now_ms
         transfer.unsent += size
         self._change_buffered(transfer, size)
-        is_over = transfer.unsent > self._answer_limit()
-        if transfer.is_answer and is_over and not transfer.is_paused:
-            transfer.pause(now_ms)
+        if transfer.is_answer and not transfer.is_paused:
+            if transfer.unsent > self._answer_limit():
+                transfer.pause(now_ms)
         return transfer.is_paused
 
     def record_sent(self, transfer, size, now_ms):
--- a/crankchute/core/send_buffers_test.py
+++ b/crankchute/core/send_buffers_test.py
@@ -224,6 +224,15 @@
     assert buffers.list_stalled(NO_PROGRESS_MS + 500) == [transfer]
 
 
+def test_request_is_sent_while_only_unread_answers_are_over_the_total():
+    """A request that waited for its socket ended the loop's turn by an error."""
+    buffers = SendBuffers(8_000_000)
+    buffers.unread = 2_000_000
+    transfer = Transfer(is_answer=False)
+    assert not buffers.add_unsent(transfer, 1000, 0)
+    assert buffers.transfers == (transfer,)
+
+
 def test_emptying_the_queue_of_the_system_is_progress():
     """Guards against disconnecting a caller that reads a full socket buffer."""
     buffers = SendBuffers(_MEMORY)
