Name the server that an order or a report query is for

What callers saw: a server crashed, and a server of another pool started at its address.

Cause: requests name the server they are for, so that another one rejects them with 421; orders and report queries did not.

Change: both carry the id. A 421 to them counts as one to a request: the listed server is avoided until its entry is written again. The simulated engine checks the id in all calls, as the platform's servers do.

--- a/crankchute/adapters/forward_journal.py
+++ b/crankchute/adapters/forward_journal.py
@@ -188,6 +188,14 @@
             limit=notice.limit,
         )
 
+    def log_moved(self, backend):
+        """Log that another server answered at a server's address.
+
+        Args:
+          backend: The Backend.
+        """
+        log_change('server_moved', server=backend.identity)
+
     def log_reserved(self, request_id, helpers, refused, took_ms):
         """Log that engines were asked to reserve memory.
 
--- a/crankchute/core/server_notice.py
+++ b/crankchute/core/server_notice.py
@@ -97,6 +97,15 @@
         if notice.limit is not None or not notice.names_limit:
             self._limits.receive_answer(backend.identity, notice.limit, sent_ms)
 
+    def record_moved(self, backend):
+        """Record that another server answered at a server's address.
+
+        Args:
+          backend: The Backend that a call was for.
+        """
+        self._journal.log_moved(backend)
+        self._fleet.record_removed(backend.identity, is_seen=True)
+
     def _log_changes(self, backend, notice):
         """Log a notice, unless it only repeats the known limit."""
         is_known = notice.limit == self._limits.limit_of(backend.identity)
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -365,7 +365,7 @@
             chooser.record_polled_load(reporting_backend, load)
 
     def _on_server_moved(self, backend):
-        log_change('server_moved', server=backend.identity)
+        self.journal.log_moved(backend)
         self.fleet.record_removed(backend.identity, is_seen=True)
 
     def _on_quarantined(self, suspects, servers):
--- a/crankchute/platform/engine_orders.py
+++ b/crankchute/platform/engine_orders.py
@@ -8,7 +8,7 @@
 from crankchute.adapters.http_client import build_request
 from crankchute.core.reservations import ReservationPort
 from crankchute.platform.answer_attribution import RequestIdAttribution
-from crankchute.platform.wire import ORDER_PATH
+from crankchute.platform.wire import ORDER_PATH, TARGET_INCARNATION
 from crankchute.ports.http import WholeResponse
 
 #: Timeout of an order to reserve memory.  It is short because a request waits
@@ -58,17 +58,24 @@
         if there was no response within timeout_ms.
         """
         pending = _PendingOrder(on_done)
+        backend = helper.backend
         request = build_request(
             'POST',
-            helper.backend.listed.address,
+            backend.listed.address,
             ORDER_PATH,
             orjson.dumps(document),
-            (('Content-Type', 'application/json'),),
-        )
-        sink = WholeResponse(
-            lambda status, _body: pending.finish(status in _SUCCESS_STATUSES),
-            lambda _exc: pending.finish(None),
+            (
+                ('Content-Type', 'application/json'),
+                (TARGET_INCARNATION, backend.listed.listed_id),
+            ),
         )
+
+        def on_response(status, _body):
+            if status == HTTPStatus.MISDIRECTED_REQUEST:
+                self._calls.listener.record_moved(backend)
+            pending.finish(status in _SUCCESS_STATUSES)
+
+        sink = WholeResponse(on_response, lambda _exc: pending.finish(None))
         options = CallOptions(
             idle_ms=_MAX_IDLE_MS,
             connect_ms=timeout_ms,
@@ -78,12 +85,7 @@
             timeout_ms,
             pending.on_timeout,
         )
-        pending.call = self._calls.send(
-            helper.backend,
-            request,
-            sink,
-            options,
-        )
+        pending.call = self._calls.send(backend, request, sink, options)
 
 
 class _PendingOrder:
--- a/crankchute/platform/engine_reports.py
+++ b/crankchute/platform/engine_reports.py
@@ -1,5 +1,7 @@
 """Fetches and parses load reports of engines; implements ReportPort."""
 
+from http import HTTPStatus
+
 import orjson
 
 from crankchute.adapters.http_call import CallOptions
@@ -8,7 +10,7 @@
 from crankchute.core.initial_load_poll import ReportPort
 from crankchute.core.reported_load import ReportedLoad
 from crankchute.platform.answer_attribution import RequestIdAttribution
-from crankchute.platform.wire import REPORT_PATH
+from crankchute.platform.wire import REPORT_PATH, TARGET_INCARNATION
 from crankchute.ports.http import WholeResponse
 
 _CONNECT_TIMEOUT_MS = 200
@@ -29,7 +31,7 @@
     def request_load(self, backend, on_load):
         """See ReportPort."""
 
-        def on_response(_status, body):
+        def on_response(body):
             load = parse_report(body)
             if load is not None:
                 on_load(load)
@@ -41,10 +43,21 @@
         self._get(backend, path, _ignore_response)
 
     def _get(self, backend, path, on_response):
+        def on_answer(status, body):
+            if status == HTTPStatus.MISDIRECTED_REQUEST:
+                self._calls.listener.record_moved(backend)
+            else:
+                on_response(body)
+
         self._calls.send(
             backend,
-            build_request('GET', backend.listed.address, path),
-            WholeResponse(on_response, _log_failure),
+            build_request(
+                'GET',
+                backend.listed.address,
+                path,
+                headers=((TARGET_INCARNATION, backend.listed.listed_id),),
+            ),
+            WholeResponse(on_answer, _log_failure),
             CallOptions(
                 idle_ms=_MAX_IDLE_MS,
                 connect_ms=_CONNECT_TIMEOUT_MS,
@@ -96,7 +109,7 @@
     return ReportedLoad(int(running) + int(waiting))
 
 
-def _ignore_response(_status, _body):
+def _ignore_response(_body):
     """Discard a response; ServerCalls has read what its head says."""
 
 
--- a/crankchute/platform/server_calls.py
+++ b/crankchute/platform/server_calls.py
@@ -26,6 +26,9 @@
     def take(self, backend, notice, sent_ms):
         """See ServerNotices."""
 
+    def record_moved(self, backend):
+        """See ServerNotices."""
+
 
 class ServerCalls:
     """Sends requests to backend servers over HTTP.
--- a/crankchute/platform/standin_engine.py
+++ b/crankchute/platform/standin_engine.py
@@ -224,7 +224,10 @@
         else:
             process = self._process_request
             self.arrivals += 1
-        if self.rest is None:
+        target = exchange.header(TARGET_INCARNATION)
+        if target is not None and target != self.identity:
+            self._reject(exchange, HTTPStatus.MISDIRECTED_REQUEST, self)
+        elif self.rest is None:
             process(exchange)
         else:
             self._reject(exchange, HTTPStatus.SERVICE_UNAVAILABLE, self)
@@ -267,9 +270,6 @@
         self._reply(exchange, HTTPStatus.OK, {'free': free - tokens})
 
     def _process_request(self, exchange):
-        if exchange.header(TARGET_INCARNATION) not in {None, self.identity}:
-            self._reject(exchange, HTTPStatus.MISDIRECTED_REQUEST, self)
-            return
         behaviour = None
         if self.next_behaviours:
             behaviour = self.next_behaviours.popleft()
