Split the memory of requests: the claims, the waits and the bound

Change: Decision and MemoryClaim are moved to request_claim.py, and the prediction of waits to request_wait.py, with no change of behaviour.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -524,7 +524,7 @@
     Mutation(
         'memory: requests wait in vain',
         _REQUEST_MEMORY_TEST,
-        _REQUEST_MEMORY,
+        'crankchute/core/request_wait.py',
         'return now_ms + needed_ms > claim.deadline_ms',
         'return now_ms > claim.deadline_ms',
     ),
--- a/crankchute/adapters/request_gate.py
+++ b/crankchute/adapters/request_gate.py
@@ -4,11 +4,8 @@
 
 from crankchute.adapters.log import log_change
 from crankchute.adapters.sockets import has_input
-from crankchute.core.request_memory import (
-    SMALL_BYTES,
-    Decision,
-    MemoryClaim,
-)
+from crankchute.core.request_claim import Decision, MemoryClaim
+from crankchute.core.request_memory import SMALL_BYTES
 from crankchute.errors import RequestRefused
 
 _CHECK_MS = 100
--- a/crankchute/core/request_memory.py
+++ b/crankchute/core/request_memory.py
@@ -8,9 +8,11 @@
 RequestMemory decides.  Callers pass the time and apply the decisions.
 """
 
-import enum
 from collections import Counter
 
+from crankchute.core.request_claim import Decision
+from crankchute.core.request_wait import WaitPredictor
+
 #: Requests up to this size never wait, in bytes.
 SMALL_BYTES = 65_536
 #: What a request that waits can take: its first bytes, and the buffer of the
@@ -25,79 +27,6 @@
 #: for others that wait, in milliseconds.  A lost packet is usually sent again
 #: within a second.
 _STALLED_MS = 1000
-#: The weight of the last request in the mean time that requests take.
-_MEAN_WEIGHT = 0.2
-#: While it is not known how long requests take, one waits no longer than this
-#: part of its time.  Another instance can serve it in the rest.
-_UNKNOWN_WAIT = 0.5
-
-
-class Decision(enum.Enum):
-    """What happens to a request that needs memory."""
-
-    GRANTED = 'granted'
-    WAITS = 'waits'
-    REFUSED = 'refused'
-    #: It exceeds the bound and is refused for good.
-    TOO_LARGE = 'too_large'
-
-
-class MemoryClaim:
-    """The memory that one request takes or waits for.
-
-    Attributes:
-      arrived_ms: When its first bytes arrived.
-      deadline_ms: When its caller gives up.
-      granted_ms: When its memory was granted, or None.
-      is_complete: Whether all of its bytes have arrived.
-      is_large: Whether it counts among the large requests.
-      owner: A label of its caller.
-      progress_ms: When bytes of it last arrived.
-      size: The bytes that it has reserved or, if it waits, needs.
-    """
-
-    __slots__ = (
-        'arrived_ms',
-        'deadline_ms',
-        'granted_ms',
-        'is_complete',
-        'is_large',
-        'owner',
-        'progress_ms',
-        'size',
-    )
-
-    def __init__(self, owner, arrived_ms, deadline_ms):
-        """Create a claim without memory.
-
-        Args:
-          owner: See the class.
-          arrived_ms: See the class.
-          deadline_ms: See the class.
-        """
-        self.arrived_ms = arrived_ms
-        self.deadline_ms = deadline_ms
-        self.granted_ms = None
-        self.is_complete = False
-        self.is_large = False
-        self.owner = owner
-        self.progress_ms = arrived_ms
-        self.size = 0
-
-    @property
-    def waits(self):
-        """Whether it waits for memory, a bool."""
-        return self.is_large and self.granted_ms is None
-
-    def record_progress(self, now_ms, *, is_complete):
-        """Record that bytes of the request arrived.
-
-        Args:
-          now_ms: The time in milliseconds.
-          is_complete: Whether they were the last.
-        """
-        self.progress_ms = now_ms
-        self.is_complete = is_complete
 
 
 class RequestMemory:
@@ -119,7 +48,7 @@
         self._granted = {}
         self._waiting = {}
         self._used_by_owner = Counter()
-        self._mean_ms = None
+        self._predictor = WaitPredictor()
         self.change_memory(memory_bytes)
 
     @property
@@ -233,7 +162,7 @@
             self._granted.pop(claim)
             self._add_large(claim, -claim.size)
             if claim.is_complete:
-                self._record_time(now_ms - claim.granted_ms)
+                self._predictor.record(now_ms - claim.granted_ms)
         elif not claim.is_large:
             self.small_used -= claim.size
         self._waiting.pop(claim, None)
@@ -307,34 +236,18 @@
         return not self._is_too_late(claim, ahead, now_ms)
 
     def _predict_wait_ms(self, needed, now_ms):
-        """Predict when as many bytes as needed are free, None if unknown.
-
-        Those in memory are expected to end in the order in which they came.
-        """
-        missing = self.large_used + needed - self._owner_limit
-        if missing <= 0:
-            return 0
-        if self._mean_ms is None:
-            return None
-        rounds, rest = divmod(missing, self._owner_limit)
-        wait_ms = rounds * self._mean_ms
-        for claim in self._granted:
-            rest -= claim.size
-            if rest <= 0:
-                end_ms = claim.granted_ms + self._mean_ms
-                return wait_ms + max(end_ms - now_ms, 0)
-        return wait_ms + self._mean_ms
+        """Predict when as many bytes as needed are free, None if unknown."""
+        return self._predictor.predict_ms(
+            self.large_used + needed - self._owner_limit,
+            self._owner_limit,
+            self._granted,
+            now_ms,
+        )
 
     def _is_too_late(self, claim, ahead, now_ms):
         """Tell whether a claim that waits cannot be served in time."""
         wait_ms = self._predict_wait_ms(ahead + claim.size, now_ms)
-        if wait_ms is None:
-            allowed_ms = claim.deadline_ms - claim.arrived_ms
-            waited_ms = now_ms - claim.arrived_ms
-            return waited_ms > allowed_ms * _UNKNOWN_WAIT
-        # It needs about as much time as others once it has its memory.
-        needed_ms = wait_ms + (self._mean_ms or 0)
-        return now_ms + needed_ms > claim.deadline_ms
+        return self._predictor.is_too_late(claim, wait_ms, now_ms)
 
     def _fits(self, claim):
         owned = self._used_by_owner[claim.owner] + claim.size
@@ -375,12 +288,6 @@
         if not self._used_by_owner[claim.owner]:
             self._used_by_owner.pop(claim.owner)
 
-    def _record_time(self, took_ms):
-        if self._mean_ms is None:
-            self._mean_ms = took_ms
-        else:
-            self._mean_ms += (took_ms - self._mean_ms) * _MEAN_WEIGHT
-
 
 def _is_stalled(claim, now_ms):
     return not claim.is_complete and now_ms - claim.progress_ms >= _STALLED_MS
--- a/crankchute/core/request_memory_machine_test.py
+++ b/crankchute/core/request_memory_machine_test.py
@@ -9,12 +9,8 @@
     rule,
 )
 
-from crankchute.core.request_memory import (
-    WAITING_BYTES,
-    Decision,
-    MemoryClaim,
-    RequestMemory,
-)
+from crankchute.core.request_claim import Decision, MemoryClaim
+from crankchute.core.request_memory import WAITING_BYTES, RequestMemory
 
 _MEMORY = 16_000_000
 _OWNERS = st.sampled_from(['a', 'b', 'c'])
--- a/crankchute/core/request_memory_test.py
+++ b/crankchute/core/request_memory_test.py
@@ -2,11 +2,10 @@
 
 import pytest
 
+from crankchute.core.request_claim import Decision, MemoryClaim
 from crankchute.core.request_memory import (
     SMALL_BYTES,
     WAITING_BYTES,
-    Decision,
-    MemoryClaim,
     RequestMemory,
 )
 
