Bound the wait for a request whose server has ended the connection

Cause: the wait for the delivery of a request had no bound of its own. If something else had read the socket's error, what was sent stayed unacknowledged for ever and the call waited until its caller gave up. Found by a mutation that does not record the error of a write: its test did not end. Change: if nothing more is acknowledged for as long as TCP_USER_TIMEOUT allows, the connection counts as failed. The decision is in core/delivery_wait.py.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -511,7 +511,7 @@
         'ends: an end counts before the request has arrived',
         'crankchute/adapters/connection_ends_test.py',
         'crankchute/adapters/connection_hub.py',
-        'return bool(self._buffers[sock]) or self.count_queued(sock) > 0',
+        'return self._count_undelivered(sock) > 0',
         'return False',
     ),
     Mutation(
--- a/crankchute/adapters/connection_ends_test.py
+++ b/crankchute/adapters/connection_ends_test.py
@@ -203,3 +203,14 @@
     exchange = _Exchange('half written')
     exchange.answer(_FRAMED_ANSWERS[answer], 'reset')
     assert not exchange.client.rests_at(exchange.call.address)
+
+
+def test_request_that_is_never_acknowledged_fails_its_answer(monkeypatch):
+    """An error that something else had read left the call waiting for ever."""
+    monkeypatch.setattr(
+        'crankchute.adapters.connection_hub._SERVER_TIMEOUT_MS', 100
+    )
+    exchange = _Exchange('written')
+    monkeypatch.setattr(exchange.client.hub, 'count_queued', lambda _sock: 1)
+    outcome = exchange.answer(_UNFRAMED_ANSWERS['no length'], 'orderly')
+    assert outcome.connection_lost
--- a/crankchute/adapters/connection_hub.py
+++ b/crankchute/adapters/connection_hub.py
@@ -6,6 +6,7 @@
 
 import os
 import socket
+from errno import ETIMEDOUT
 
 from circuits import handler
 from circuits.core.utils import findcmp
@@ -19,6 +20,7 @@
     has_input,
     set_tcp_options,
 )
+from crankchute.core.delivery_wait import DeliveryWait
 
 #: TCP_USER_TIMEOUT of connections to servers, in milliseconds.  Memory that other
 #: servers reserve for a request must be free four seconds after the server that
@@ -71,7 +73,7 @@
         self._timers = timers
         self._errors = {}
         self._ended = set()
-        self._undelivered = set()
+        self._undelivered = {}
         self.depends_on_end = _depends_never
 
     def parse_bind_parameter(self, bind):
@@ -224,14 +226,17 @@
             self._close(sock)
 
     def _close(self, sock):
-        self._undelivered.discard(sock)
+        self._undelivered.pop(sock, None)
         super()._close(sock)
 
     def _awaits_delivery(self, sock):
         """Tell whether an end counts only if the rest of the request arrives."""
         if sock in self._errors or not self.depends_on_end(sock):
             return False
-        return bool(self._buffers[sock]) or self.count_queued(sock) > 0
+        return self._count_undelivered(sock) > 0
+
+    def _count_undelivered(self, sock):
+        return sum(map(len, self._buffers[sock])) + self.count_queued(sock)
 
     def _await_delivery(self, sock):
         if self._timers is None:
@@ -240,23 +245,24 @@
             return
         self._poller.removeReader(sock)
         if sock not in self._undelivered:
-            self._undelivered.add(sock)
-            self._check_later(sock)
-
-    def _check_later(self, sock):
-        self._timers.after(
-            _DELIVERY_CHECK_MS, lambda: self._check_delivery(sock)
-        )
+            self._undelivered[sock] = DeliveryWait(_SERVER_TIMEOUT_MS)
+            self._check_delivery(sock)
 
     def _check_delivery(self, sock):
         """End a connection whose server has ended it, once it is clear how."""
-        if sock not in self._undelivered:
+        wait = self._undelivered.get(sock)
+        if wait is None:
             return
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        now_ms = self._timers.clock.now_ms()
+        if not code and wait.is_over(self._count_undelivered(sock), now_ms):
+            code = ETIMEDOUT
         if code:
             self._end_sending(sock, OSError(code, os.strerror(code)))
         elif self._awaits_delivery(sock):
-            self._check_later(sock)
+            self._timers.after(
+                _DELIVERY_CHECK_MS, lambda: self._check_delivery(sock)
+            )
         else:
             self._ended.add(sock)
             self._close(sock)
