--- a/crankchute/adapters/connection_hub.py
+++ b/crankchute/adapters/connection_hub.py
@@ -219,7 +219,7 @@
             self._errors.setdefault(sock, f'receive: {exc.strerror}')
         if chunk:
             self._receive(sock, chunk)
-        elif self._awaits_delivery(sock):
+        elif self._depends_on_delivery(sock):
             self._await_delivery(sock)
         else:
             self._ended.add(sock)
@@ -229,7 +229,7 @@
         self._undelivered.pop(sock, None)
         super()._close(sock)
 
-    def _awaits_delivery(self, sock):
+    def _depends_on_delivery(self, sock):
         """Tell whether an end counts only if the rest of the request arrives."""
         if sock in self._errors or not self.depends_on_end(sock):
             return False
@@ -259,7 +259,7 @@
             code = ETIMEDOUT
         if code:
             self._end_sending(sock, OSError(code, os.strerror(code)))
-        elif self._awaits_delivery(sock):
+        elif self._depends_on_delivery(sock):
             self._timers.after(
                 _DELIVERY_CHECK_MS, lambda: self._check_delivery(sock)
             )
