Test that an end without a known cause fails the answer

Cause: the default of ConnectionHub, that what is not known to have ended in order did not, had no test of its own. Result: the test passes, and a mutation of the default makes it fail.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -507,6 +507,13 @@
         'or not has_input(sock):',
         'or sock in self._errors:',
     ),
+    Mutation(
+        'ends: one without a known cause counts as one in order',
+        'crankchute/adapters/connection_ends_test.py',
+        'crankchute/adapters/connection_hub.py',
+        'if error is None and not has_ended:',
+        'if error is not None and not has_ended:',
+    ),
     Mutation(
         'ends: an end counts before the request has arrived',
         'crankchute/adapters/connection_ends_test.py',
--- a/crankchute/adapters/connection_ends_test.py
+++ b/crankchute/adapters/connection_ends_test.py
@@ -214,3 +214,13 @@
     monkeypatch.setattr(exchange.client.hub, 'count_queued', lambda _sock: 1)
     outcome = exchange.answer(_UNFRAMED_ANSWERS['no length'], 'orderly')
     assert outcome.connection_lost
+
+
+def test_close_without_a_known_cause_fails_the_answer():
+    """An end that nobody had classified counted as one in order."""
+    exchange = _Exchange('written')
+    exchange.sock.sendall(_UNFRAMED_ANSWERS['no length'])
+    exchange.loop.run_until(lambda: exchange.call.status, 0.001)
+    exchange.client.hub.abort(exchange.call.sock)
+    exchange.loop.run_until(lambda: bool(exchange.outcomes), 0.001)
+    assert exchange.outcomes[0].connection_lost
