--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A key is taken away just before an outage of the store."""
+"""Replicas leave while the store forgets its history; who sends to them?"""
 
 import asyncio
 import os
@@ -16,93 +16,108 @@
 from store import Store
 
 HAS_TROUBLE = os.environ.get('TROUBLE') != '0'
-INSTANCES = 3
-REVOKE_S = 5.0
-#: The longest outage of the store in the site file, in seconds.
-DOWN_S = 8.0
-OPEN_PATH = '/open/'
+INSTANCES = 76
+LEAVERS = 3
+STABLE = 2
+#: Between two leaves, in seconds: the store is stable again 3 s after it forgot
+#: its history.
+ROUND_S = 3.45
+#: Clients ask each instance this many rounds after a replica left, 3.25 s after
+#: the latest disruption of the store.
+ASKED_AFTER_ROUNDS = 3
+MARGIN_S = 0.2
+REQUESTS = 8
+DRAIN_S = 2.0
+#: How long a replica serves on after its entry is gone.
+SERVES_ON_S = 15
 KEY = 'key-1'
-REVOKED_KEY = 'key-2'
 
 
 async def play(record):
     store = Store()
     address = await store.listen('127.0.0.1')
     replicas = []
-    for number in range(3):
+    for number in range(STABLE + LEAVERS):
         replica = Replica(f'i-{number:04x}', SERVICE, 'cubao')
         await replica.listen('127.0.0.1')
         replicas.append(replica)
         store.put(f'servers/{replica.identity}', replica.entry())
-    routes = [
-        make_route(),
-        make_route(OPEN_PATH, **{'allow-anonymous': True}),
-    ]
-    store.put('op/config', make_config(7, routes, {'hule': [KEY, REVOKED_KEY]}))
+    store.put('op/config', make_config(7, [make_route()], {'hule': [KEY]}))
     fleet = Fleet(INSTANCES, address)
-    sent = {}
+    gone = {}
     try:
         await fleet.start()
         record.write(f'{INSTANCES} instances are ready')
         await asyncio.sleep(4)
-        store.put('op/config', make_config(8, routes, {'hule': [KEY]}))
-        revoked = time.time()
-        if HAS_TROUBLE:
-            store.is_away = True
-        record.write('version 8, which takes key-2 away, is acknowledged')
-        if HAS_TROUBLE:
-            record.write('the store is down')
-        await ask_until(record, fleet, sent, revoked + DOWN_S)
-        store.is_away = False
-        record.write('the store is back')
-        await asyncio.sleep(1)
+        for number in range(LEAVERS + ASKED_AFTER_ROUNDS):
+            begun = time.time()
+            if number < LEAVERS:
+                leaver = replicas[STABLE + number]
+                await let_leave(record, store, leaver, replicas, gone)
+            rest_s = begun + ROUND_S - MARGIN_S - time.time()
+            await asyncio.sleep(rest_s)
+            if number >= ASKED_AFTER_ROUNDS - 1:
+                await ask_all(record, fleet, number)
+            await asyncio.sleep(max(begun + ROUND_S - time.time(), 0))
     finally:
         fleet.stop()
-    late = []
-    for replica in replicas:
-        for _at, request in replica.runs:
-            request_id = request.headers['x-crankchute-request-id']
-            tenant = request.headers.get('x-crankchute-tenant')
-            after_s = sent[request_id][0] - revoked
-            is_revoked = sent[request_id][1] == REVOKED_KEY
-            if is_revoked and tenant is not None and after_s > REVOKE_S:
-                late.append(
-                    f'{request_id} with the revoked key, sent {after_s:.2f} s '
-                    f'after the acknowledgement, ran at {replica.identity} as '
-                    f'{tenant}'
-                )
+    late = list_late(replicas, gone)
     for line in late:
         record.write(line)
-    record.write(f'{len(late)} requests ran with a revoked key')
+    record.write(f'{len(late)} requests ran at a replica that had left')
     return bool(late)
 
 
-async def ask_until(record, fleet, sent, until):
-    """Ask all instances, on both routes and with both keys."""
-    statuses = {}
+async def let_leave(record, store, leaver, replicas, gone):
+    """Let a replica leave just after another has come."""
+    comer = Replica(f'i-{len(replicas):04x}', SERVICE, 'pasay')
+    await comer.listen('127.0.0.1')
+    replicas.append(comer)
+    store.put(f'servers/{comer.identity}', comer.entry())
+    await asyncio.sleep(0.05)
+    store.delete(f'servers/{leaver.identity}')
+    gone[leaver.identity] = time.time()
+    record.write(f'the entry of {leaver.identity} is gone')
+    if HAS_TROUBLE:
+        await asyncio.sleep(0.02)
+        store.forget_history()
+        record.write('the store forgets its history')
 
-    async def ask(instance, path, key):
-        number = 0
-        while time.time() < until:
-            number += 1
-            request_id = f'{instance.name}-{path.strip("/")}-{key}-{number}'
-            sent[request_id] = time.time(), key
-            answer = await instance.request(
-                'GET', f'{path}{number}', make_headers(request_id, key)
-            )
-            name = f'{path} {key} {answer.status}'
-            statuses[name] = statuses.get(name, 0) + 1
-            await asyncio.sleep(0.2)
 
-    await asyncio.gather(
+async def ask_all(record, fleet, number):
+    """Send a few requests to each instance."""
+    answers = await asyncio.gather(
         *(
-            ask(instance, path, key)
+            instance.request(
+                'GET',
+                f'{PATH}{step}',
+                make_headers(f'{instance.name}-{number}-{step}', KEY),
+            )
             for instance in fleet.instances
-            for path in (PATH, OPEN_PATH)
-            for key in (KEY, REVOKED_KEY)
+            for step in range(REQUESTS)
         )
     )
-    record.write(f'answers by route, key and status: {statuses}')
+    statuses = {}
+    for answer in answers:
+        statuses[answer.status] = statuses.get(answer.status, 0) + 1
+    record.write(f'{len(answers)} requests to all instances: {statuses}')
+
+
+def list_late(replicas, gone):
+    """Return what ran at replicas that had left for over drain-ms."""
+    late = []
+    for replica in replicas:
+        if replica.identity not in gone:
+            continue
+        for at, request in replica.runs:
+            after_s = at - gone[replica.identity]
+            if DRAIN_S < after_s < SERVES_ON_S:
+                request_id = request.headers['x-crankchute-request-id']
+                late.append(
+                    f'{request_id} ran at {replica.identity} {after_s:.1f} s '
+                    f'after its entry was gone'
+                )
+    return late
 
 
 def main():
