--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -230,10 +230,6 @@
                     raise RuntimeError(f'{instance.name} is not ready')
                 await asyncio.sleep(0.05)
 
-    def make_stale(self, count):
-        """Return seeds at which no machine is."""
-        return [Instance(self, 200 + number) for number in range(count)]
-
     def stop(self):
         """End all processes that were started, and remove their files."""
         for instance in self.instances:
