Count the stages of a shutdown from when the signal may have been sent

Cause: the platform counts from when it sends the signal, the schedule counted from when the event of the signal was handled, behind others. Callers counted as unaware of the shutdown for too long by that time. Change: the loop reports a time at which the signal had not been sent yet, the last check of its timers. Why it works: a request that counts as one of an unaware caller was sent before the platform's own period ended, whenever the signal was noticed.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -848,6 +848,13 @@
         '        attempt.cancel()\n'
         '        self.may_have_run = self.may_have_run or attempt.is_sent\n',
     ),
+    Mutation(
+        'shutdown: counts from when the process notices the signal',
+        'crankchute/platform/stops_test.py',
+        'crankchute/core/shutdown_admission.py',
+        'job.arrived_ms <= self.schedule.unaware_ms',
+        'job.arrived_ms <= self.schedule.known_ms',
+    ),
     Mutation(
         'shutdown: an error in the stop of peers keeps the process running',
         _SHUTDOWN_TEST,
--- a/crankchute/adapters/loop.py
+++ b/crankchute/adapters/loop.py
@@ -1,5 +1,6 @@
 """The event loop of a process, with its poller, clock and timers."""
 
+import signal
 from threading import current_thread
 from traceback import format_tb
 from types import TracebackType
@@ -41,6 +42,7 @@
         IndexedPoller().register(self)
         self.timers = LoopTimers(self.clock).register(self)
         self._signal_callbacks = {}
+        self._signal_sent_after_ms = None
 
     def post(self, function, *args):
         """Call a function on the loop's thread; safe from any thread.
@@ -62,6 +64,20 @@
         """
         self._signal_callbacks[signo] = callback
 
+    def on_stop_signal(self, stop):
+        """Call a function on SIGTERM and SIGINT.
+
+        Args:
+          stop: A function of a time, on this process's clock, at which the
+            signal had not been sent yet.
+        """
+
+        def on_signal():
+            stop(self._signal_sent_after_ms)
+
+        self.on_signal(signal.SIGTERM, on_signal)
+        self.on_signal(signal.SIGINT, on_signal)
+
     def run_until(self, is_done, tick_s=_TICK_S):
         """Run the loop until a condition holds.
 
@@ -75,6 +91,11 @@
             self.tick(tick_s)
         self._executing_thread = None
 
+    def _signal_handler(self, signo, stack):
+        """Record the time first: the event may wait behind many others."""
+        self._signal_sent_after_ms = self.timers.checked_ms
+        super()._signal_handler(signo, stack)
+
     @handler('exception', channel='*')
     def _on_exception(self, error_type, error, stack, **_details):
         log_change(
--- a/crankchute/adapters/shutdown_log.py
+++ b/crankchute/adapters/shutdown_log.py
@@ -3,10 +3,11 @@
 from crankchute.adapters.log import log_change
 
 
-def log_stopping(grace_ms, flows):
+def log_stopping(schedule, grace_ms, flows):
     """Log that a shutdown begins.
 
     Args:
+      schedule: Its ShutdownSchedule.
       grace_ms: The milliseconds after which the process is killed.
       flows: The ForwardFlows in progress.
     """
@@ -14,6 +15,7 @@
     log_change(
         'stopping',
         grace_ms=grace_ms,
+        unnoticed_ms=round(schedule.unnoticed_ms, 1),
         in_progress=len(flows),
         not_sent=waiting,
     )
--- a/crankchute/adapters/timers.py
+++ b/crankchute/adapters/timers.py
@@ -22,7 +22,11 @@
 
 
 class LoopTimers(BaseComponent, TimerService):
-    """Runs timer callbacks on the loop's thread."""
+    """Runs timer callbacks on the loop's thread.
+
+    Attributes:
+      checked_ms: When the loop last checked for due timers.
+    """
 
     channel = 'timers'
 
@@ -36,6 +40,7 @@
         self._clock = clock
         self._heap = TimerHeap()
         self._was_read_first = False
+        self.checked_ms = clock.now_ms()
 
     @property
     def clock(self):
@@ -60,6 +65,7 @@
 
     def _run_due_timers(self):
         now_ms = self._clock.now_ms()
+        self.checked_ms = now_ms
         subscription = self._heap.pop_due(now_ms)
         while subscription is not None:
             subscription.run()
--- a/crankchute/entry/forward_node.py
+++ b/crankchute/entry/forward_node.py
@@ -236,13 +236,18 @@
         reload_cold_bounds(self, limits.cold)
         self.peers.replace_seeds(seeds)
 
-    def stop(self):
-        """Shut down gracefully: requests in progress are completed."""
+    def stop(self, sent_after_ms=None):
+        """Shut down gracefully: requests in progress are completed.
+
+        Args:
+          sent_after_ms: A time at which the signal to stop had not been sent
+            yet, or None if it was sent just now.
+        """
         if self.phase == DRAINING:
             return
         self._enter_phase(DRAINING)
         self.peers.announce(is_serving=False)
-        self.shutdown.start(self._limits)
+        self.shutdown.start(self._limits, sent_after_ms)
 
     def record_listed(self):
         """Record that the list of backend servers is known, even if empty."""
--- a/crankchute/entry/shutdown.py
+++ b/crankchute/entry/shutdown.py
@@ -32,17 +32,22 @@
         self._logged = set()
         self.host = ShutdownHost()
 
-    def start(self, limits):
+    def start(self, limits, sent_after_ms=None):
         """Begin the shutdown, once; later changes of the limits do not affect it.
 
         Args:
           limits: The ForwardLimits.
+          sent_after_ms: See ForwardNode.stop.
         """
         node = self._node
-        node.desk.shutdown.schedule = ShutdownSchedule(
-            node.now_ms(), limits.grace_ms, limits.address_ttl_ms
+        schedule = ShutdownSchedule(
+            node.now_ms(),
+            limits.grace_ms,
+            limits.address_ttl_ms,
+            sent_after_ms,
         )
-        log_stopping(limits.grace_ms, node.desk.flows)
+        node.desk.shutdown.schedule = schedule
+        log_stopping(schedule, limits.grace_ms, node.desk.flows)
         self._timer = node.timers.every(_CHECK_INTERVAL_MS, self._check)
         self.host.on_started()
 
--- a/crankchute/platform/run.py
+++ b/crankchute/platform/run.py
@@ -33,8 +33,7 @@
         return 1
     node = platform.node
     node.on_stopped = loop.stop
-    loop.on_signal(signal.SIGTERM, node.stop)
-    loop.on_signal(signal.SIGINT, node.stop)
+    loop.on_stop_signal(node.stop)
     # The loop does not handle SIGHUP, which ends the process by default.
     signal.signal(
         signal.SIGHUP,
--- a/crankchute/platform/standin_stop.py
+++ b/crankchute/platform/standin_stop.py
@@ -4,6 +4,7 @@
 loop.  The clock advances by a fixed step for each iteration of the loop.
 """
 
+import signal
 import socket
 from types import MappingProxyType
 
@@ -79,6 +80,7 @@
         self.platform = PlatformNode(self.loop, settings, sockets)
         self.node = self.platform.node
         self.node.on_stopped = self._on_stopped
+        self.loop.on_stop_signal(self.node.stop)
         self.configure()
         self._list_server()
 
@@ -103,11 +105,21 @@
             self._observe()
 
     def stop(self):
-        """Deliver the signal."""
-        if self._stopped_at_ms is None:
-            self._stopped_at_ms = self.clock.time_ms
+        """Send the signal; the instance notices it at once."""
+        self._record_stop()
         self.node.stop()
 
+    def stop_while_busy(self, busy_ms):
+        """Send the signal to a process that is busy with something else.
+
+        Args:
+          busy_ms: For how long the process does not notice it.
+        """
+        self._record_stop()
+        self.clock.advance(busy_ms)
+        # The method that circuits installs as the signal's handler.
+        self.loop._signal_handler(signal.SIGTERM, None)  # noqa: SLF001, WPS437
+
     def reload(self, grace_ms):
         """Deliver the signal of changed settings.
 
@@ -194,6 +206,10 @@
             and caller.request_id in self.server.runs
         ]
 
+    def _record_stop(self):
+        if self._stopped_at_ms is None:
+            self._stopped_at_ms = self.clock.time_ms
+
     def _advance(self):
         self._observe()
         return self.clock.advance(STEP_MS)
--- a/crankchute/platform/stops_test.py
+++ b/crankchute/platform/stops_test.py
@@ -14,7 +14,7 @@
 _LARGE = 4_000_000
 
 
-def run_shutdown(instance, target, every_ms):
+def run_shutdown(instance, target, every_ms, busy_ms=0):
     """Stop an instance whose caller keeps using its connection.
 
     Args:
@@ -22,11 +22,12 @@
       target: See StoppingInstance.send.
       every_ms: The interval between two requests, each on a connection that
         was open before the shutdown.
+      busy_ms: For how long the process does not notice the signal.
     """
     count = int(GRACE_MS / every_ms)
     connections = [instance.connect() for _ in range(count)]
     instance.run_for(200)
-    instance.stop()
+    instance.stop_while_busy(busy_ms)
     for connection in connections:
         instance.run_for(every_ms)
         if instance.ended_ms is None:
@@ -36,9 +37,12 @@
 
 @pytest.mark.parametrize('kind', ['once', 'again', 'stream'])
 @pytest.mark.parametrize('takes_ms', [40, 1500, 4000, 5100])
-def test_stop_cuts_requests_that_it_accepted_late(kind, takes_ms):
+@pytest.mark.parametrize('busy_ms', [0, 70, 400, 900])
+def test_stop_cuts_requests_that_it_accepted_late(kind, takes_ms, busy_ms):
+    """The platform counts from the signal, not from when it is noticed."""
     instance = StoppingInstance()
-    run_shutdown(instance, f'/{kind}/?ms={takes_ms}', every_ms=250)
+    target = f'/{kind}/?ms={takes_ms}'
+    run_shutdown(instance, target, 80, busy_ms)
     late = [
         caller.sent_ms
         for caller in instance.list_lost()
