Read current pages after a watch was refused, with pauses

Cause: pages after the first were stale reads. After a 410 such a list is older than the known one and is discarded, the watch from its position gets 410 again, and everything is read once more without a pause. Ruled out: that the known list should accept the first page by itself; a list that mixes two ages claims less, and a current read costs little after a 410. Evidence: five rows of store_test.py failed before the change.

--- a/crankchute/platform/store.py
+++ b/crankchute/platform/store.py
@@ -15,7 +15,8 @@
 from crankchute.adapters.http_call import CallOptions
 from crankchute.adapters.http_client import build_request
 from crankchute.adapters.log import log_change
-from crankchute.platform.store_pages import decode_page
+from crankchute.core.reread_delay import RereadDelay
+from crankchute.platform.store_pages import PagedRead, decode_page
 from crankchute.platform.store_position import era_of, parse_era, revision_of
 from crankchute.platform.wire import RANGE_PATH, STORE_ERA, WATCH_PATH
 from crankchute.ports.http import WholeResponse
@@ -93,7 +94,8 @@
         self.on_recovered = None
         self._position = None
         self._era = 0
-        self._entries = []
+        self._may_read_stale = True
+        self._reread_delay = RereadDelay()
         self._retry_ms = None
         self._timeout = None
         self._call = None
@@ -103,8 +105,7 @@
 
     def start(self):
         """Read all entries, then watch for changes."""
-        self._entries = []
-        self._read_page(None, self._now_ms(), None)
+        self._read_page(PagedRead(self._now_ms()))
 
     def resume(self, known):
         """Call the store again if the watch is idle and now needed.
@@ -133,39 +134,50 @@
     def _now_ms(self):
         return self._timers.clock.now_ms()
 
-    def _read_page(self, after, sent_ms, oldest):
-        """Read a page; those after the first may be seconds old.
+    def _read_page(self, read):
+        """Read a page; the first time those after the first may be seconds old.
 
         Stale reads cost the store a tenth, which matters when a large fleet
         starts.  Changes since the oldest page arrive with the watch or from
-        other instances.
+        other instances.  When the watch could not be continued, that is not so:
+        the history of those changes may be gone.
 
         Args:
-          after: The last key of the page before, or None.
-          sent_ms: When the read was sent, or None for a later page.
-          oldest: The lowest position of the pages before, or None.
+          read: The PagedRead so far.
         """
         path = f'{RANGE_PATH}?path-prefix={quote(self._prefix, safe="")}'
-        if after is not None:
-            path = f'{path}&after={quote(after, safe="")}&stale=1'
+        is_stale = read.last_key is not None and self._may_read_stale
+        if read.last_key is not None:
+            path = f'{path}&after={quote(read.last_key, safe="")}'
+        if is_stale:
+            path = f'{path}&stale=1'
 
         def on_page(page):
-            if oldest is not None and era_of(page.position) != era_of(oldest):
+            if not read.is_continued_by(page):
+                self._may_read_stale = False
                 self._retry('the store was restored between two pages')
                 return
-            self._entries.extend(page.entries)
-            position = (
-                page.position if oldest is None else min(page.position, oldest)
-            )
+            read.add(page, is_stale=is_stale)
             if page.has_more:
-                self._read_page(page.entries[-1].key, None, position)
+                self._read_page(read)
                 return
-            self._position = position
-            self._listener.on_entries(self._entries, sent_ms, position)
+            self._position = read.position
+            self._listener.on_entries(read.entries, read.sent_ms, read.position)
             self._watch_if_needed()
 
         self._send(path, 0, on_page)
 
+    def _read_again(self):
+        """Read all entries because the watch cannot be continued."""
+        self._position = None
+        self._may_read_stale = False
+        _second_ms, longest_ms = self._policy.choose_retry_delays()
+        wait_ms = self._reread_delay.next_ms(self._now_ms(), longest_ms)
+        if wait_ms:
+            self._timers.after(wait_ms, self.start)
+        else:
+            self.start()
+
     def _watch_if_needed(self):
         self._is_idle = not self._policy.is_needed()
         if not self._is_idle:
@@ -185,8 +197,9 @@
         def on_page(page):
             if era_of(page.position) != sent_era:
                 log_change('store_came_back', prefix=self._prefix)
-                self.start()
+                self._read_again()
                 return
+            self._reread_delay.reset()
             self._position = max(self._position, page.position)
             batch_ms = self._policy.batch_ms if page.entries else 0
             self._listener.on_changes(page.entries, sent_ms)
@@ -206,8 +219,8 @@
             self._timeout.cancel()
             self._update_era(sink.headers)
             if status == HTTPStatus.GONE:
-                self._position = None
-                self.start()
+                log_change('store_history_gone', prefix=self._prefix)
+                self._read_again()
             elif status == HTTPStatus.OK:
                 self._decode(on_page, body)
             else:
--- a/crankchute/platform/store_pages.py
+++ b/crankchute/platform/store_pages.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from crankchute.platform.store_position import make_position
+from crankchute.platform.store_position import era_of, make_position
 
 
 class StoreEntry:
@@ -55,6 +55,59 @@
         self.has_more = has_more
 
 
+class PagedRead:
+    """All entries under a prefix, read page by page.
+
+    The pages are not one snapshot.  Together they are as old as the oldest.
+
+    Attributes:
+      entries: A list of StoreEntry.
+      position: The position of the oldest page, or None before the first.
+      sent_ms: When the first page was requested, or None if a page may be
+        stale: all entries were current at that time.
+      last_key: The last key read, or None.
+    """
+
+    __slots__ = ('entries', 'last_key', 'position', 'sent_ms')
+
+    def __init__(self, sent_ms):
+        """Create a read without pages.
+
+        Args:
+          sent_ms: When the first page is requested.
+        """
+        self.entries = []
+        self.position = None
+        self.sent_ms = sent_ms
+        self.last_key = None
+
+    def is_continued_by(self, page):
+        """Return whether a page is of the same era as those before.
+
+        Args:
+          page: A StorePage.
+        """
+        if self.position is None:
+            return True
+        return era_of(page.position) == era_of(self.position)
+
+    def add(self, page, *, is_stale):
+        """Add a page.
+
+        Args:
+          page: A StorePage that continues the read.
+          is_stale: Whether it may show an older state than when it was
+            requested, a bool.
+        """
+        self.entries.extend(page.entries)
+        if page.entries:
+            self.last_key = page.entries[-1].key
+        if self.position is None or page.position < self.position:
+            self.position = page.position
+        if is_stale:
+            self.sent_ms = None
+
+
 def decode_page(body, era=0):
     """Decode the body of a response.
 
--- a/crankchute/platform/store_test.py
+++ b/crankchute/platform/store_test.py
@@ -24,8 +24,9 @@
     def cancel(self):
         self.cancelled = True
 
-    def answer(self, document, status=200):
-        self.sink.on_head(status, {})
+    def answer(self, document, status=200, era=None):
+        headers = {} if era is None else {'store-era': str(era)}
+        self.sink.on_head(status, headers)
         self.sink.on_body(orjson.dumps(document))
         self.sink.on_done()
 
@@ -156,6 +157,47 @@
     assert harness.events[-1][:2] == ('all', ['servers/b'])
 
 
+def test_pages_read_after_a_loss_of_history_are_stale():
+    """Their changes are in no history, so the watch would be refused again."""
+    harness = Harness()
+    harness.answer_read('servers/a', at=5, more=True)
+    harness.answer_read('servers/b', at=2)
+    harness.timers.advance(70)
+    harness.calls[-1].answer({}, status=410)
+    harness.answer_read('servers/a', at=9, more=True)
+    assert 'stale' not in harness.calls[-1].path
+    harness.timers.advance(10)
+    harness.answer_read('servers/b', at=10)
+    # The first page was requested last when nothing was older.
+    assert harness.events[-1] == ('all', ['servers/a', 'servers/b'], 70, 9)
+    assert 'after=9&' in harness.calls[-1].path
+
+
+@pytest.mark.parametrize('is_restored', [False, True])
+@pytest.mark.parametrize(
+    ('retry_delays', 'most'), [((400, 800), 25), ((1500, 3000), 12)]
+)
+def test_store_that_refuses_each_watch_is_called_without_a_pause(
+    is_restored, retry_delays, most
+):
+    """The history or the era of each read is gone when it is watched."""
+    harness = Harness()
+    harness.retry_delays = retry_delays
+    answered = None
+    while harness.timers.clock.now_ms() < 8000 and len(harness.calls) < 100:
+        call = harness.calls[-1]
+        if call is answered:
+            harness.timers.advance(10)
+        elif 'kv-range' in call.path:
+            harness.answer_read('servers/a', at=5)
+        elif is_restored:
+            call.answer({'events': [], 'at': 5}, era=len(harness.calls))
+        else:
+            call.answer({}, status=410)
+        answered = call
+    assert len(harness.calls) <= most
+
+
 def test_refresh_replaces_the_pending_call():
     harness = Harness()
     harness.answer_read(at=5)
