Tell which deletions a list of servers covers

Cause: an instance that got a whole list from another one went on to assume that it knew all deletions since its own first list. A third instance whose list was in between got changes without the deletion from it. Change: a list has spans of revisions that changes from it can update; messages between instances tell where the sender's last span begins. A whole list is compared with the known one of the same era, and what is missing counts as deleted from then on. Entries never replace newer ones. Tried first: one revision per list from which on deletions are known. Why it works: changes are sent only to lists of a time for which the sender has all deletions; all others get the whole list.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -848,6 +848,20 @@
         '        attempt.cancel()\n'
         '        self.may_have_run = self.may_have_run or attempt.is_sent\n',
     ),
+    Mutation(
+        'a list that was replaced as a whole passes on changes of before',
+        'crankchute/core/server_list_test.py',
+        'crankchute/core/list_coverage.py',
+        'while spans and first <= spans[-1][1]:',
+        'while spans:',
+    ),
+    Mutation(
+        'store: pages are stale after a loss of history',
+        'crankchute/platform/store_test.py',
+        'crankchute/platform/store.py',
+        '        self._position = None\n        self._may_read_stale = False\n',
+        '        self._position = None\n',
+    ),
     Mutation(
         'shutdown: counts from when the process notices the signal',
         'crankchute/platform/stops_test.py',
--- a/crankchute/adapters/peer_records.py
+++ b/crankchute/adapters/peer_records.py
@@ -56,6 +56,7 @@
         since=changes.since,
         revision=changes.revision,
         entries=entries,
+        deletions_since=changes.deletions_since,
     )
 
 
@@ -69,7 +70,12 @@
         )
         for entry in reply.entries
     }
-    return ChangeSet(reply.since, reply.revision, entries)
+    return ChangeSet(
+        reply.since,
+        reply.revision,
+        entries,
+        reply.deletions_since or reply.revision,
+    )
 
 
 def write_message(message, now_ms):
--- a/crankchute/adapters/peer_records_test.py
+++ b/crankchute/adapters/peer_records_test.py
@@ -3,8 +3,10 @@
 import pytest
 
 from crankchute.adapters.peer_records import (
+    read_changes,
     read_member,
     read_message,
+    write_changes,
     write_member,
     write_message,
 )
@@ -21,6 +23,7 @@
 from crankchute.core.evacuations import Evacuation
 from crankchute.core.membership import Member
 from crankchute.core.peer_message import PeerMessage, WorkBatch, WorkChange
+from crankchute.core.replica import ChangeSet
 from crankchute.core.work_feed import apply_batch
 from crankchute.proto import peer_pb2
 
@@ -83,6 +86,22 @@
     assert [one.strength for one in received.active] == [516]
 
 
+@pytest.mark.parametrize(
+    ('since', 'told', 'expected'),
+    [(0, 4, 4), (3, 4, 4), (0, None, 9), (3, None, 3)],
+)
+def test_deletions_of_a_list_survive_a_round_trip(since, told, expected):
+    record = write_changes(ChangeSet(since, 9, {}, told))
+    assert read_changes(record).deletions_since == expected
+
+
+@pytest.mark.parametrize('since', [0, 3])
+def test_sender_that_tells_no_deletions_is_taken_to_know_them(since):
+    record = write_changes(ChangeSet(since, 9, {}))
+    record.ClearField('deletions_since')
+    assert read_changes(record).deletions_since == 9
+
+
 def test_times_are_converted_to_the_clock_of_the_receiver():
     news = [WorkChange(Change.SENT, make_sent_work())]
     work = send_and_receive(make_message(news)).batch.changes[0].work
--- a/crankchute/core/replica.py
+++ b/crankchute/core/replica.py
@@ -28,11 +28,16 @@
 
 
 class ChangeSet:
-    """The entries that changed between two revisions."""
+    """The entries that changed between two revisions.
 
-    __slots__ = ('entries', 'revision', 'since')
+    Attributes:
+      deletions_since: All deletions after this revision are included, also
+        those of entries that were added after it.
+    """
+
+    __slots__ = ('deletions_since', 'entries', 'revision', 'since')
 
-    def __init__(self, since, revision, entries):
+    def __init__(self, since, revision, entries, deletions_since=None):
         """Create a change set.
 
         Args:
@@ -40,7 +45,12 @@
             snapshot.
           revision: The revision that the changes lead to.
           entries: A map from key to Entry.
+          deletions_since: See the class; by default `since`, and for a full
+            snapshot its revision, as it may include no deletions.
         """
+        if deletions_since is None:
+            deletions_since = since or revision
+        self.deletions_since = deletions_since
         self.since = since
         self.revision = revision
         self.entries = entries
--- a/crankchute/core/server_list.py
+++ b/crankchute/core/server_list.py
@@ -7,7 +7,8 @@
 """
 
 from crankchute.core.freshness_proof import FreshnessProof
-from crankchute.core.replica import Replica
+from crankchute.core.list_coverage import ListCoverage
+from crankchute.core.replica import ChangeSet, Entry
 
 #: How many deleted entries are kept for lists that still have them; a list that
 #: is further behind is replaced as a whole.
@@ -15,18 +16,30 @@
 
 
 class ServerList:
-    """The entries of the backend servers at some revision."""
+    """The entries of the backend servers at some revision.
+
+    Attributes:
+      coverage: The ListCoverage.
+    """
 
     def __init__(self):
         """Create an empty list of revision 0."""
-        self._replica = Replica()
-        self._complete_from = 0
+        self._entries = {}
+        self.coverage = ListCoverage()
         self._proof = FreshnessProof()
 
     @property
     def revision(self):
         """The revision of the list, 0 before the first one."""
-        return self._replica.revision
+        return self.coverage.revision
+
+    def live_entries(self):
+        """Return a map from id to Entry, without deleted ones."""
+        return {
+            identity: entry
+            for identity, entry in self._entries.items()
+            if entry.payload is not None
+        }
 
     def changes_since(self, revision):
         """Return the changes that a list at another revision lacks, or None.
@@ -38,34 +51,77 @@
         """
         if revision >= self.revision:
             return None
-        if revision < self._complete_from:
-            return self._replica.changes_since(0)
-        return self._replica.changes_since(revision)
+        since = revision if self.coverage.can_update(revision) else 0
+        entries = {
+            identity: entry
+            for identity, entry in self._entries.items()
+            if entry.revision > since
+        }
+        return ChangeSet(
+            since, self.revision, entries, self.coverage.deletions_since
+        )
 
-    def replace_all(self, entries, revision):
-        """Replace the list by one read from the platform.
+    def replace_all(self, changes, *, may_have_expired=False):
+        """Replace the list by a whole one, from the store or another instance.
+
+        What only this list has counts as deleted.  It stays listed as deleted,
+        so that most lists of other instances need not be replaced as a whole.
+
+        Args:
+          changes: A ChangeSet that starts at 0 and is not older than this list;
+            some entries may be newer than its revision.
+          may_have_expired: Whether entries that the whole list lacks may have
+            expired rather than been deleted.
+        """
+        merged = dict(changes.entries)
+        for identity, known in self._entries.items():
+            entry = merged.get(identity)
+            until = changes.revision if entry is None else entry.revision
+            if known.revision > until:
+                merged[identity] = known
+            elif entry is None:
+                merged[identity] = _mark_deleted(
+                    known, until, may_have_expired=may_have_expired
+                )
+        self._entries = merged
+        self.coverage = self.coverage.join(changes)
+        self._discard_deleted()
+
+    def start_history(self, changes):
+        """Replace the list by one of a store restored from an older copy.
 
         Args:
-          entries: A map from id to Entry; some may be newer than the revision.
-          revision: The store's revision when the list was read, not lower than
-            that of this list.
+          changes: A ChangeSet that starts at 0.
         """
-        # Entries deleted below this revision are unknown.
-        self._complete_from = revision
-        self._replica = Replica(revision, entries)
+        self._entries = {}
+        self.coverage = ListCoverage()
+        self.replace_all(changes)
 
     def apply_changes(self, changes):
         """Apply changes from the platform or from another instance.
 
+        Entries that are not newer than what this list has are ignored.
+
         Args:
-          changes: A ChangeSet that starts no later than this list.
+          changes: A ChangeSet that starts no later than this list, and is not
+            a whole list.
+        Returns:
+          A map from id to Entry of what has changed.
         """
-        if changes.revision > self.revision:
-            self._replica = self._replica.with_changes(changes)
-            # The scan of all entries is slow for long lists, so it runs only
-            # after a deletion.
-            if any(one.payload is None for one in changes.entries.values()):
-                self._discard_deleted()
+        if changes.revision <= self.revision:
+            return {}
+        changed = {
+            identity: entry
+            for identity, entry in changes.entries.items()
+            if entry.revision > self._known_until(identity)
+        }
+        self._entries.update(changed)
+        self.coverage = self.coverage.join(changes)
+        # The scan of all entries is slow for long lists, so it runs only
+        # after a deletion.
+        if any(one.payload is None for one in changed.values()):
+            self._discard_deleted()
+        return changed
 
     def confirm(self, revision, asked_ms):
         """Record that a revision was the newest at a time.
@@ -85,15 +141,27 @@
         """
         return self._proof.age_ms(now_ms)
 
+    def _known_until(self, identity):
+        """Return the revision up to which a server's entry is known."""
+        known = self._entries.get(identity)
+        if known is None:
+            return self.revision
+        return max(known.revision, self.revision)
+
     def _discard_deleted(self):
         """Discard the oldest deleted entries beyond the bound."""
-        entries = self._replica.changes_since(0).entries
         deleted = sorted(
             (entry.revision, identity)
-            for identity, entry in entries.items()
+            for identity, entry in self._entries.items()
             if entry.payload is None
         )
         for revision, identity in deleted[:-_MAX_DELETED]:
-            entries.pop(identity)
-            self._complete_from = max(self._complete_from, revision)
-        self._replica = Replica(self.revision, entries)
+            self._entries.pop(identity)
+            self.coverage = self.coverage.discard_until(revision)
+
+
+def _mark_deleted(known, revision, *, may_have_expired):
+    """Return the entry of a server that a newer whole list lacks."""
+    if known.payload is None:
+        return known
+    return Entry(revision, None, may_have_expired=may_have_expired)
--- a/crankchute/entry/forward_peers_test.py
+++ b/crankchute/entry/forward_peers_test.py
@@ -14,7 +14,7 @@
         entries = {
             f's{revision}': Entry(revision, b'{}') for revision in revisions
         }
-        servers.replace_all(entries, max(revisions))
+        servers.replace_all(ChangeSet(0, max(revisions), entries))
     return servers
 
 
--- a/crankchute/entry/forward_state.py
+++ b/crankchute/entry/forward_state.py
@@ -28,6 +28,7 @@
         },
         'servers_listed': {
             'revision': node.servers.revision,
+            'spans': node.servers.coverage.spans,
             'proof_age_ms': node.servers.proof_age_ms(now_ms),
         },
         'evacuations': _dump_evacuations(node.fleet.evacuations, now_ms),
--- a/crankchute/entry/forward_state_test.py
+++ b/crankchute/entry/forward_state_test.py
@@ -15,7 +15,7 @@
         ('instance', 'one'),
         ('home', None),
         ('send_buffers', None),
-        ('servers_listed', {'revision': 0, 'proof_age_ms': None}),
+        ('servers_listed', {'revision': 0, 'spans': (), 'proof_age_ms': None}),
     ],
 )
 def test_state_holds_the_value(name, expected):
--- a/crankchute/platform/published.py
+++ b/crankchute/platform/published.py
@@ -88,10 +88,7 @@
                 )
                 for entry in entries
             }
-            listed = self._decode_entries(servers, position)
-            is_restored = self._is_restored(position)
-            self._servers.replace_all(servers, position)
-            self._replace_all(servers, listed, is_restored=is_restored)
+            self._replace_all(ChangeSet(0, position, servers))
         if sent_ms is not None:
             self._servers.confirm(self._servers.revision, sent_ms)
 
@@ -124,25 +121,23 @@
         known = self._servers.revision
         if changes.revision <= known or changes.since > known:
             return False
-        listed = self._decode_entries(changes.entries, changes.revision)
-        is_restored = self._is_restored(changes.revision)
-        self._servers.apply_changes(changes)
         if changes.since:
-            self._apply_changed(changes.entries, listed)
+            listed = self._decode_entries(changes.entries, is_restored=False)
+            self._apply_changed(self._servers.apply_changes(changes), listed)
         else:
-            self._replace_all(changes.entries, listed, is_restored=is_restored)
+            self._replace_all(changes)
         return True
 
-    def _decode_entries(self, entries, position):
+    def _decode_entries(self, entries, *, is_restored):
         """Decode entries, and clear the payload of malformed ones.
 
         Args:
           entries: A map from id to Entry.
-          position: The position of the store that they lead to.
+          is_restored: Whether they are from a store that was restored since
+            the known list.
         Returns:
           A map from id to ListedServer.
         """
-        is_restored = self._is_restored(position)
         listed = {}
         for identity, entry in entries.items():
             if entry.payload is None:
@@ -162,20 +157,28 @@
         known = self._servers.revision
         return known > 0 and era_of(position) != era_of(known)
 
-    def _replace_all(self, entries, listed, *, is_restored):
+    def _replace_all(self, changes):
         """Replace the whole list of servers.
 
         After a restore of the store the list may be outdated: missing entries
         may be written again soon, and some entries may be of removed servers.
         """
-        may_have_expired = any(
-            entry.may_have_expired for entry in entries.values()
+        is_restored = self._is_restored(changes.revision)
+        may_have_expired = self._failed_recently() or any(
+            entry.may_have_expired for entry in changes.entries.values()
+        )
+        if is_restored:
+            self._servers.start_history(changes)
+        else:
+            self._servers.replace_all(
+                changes, may_have_expired=may_have_expired
+            )
+        listed = self._decode_entries(
+            self._servers.live_entries(), is_restored=is_restored
         )
         self._fleet.replace(
             list(listed.values()),
-            may_have_expired=may_have_expired
-            or is_restored
-            or self._failed_recently(),
+            may_have_expired=may_have_expired or is_restored,
             may_be_old=is_restored,
         )
         log_change('servers_listed', servers=len(listed))
@@ -186,22 +189,23 @@
 
         A log line per server is too slow when a whole fleet registers.
         """
+        changed = []
         for listed_id, entry in entries.items():
             record = listed.get(listed_id)
             if record is None:
                 self._remove(listed_id, entry)
             else:
                 self._fleet.put(record)
-        if listed:
-            leaving = [
-                record.identity
-                for record in listed.values()
-                if record.state == LEAVING
-            ]
+                changed.append(record)
+        if changed:
             log_change(
                 'servers_changed',
-                servers=[record.identity for record in listed.values()],
-                leaving=leaving,
+                servers=[record.identity for record in changed],
+                leaving=[
+                    record.identity
+                    for record in changed
+                    if record.state == LEAVING
+                ],
             )
 
     def _remove(self, listed_id, entry):
--- a/crankchute/platform/published_test.py
+++ b/crankchute/platform/published_test.py
@@ -101,6 +101,23 @@
     assert harness.members() == members
 
 
+@pytest.mark.parametrize('passed_on', ['changes', 'whole list'])
+def test_deletion_in_a_lost_history_is_kept_from_a_third_instance(passed_on):
+    """It went on sending requests to the server that had left."""
+    reader, passing, third = Harness(), Harness(), Harness()
+    added = make_entry('c', 6, write_server())
+    third.published.on_changes([added], 50)
+    # No watch tells that `a` was deleted at revision 7.
+    entries = [make_entry('b', 3, write_server()), added]
+    reader.published.on_entries(entries, 100, 8)
+    since = 5 if passed_on == 'changes' else 0
+    passing.published.apply(reader.servers.changes_since(since))
+    third.published.apply(passing.servers.changes_since(6))
+    for harness in (passing, third):
+        assert harness.members() == {'b', 'c'}
+        assert harness.servers.revision == 8
+
+
 def test_older_responses_of_the_store_are_ignored():
     harness = Harness()
     harness.published.apply(ChangeSet(5, 9, {'c': Entry(9, write_server())}))
