Keep a removed server out when an older list names it again

Cause: any entry of a server, also an unchanged one in a list of another instance that is behind, cleared the removal that a third one had reported, so the server got requests again until the removal itself arrived. Change: only an entry that was written again (another revision) clears it.

--- a/crankchute/core/forward_fleet.py
+++ b/crankchute/core/forward_fleet.py
@@ -303,10 +303,11 @@
 
     def _put_latest(self, listed):
         self._cancel_lapse(listed.identity)
-        self._removed_at_ms.pop(listed.identity, None)
-        self._left_at_ms.pop(listed.identity, None)
-        self._listed_at_ms[listed.identity] = self._now_ms()
         backend = self._backends.get(listed.identity)
+        if backend is None or _is_written_again(listed, backend.listed):
+            self._removed_at_ms.pop(listed.identity, None)
+            self._left_at_ms.pop(listed.identity, None)
+            self._listed_at_ms[listed.identity] = self._now_ms()
         if backend is None or backend.listed.address != listed.address:
             backend = Backend(listed)
             backend.pause_until(self.pauses.until_ms(listed.identity))
@@ -362,6 +363,14 @@
         }
 
 
+def _is_written_again(listed, known):
+    """Return whether an entry may be newer than the known one.
+
+    A list of another instance may be older than a reported removal.
+    """
+    return listed.revision is None or listed.revision != known.revision
+
+
 def accepts_requests(fleet, backend, now_ms):
     """Return whether a server accepts new requests, as far as is known.
 
--- a/crankchute/platform/published_test.py
+++ b/crankchute/platform/published_test.py
@@ -118,6 +118,22 @@
         assert harness.servers.revision == 8
 
 
+@pytest.mark.parametrize(('revision', 'members'), [(3, {'b'}), (8, {'a', 'b'})])
+def test_list_from_before_a_reported_removal_returns_the_server(
+    revision, members
+):
+    """Only an entry that was written again shows that the server is back."""
+    harness = Harness()
+    harness.timers.advance(4000)
+    harness.fleet.record_removed('a')
+    entries = {
+        'a': Entry(revision, write_server()),
+        'b': Entry(3, write_server()),
+    }
+    harness.published.apply(ChangeSet(0, 8, entries))
+    assert harness.members() == members
+
+
 def test_older_responses_of_the_store_are_ignored():
     harness = Harness()
     harness.published.apply(ChangeSet(5, 9, {'c': Entry(9, write_server())}))
