Fail calls whose answer has a status that HTTP does not have

What callers saw: statuses of 600 to 999 reached them as answers; after 000 and 099, and after informational answers with a body, they waited until their deadline, or got the body of the odd answer before that of the next one. Cause: everything below 200 counted as informational, and nothing bounded a status from above. Change: core/answer_status.py decides it for all calls, where heads are parsed.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -862,6 +862,20 @@
         '        self._position = None\n        self._may_read_stale = False\n',
         '        self._position = None\n',
     ),
+    Mutation(
+        'answers: any status counts',
+        'crankchute/platform/odd_statuses_test.py',
+        'crankchute/core/answer_status.py',
+        'if not _FIRST_INFORMATIONAL <= status <= _LAST:',
+        'if not 0 <= status:',
+    ),
+    Mutation(
+        'answers: an informational one has a body',
+        'crankchute/platform/odd_statuses_test.py',
+        'crankchute/core/answer_status.py',
+        'if is_informational(status) and _has_body(headers):',
+        'if False:',
+    ),
     Mutation(
         'shutdown: counts from when the process notices the signal',
         'crankchute/platform/stops_test.py',
--- a/crankchute/adapters/http_call.py
+++ b/crankchute/adapters/http_call.py
@@ -2,6 +2,7 @@
 
 import httptools
 
+from crankchute.core.answer_status import find_head_error, is_informational
 from crankchute.errors import BackendError
 from crankchute.ports.http import MAX_BUFFERED_BODY, AnswerOwner
 
@@ -223,7 +224,11 @@
         if self._finished:
             return
         self.status = self._parser.get_status_code()
-        if self.status < 200:  # noqa: WPS432  (informational responses)
+        error = find_head_error(self.status, self.headers)
+        if error is not None:
+            self.fail(f'malformed response: {error}')
+            return
+        if is_informational(self.status):
             self.headers = {}
             self.raw_headers = []
             return
@@ -250,7 +255,7 @@
 
     def on_message_complete(self):
         """Parser callback: the end of the response."""
-        if self.status < 200:  # noqa: WPS432  (informational responses)
+        if is_informational(self.status):
             return
         if self._is_skipping:
             self._end_skipping()
