Refuse configurations whose version does not fit into messages

Cause: any integer counted as a version. One beyond 63 bits took effect, and each message between instances failed from then on.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -876,6 +876,13 @@
         'if is_informational(status) and _has_body(headers):',
         'if False:',
     ),
+    Mutation(
+        'configuration: its version is too large for messages',
+        'crankchute/platform/odd_entries_test.py',
+        'crankchute/platform/documents.py',
+        'if not 0 < version < 1 << _VERSION_BITS:',
+        'if False:',
+    ),
     Mutation(
         'shutdown: counts from when the process notices the signal',
         'crankchute/platform/stops_test.py',
--- a/crankchute/platform/documents.py
+++ b/crankchute/platform/documents.py
@@ -19,6 +19,8 @@
 _MS_PER_SECOND = 1000
 _LOWEST_PRIORITY = 9
 _DEFAULT_CONNECTIONS = 64
+#: Messages between instances carry signed numbers of so many bits.
+_VERSION_BITS = 63
 _DEFAULT_STALL_MS = 1500
 _DEFAULT_HEALTH_PATH = '/'
 #: Tokens of a typical prompt and its answer, if the document names none.
@@ -51,7 +53,7 @@
         _decode_pool(entry, stall_ms) for entry in document.get('services', ())
     ]
     return ForwardConfig(
-        int(document['version']),
+        _read_version(document),
         routes,
         pools,
         keys=_decode_keys(document.get('tenants')),
@@ -59,6 +61,13 @@
     )
 
 
+def _read_version(document):
+    version = int(document['version'])
+    if not 0 < version < 1 << _VERSION_BITS:
+        raise ValueError('version is out of range')
+    return version
+
+
 def _decode_route(document):
     timeout_ms = document['timeout-ms']
     return Route(
--- a/crankchute/platform/endless_bytes_test.py
+++ b/crankchute/platform/endless_bytes_test.py
@@ -9,6 +9,7 @@
     BackendHarness,
     make_response,
 )
+from crankchute.platform.odd_statuses_test import CALLS
 from crankchute.platform.standin_engine import Behaviour
 from crankchute.platform.standin_world import (
     ANSWERED,
@@ -41,6 +42,18 @@
     return sum(sent)
 
 
+class OtherCall:
+    """A call that ends with an event."""
+
+    def __init__(self, events, last):
+        self._events = events
+        self._last = last
+
+    @property
+    def has_ended(self):
+        return self._last in self._events
+
+
 @pytest.mark.parametrize('is_stream', [True, False])
 @pytest.mark.parametrize(
     ('payload', 'filler', 'end'),
@@ -76,6 +89,30 @@
     assert sent <= _MAX_ACCEPTED
 
 
+@pytest.mark.parametrize('name', ['relay', 'order', 'store'])
+@pytest.mark.parametrize(
+    ('payload', 'filler'),
+    [
+        (b'HTTP/1.1 200 OK\r\nX: ', _FILLER),
+        (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 3000),
+        (b'%b\r\n' % _HEAD, _FILLER),
+        (_CHUNKED, b'10000\r\n%b\r\n' % _FILLER),
+        (b'%bContent-Length: 99999999999\r\n\r\n' % _HEAD, _FILLER),
+        (b'%b1;' % _CHUNKED, _FILLER),
+        (b'%b0\r\n' % _CHUNKED, b'X: y\r\n' * 9000),
+        (b'\x00\x01', _FILLER),
+    ],
+)
+def test_bytes_without_end_to_other_calls_are_buffered(name, payload, filler):
+    harness = BackendHarness()
+    start, expected = CALLS[name]
+    outcomes = []
+    start(harness, outcomes)
+    sent = pour(harness, OtherCall(outcomes[0], expected), payload, filler)
+    assert outcomes[0][-1] == expected
+    assert sent <= _MAX_ACCEPTED
+
+
 def test_bytes_after_the_stated_length_are_not_read():
     harness = BackendHarness()
     _call, listener = harness.send()
--- a/crankchute/platform/odd_statuses_test.py
+++ b/crankchute/platform/odd_statuses_test.py
@@ -89,7 +89,8 @@
     harness.receive(b'\r\n\r\n')
 
 
-_CALLS = {  # noqa: WPS407  (a table)
+#: How each kind of call is sent, and its end if the answer is invalid.
+CALLS = {  # noqa: WPS407  (a table)
     'request': (
         partial(send_request, repeat=RetryMode.AGAIN),
         ('failed', True),
@@ -128,23 +129,23 @@
     return b'%bContent-Length: 2\r\n\r\n{}' % head
 
 
-@pytest.mark.parametrize('name', list(_CALLS))
+@pytest.mark.parametrize('name', list(CALLS))
 @pytest.mark.parametrize('is_chunked', [False, True])
 @pytest.mark.parametrize('status', [*_ODD, *_WITH_BODY, '101'])
 def test_odd_status_is_passed_on_or_waited_for(status, is_chunked, name):
     harness = BackendHarness()
-    start, expected = _CALLS[name]
+    start, expected = CALLS[name]
     outcomes = []
     start(harness, outcomes)
     payload = make_answer(status, is_chunked=is_chunked)
     assert answer(harness, outcomes, payload) == [expected]
 
 
-@pytest.mark.parametrize('name', list(_CALLS))
+@pytest.mark.parametrize('name', list(CALLS))
 @pytest.mark.parametrize('status', [*_ODD, *_WITH_BODY])
 def test_body_with_an_odd_status_is_joined_to_the_next_answer(status, name):
     harness = BackendHarness()
-    start, expected = _CALLS[name]
+    start, expected = CALLS[name]
     outcomes = []
     start(harness, outcomes)
     payload = make_answer(status) + make_answer('200')
