--- a/bench/soak/attempts.py
+++ b/bench/soak/attempts.py
@@ -35,6 +35,7 @@
 _READ_MS = 100
 _GAP_MS = 60
 _EVENTS = (3, 20, 60)
+_LONG_EVENTS = 90
 _OK = 200
 
 
@@ -128,6 +129,12 @@
         self.work = {'ms': _BURST_WORK_MS, 'events': 0, 'size': 0}
         self.is_early = False
 
+    def lengthen_stream(self):
+        """Make this a stream that lasts for seconds, sent in one piece."""
+        self.work = {'ms': 0, 'events': _LONG_EVENTS, 'gap_ms': _GAP_MS}
+        self.padding = 0
+        self.write_pause_s = 0
+
     def format(self):
         """Return the bytes of the request."""
         headers = [
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -72,6 +72,26 @@
         attempt.ended = now_s()
         self._close()
 
+    async def send_late(self, instance, path, delay_s):
+        """Send a long stream after a while, on a connection opened before.
+
+        Args:
+          instance: The Instance.
+          path: The path prefix of its route.
+          delay_s: The time before it is sent, in seconds.
+        """
+        self._addresses = [instance.ip]
+        await self._open()
+        if self._writer is None:
+            return
+        await asyncio.sleep(delay_s)
+        attempt = Attempt(self._random, path, instance.name, 0)
+        attempt.lengthen_stream()
+        self.attempts.append(attempt)
+        await self._exchange(attempt)
+        attempt.ended = now_s()
+        self._close()
+
     async def run(self, seconds):
         """Send requests for some seconds.
 
--- a/bench/soak/disturbances.py
+++ b/bench/soak/disturbances.py
@@ -18,6 +18,11 @@
 #: More than the memory of an instance holds of long requests.
 _BURST = 120
 _BURST_PATHS = ('/again/', '/once/')
+_STREAM_PATH = '/stream/'
+_LATE_STREAMS = 8
+#: When they are sent after the signal, three times the time to live of an address.
+_LATE_S = (2.95, 3.15)
+_CONNECT_S = 0.2
 
 
 @disturbance(4)
@@ -77,6 +82,11 @@
     instance = plan.choose_instance()
     if instance is None:
         return
+    late = [
+        asyncio.create_task(_send_late(plan, instance))
+        for _ in range(_LATE_STREAMS)
+    ]
+    await asyncio.sleep(_CONNECT_S)
     instance.stopped_at = now_s()
     plan.note('term', instance=instance.name)
     instance.send(signal.SIGTERM)
@@ -85,9 +95,16 @@
     if instance.is_running:
         plan.note('killed_at_grace', instance=instance.name)
         instance.send(signal.SIGKILL)
+    await asyncio.gather(*late)
     await _start_again(plan, instance)
 
 
+async def _send_late(plan, instance):
+    """Send a stream about when callers know that an instance stops."""
+    delay_s = _CONNECT_S + plan.random.uniform(*_LATE_S)
+    await plan.make_client().send_late(instance, _STREAM_PATH, delay_s)
+
+
 @disturbance(1)
 async def kill_instance(plan):
     """Kill an instance and start it again."""
@@ -157,10 +174,3 @@
     fleet.replace_server(identity)
     await asyncio.sleep(_EXPIRY_S)
     fleet.list_server(identity, None)
-
-
-@disturbance(1)
-async def cut_store(plan):
-    """Close the connections to the store."""
-    plan.note('cut_store')
-    plan.fleet.store.tell('cut')
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -191,8 +191,9 @@
         self._host_of[identity].tell(method, server=identity, **arguments)
 
     def read_records(self):
-        """Return the events that the servers recorded, in order of time."""
-        events = [event for host in self.hosts for event in host.read_record()]
+        """Return what the servers and the store recorded, in order of time."""
+        hosts = (*self.hosts, self.store)
+        events = [event for host in hosts for event in host.read_record()]
         return sorted(events, key=lambda event: event['t'])
 
     def _ip(self, number):
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from bench.soak import disturbances  # noqa: F401  (registers them)
+from bench.soak import disturbances, store_disturbances  # noqa: F401
 from bench.soak.config import Config
 from bench.soak.fleet import Fleet
 from bench.soak.plan import Plan
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -5,6 +5,7 @@
 
 from bench.soak.config import REPEATS
 from bench.soak.fleet import GRACE_S
+from crankchute.platform.wire import SERVERS_PREFIX
 
 #: Statuses that promise that a request did not run.
 _PROMISES = frozenset((408, 421, 429, 503))
@@ -15,6 +16,9 @@
 #: Requests sent later in a stop are not excused.
 _STOP_EXCUSE_S = 3
 _LAST_WORK_S = GRACE_S * 5 / 6
+#: How long after the store has taken that a server leaves requests may reach it.
+_DRAIN_S = 2
+_STORE_EVENTS = frozenset(('cut_store', 'forget', 'restore'))
 #: Not run, but held longer than it takes to see that a connection is closed.
 _HELD_S = 2
 #: Checks by the name of the violation; each returns a text or None.
@@ -46,7 +50,7 @@
       runs: Those that say that a server ran it.
     """
 
-    def __init__(self, attempt, events, disturbances, timeout_s):
+    def __init__(self, attempt, events, disturbances, timeout_s, left_at):
         """Create the case.
 
         Args:
@@ -54,7 +58,13 @@
           events: The servers' events of its request.
           disturbances: The log of the Plan.
           timeout_s: The shortest timeout of a route.
+          left_at: A map from the id of a server to when the store took that it
+            leaves.
         """
+        self._left_at = left_at
+        self._store_times = [
+            one['t'] for one in disturbances if one['event'] in _STORE_EVENTS
+        ]
         self.attempt = attempt
         self.events = events
         self.runs = [event for event in events if event['event'] == 'run']
@@ -103,6 +113,11 @@
             return True
         return self._is_cut_by_stop()
 
+    @property
+    def late_runs(self):
+        """The runs at servers that had left for longer than is allowed."""
+        return [run for run in self.runs if self._is_late(run)]
+
     @property
     def outcome(self):
         """The status or outcome, and whether a 5xx was told although it ran."""
@@ -128,6 +143,27 @@
             parts.append(f'[{after_s:+.2f} {name.strip()}]')
         return ' '.join(parts)
 
+    def _is_late(self, run):
+        left_at = self._left_at.get(run['server'], float('inf'))
+        if run['t'] <= left_at + _DRAIN_S or not self._is_in_touch(run['t']):
+            return False
+        return not any(
+            at <= moment < at + _CONTACT_S
+            for at in self._store_times
+            for moment in (left_at, run['t'])
+        )
+
+    def _is_in_touch(self, now):
+        """Whether the instance had run undisturbed for a while at a time."""
+        return not any(
+            one['t'] <= now
+            and now < one['t'] + one.get('seconds', 0) + _CONTACT_S
+            or one['event'] == 'term'
+            and one['t'] <= now < one['t'] + GRACE_S
+            for one in self._disturbances
+            if one['event'] in {'term', 'kill', 'freeze', 'start'}
+        )
+
     def _is_cut_by_stop(self):
         """Whether a server was at work at the end on an early request."""
         stopped_at = self.stopped_at
@@ -150,6 +186,12 @@
     return 'not run' if is_held else None
 
 
+@check('DRAIN')
+def _find_drained(case):
+    servers = [run['server'] for run in case.late_runs]
+    return f'sent to {servers}' if servers else None
+
+
 @check('REFUSED')
 def _find_refused(case):
     attempt = case.attempt
@@ -200,14 +242,19 @@
       plan: The Plan that disturbed the run.
     """
     events_of = defaultdict(list)
+    left_at = {}
     for event in events:
         events_of[event.get('id')].append(event)
+        if event['event'] == 'put' and event['state'] != 'ready':
+            identity = event['key'].removeprefix(SERVERS_PREFIX)
+            left_at.setdefault(identity, event['t'])
     return [
         Case(
             attempt,
             events_of[attempt.request_id],
             plan.log,
             plan.config.shortest_timeout_s,
+            left_at,
         )
         for attempt in attempts
     ]
--- a/crankchute/platform/standin_host.py
+++ b/crankchute/platform/standin_host.py
@@ -39,6 +39,12 @@
         else:
             target = self._servers.get(command.pop('server', None), self._store)
             getattr(target, name)(**command)
+        if name == 'put':
+            self._record_put(**command)
+
+    def _record_put(self, key, document):
+        state = None if document is None else document.get('state')
+        self._record('put', key=key, state=state)
 
     def _record(self, event, **details):
         document = {'t': time.time(), 'event': event, **details}
