Refuse changes that an instance asked for with an older list

Cause: changes are computed for the revision that was asked with. If the watch of the asking instance told of an added server meanwhile, and the instance that answers read its list again after that server had left, the deletion is in neither, and the server stayed in a list that counted as current. Change: such changes are applied only if their sender has all deletions since the present list; otherwise the next message asks again. Evidence: test_changes_for_an_older_list_keep_a_server_that_left failed in the row with the added server before the change.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -855,6 +855,13 @@
         'while spans and first <= spans[-1][1]:',
         'while spans:',
     ),
+    Mutation(
+        'changes that were asked for an older list are applied',
+        'crankchute/platform/published_test.py',
+        'crankchute/core/server_list.py',
+        'and changes.deletions_since <= self.revision',
+        'and True',
+    ),
     Mutation(
         'store: pages are stale after a loss of history',
         'crankchute/platform/store_test.py',
--- a/crankchute/core/server_list.py
+++ b/crankchute/core/server_list.py
@@ -61,6 +61,24 @@
             since, self.revision, entries, self.coverage.deletions_since
         )
 
+    def accepts(self, changes):
+        """Return whether changes lead from this list to a newer one.
+
+        Changes that were asked for before this list got others may lack
+        deletions of entries that it has since then.
+
+        Args:
+          changes: A ChangeSet.
+        """
+        if changes.revision <= self.revision:
+            return False
+        if changes.since in {0, self.revision}:
+            return True
+        return (
+            changes.since < self.revision
+            and changes.deletions_since <= self.revision
+        )
+
     def replace_all(self, changes, *, may_have_expired=False):
         """Replace the list by a whole one, from the store or another instance.
 
@@ -103,13 +121,11 @@
         Entries that are not newer than what this list has are ignored.
 
         Args:
-          changes: A ChangeSet that starts no later than this list, and is not
-            a whole list.
+          changes: A ChangeSet that this list accepts, and that is not a whole
+            list.
         Returns:
           A map from id to Entry of what has changed.
         """
-        if changes.revision <= self.revision:
-            return {}
         changed = {
             identity: entry
             for identity, entry in changes.entries.items()
--- a/crankchute/core/server_list_test.py
+++ b/crankchute/core/server_list_test.py
@@ -117,6 +117,25 @@
         assert bool(servers.changes_since(known).since) == is_covered
 
 
+@pytest.mark.parametrize(
+    ('changes', 'is_accepted'),
+    [
+        (ChangeSet(5, 9, {}), True),
+        (ChangeSet(5, 9, {}, 8), True),
+        (ChangeSet(4, 9, {}), True),
+        (ChangeSet(4, 9, {}, 5), True),
+        (ChangeSet(0, 9, {}), True),
+        # They may lack deletions of entries that were added at 5.
+        (ChangeSet(4, 9, {}, 6), False),
+        (ChangeSet(6, 9, {}), False),
+        (ChangeSet(4, 5, {}), False),
+        (ChangeSet(0, 5, {}), False),
+    ],
+)
+def test_changes_that_leave_a_gap_are_accepted(changes, is_accepted):
+    assert make_list(a=3, b=5).accepts(changes) == is_accepted
+
+
 def test_number_of_spans_is_bounded():
     servers = ServerList()
     for revision in range(1, 100):
@@ -191,7 +210,7 @@
 
 def test_older_changes_are_ignored():
     servers = make_list(a=3, b=5)
-    servers.apply_changes(ChangeSet(3, 4, {'a': Entry(4, None)}))
+    assert not servers.accepts(ChangeSet(3, 4, {'a': Entry(4, None)}))
     assert servers.revision == 5
     assert servers.changes_since(0).entries['a'].payload is not None
 
--- a/crankchute/platform/published.py
+++ b/crankchute/platform/published.py
@@ -118,8 +118,7 @@
         Returns:
           True if the changes were newer than the list and left no gap.
         """
-        known = self._servers.revision
-        if changes.revision <= known or changes.since > known:
+        if not self._servers.accepts(changes):
             return False
         if changes.since:
             listed = self._decode_entries(changes.entries, is_restored=False)
--- a/crankchute/platform/published_test.py
+++ b/crankchute/platform/published_test.py
@@ -101,6 +101,24 @@
     assert harness.members() == members
 
 
+@pytest.mark.parametrize(('known', 'is_applied'), [(5, True), (6, False)])
+def test_changes_for_an_older_list_keep_a_server_that_left(known, is_applied):
+    """They were asked for before the watch told of an added server."""
+    teller, asking = Harness(), Harness()
+    # The teller has not seen that `c` was added at 6 and deleted at 7.
+    entries = [make_entry(name, 3, write_server()) for name in ('a', 'b')]
+    teller.published.on_entries(entries, 100, 8)
+    reply = teller.servers.changes_since(asking.servers.revision)
+    if known == 6:
+        added = make_entry('c', 6, write_server())
+        asking.published.on_changes([added], 50)
+    assert asking.published.apply(reply) == is_applied
+    later = teller.servers.changes_since(asking.servers.revision)
+    if later is not None:
+        asking.published.apply(later)
+    assert asking.members() == {'a', 'b'}
+
+
 @pytest.mark.parametrize('passed_on', ['changes', 'whole list'])
 def test_deletion_in_a_lost_history_is_kept_from_a_third_instance(passed_on):
     """It went on sending requests to the server that had left."""
--- a/crankchute/platform/server_lists_machine_test.py
+++ b/crankchute/platform/server_lists_machine_test.py
@@ -136,6 +136,7 @@
         self.settings = self
         self.store = ('127.0.0.1', 1)
         self.call = None
+        self.replies = []
         self.fleet = ForwardFleet(self.timers, POOL_LABEL)
         self.servers = ServerList()
         self.published = PublishedServers(self, self.timers.clock)
@@ -265,6 +266,23 @@
     def pull(self, number, other):
         self._instances[number].pull(self._instances[other])
 
+    @rule(number=instances, other=instances)
+    def ask(self, number, other):
+        """Ask another instance for changes; they arrive later."""
+        asking = self._instances[number]
+        changes = self._instances[other].servers.changes_since(
+            asking.servers.revision
+        )
+        if changes is not None:
+            asking.replies.append(read_changes(write_changes(changes)))
+
+    @rule(number=instances)
+    def receive(self, number):
+        """Receive the changes that were asked for first."""
+        receiving = self._instances[number]
+        if receiving.replies:
+            receiving.published.apply(receiving.replies.pop(0))
+
     @rule(delay_ms=st.sampled_from([50, 400, 2000]))
     def advance(self, delay_ms):
         for instance in self._instances.values():
