--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -18,6 +18,7 @@
 _LAST_WORK_S = GRACE_S * 5 / 6
 #: How long after the store has taken that a server leaves requests may reach it.
 _DRAIN_S = 2
+_OUT_OF_TOUCH = frozenset(('term', 'kill', 'freeze', 'start'))
 _STORE_EVENTS = frozenset(('cut_store', 'forget', 'restore'))
 #: Not run, but held longer than it takes to see that a connection is closed.
 _HELD_S = 2
@@ -147,6 +148,8 @@
         left_at = self._left_at.get(run['server'], float('inf'))
         if run['t'] <= left_at + _DRAIN_S or not self._is_in_touch(run['t']):
             return False
+        # The store must have been stable both when it took that the server
+        # leaves and when the request arrived there.
         return not any(
             at <= moment < at + _CONTACT_S
             for at in self._store_times
@@ -156,12 +159,9 @@
     def _is_in_touch(self, now):
         """Whether the instance had run undisturbed for a while at a time."""
         return not any(
-            one['t'] <= now
-            and now < one['t'] + one.get('seconds', 0) + _CONTACT_S
-            or one['event'] == 'term'
-            and one['t'] <= now < one['t'] + GRACE_S
+            one['t'] <= now < one['t'] + one.get('seconds', 0) + _CONTACT_S
             for one in self._disturbances
-            if one['event'] in {'term', 'kill', 'freeze', 'start'}
+            if one['event'] in _OUT_OF_TOUCH
         )
 
     def _is_cut_by_stop(self):
