Let entries of a restored store expire in the soak

Cause: the simulated store kept entries that nobody wrote any more after a restore; the platform's go after three heartbeats. Change: entries that were not written since the restore are removed 3 s after the others were written.

--- a/bench/soak/store_disturbances.py
+++ b/bench/soak/store_disturbances.py
@@ -4,12 +4,15 @@
 
 from bench.soak.disturbances import leave
 from bench.soak.plan import disturbance
+from crankchute.platform.wire import SERVERS_PREFIX
 
 _COPY_AGE_S = (1, 8)
 #: How long after a change the history is forgotten.
 _FORGOTTEN_S = (0, 0.1)
 #: How long a server takes to write an entry that was lost.
 _REWRITE_S = 0.5
+#: How long an entry stays that nobody writes any more.
+_EXPIRY_S = 3
 
 
 @disturbance(1)
@@ -39,3 +42,5 @@
     plan.fleet.publish(plan.config.document)
     for identity, entry in plan.fleet.servers.items():
         plan.fleet.list_server(identity, entry)
+    await asyncio.sleep(_EXPIRY_S)
+    plan.fleet.store.tell('expire_restored', prefix=SERVERS_PREFIX)
--- a/crankchute/platform/standin_watched_store.py
+++ b/crankchute/platform/standin_watched_store.py
@@ -98,6 +98,17 @@
         self._oldest = state.revision
         self._states = [_State(state.revision, state.entries)]
 
+    def expire_restored(self, prefix):
+        """Remove entries that were not written since the last restore.
+
+        Args:
+          prefix: The prefix of their keys.
+        """
+        for key, entry in self._newest.entries.items():
+            is_old = entry['revision'] <= self._states[0].revision
+            if is_old and key.startswith(prefix):
+                self.put(key, None)
+
     @property
     def _newest(self):
         return self._states[-1]
