Keep other disturbances from an instance that is about to be stopped

Cause: the soak opens connections for 0.2 s before it sends the signal. Change: the instance counts as stopped from the beginning.

--- a/bench/soak/disturbances.py
+++ b/bench/soak/disturbances.py
@@ -82,6 +82,8 @@
     instance = plan.choose_instance()
     if instance is None:
         return
+    # No other disturbance may choose it while connections are opened.
+    instance.stopped_at = now_s()
     late = [
         asyncio.create_task(_send_late(plan, instance))
         for _ in range(_LATE_STREAMS)
