--- a/crankchute/core/list_coverage.py
+++ b/crankchute/core/list_coverage.py
@@ -51,8 +51,8 @@
     def join(self, changes):
         """Return the coverage after changes or a newer whole list.
 
-        Changes from another instance lack the deletions of entries that were
-        added after this list and that the other instance never had.
+        Changes from another instance may lack deletions of entries that were
+        added after this list: those that the other instance never had.
 
         Args:
           changes: A ChangeSet that was applied to this list.
